--- /dev/null
+++ b/cmd/waxwingd/main.go
@@ -0,0 +1,66 @@
+// Command waxwingd is the daemon that runs on each entry VM.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/runner"
+	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
+)
+
+// The exit codes.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	app := &cli.Command{
+		Name:  "waxwingd",
+		Usage: "steer callers' requests to upstreams, on one entry VM",
+		Commands: []*cli.Command{
+			{Name: "check", Usage: "check the settings and end", Flags: settingsFlag(), Action: check},
+			{Name: "serve", Usage: "run until a planned stop by SIGTERM or SIGINT", Flags: settingsFlag(), Action: serve},
+		},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(exitFailed)
+	}
+}
+
+func settingsFlag() []cli.Flag {
+	return []cli.Flag{&cli.StringFlag{Name: "settings", Usage: "the INI `FILE` of settings", Required: true}}
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	_, err := load(c)
+	if err == nil {
+		fmt.Println("settings are good")
+	}
+	return err
+}
+
+func serve(ctx context.Context, c *cli.Command) error {
+	settings, err := load(c)
+	if err != nil {
+		return err
+	}
+	return runner.Run(ctx, settings, os.Stderr)
+}
+
+func load(c *cli.Command) (loader.Settings, error) {
+	settings, err := loader.Load(c.String("settings"))
+	if err != nil {
+		return settings, cli.Exit(err.Error(), exitSettings)
+	}
+	return settings, nil
+}
--- /dev/null
+++ b/cmd/waxwingstand/main.go
@@ -0,0 +1,102 @@
+// Command waxwingstand is the stand-ins and the load tool. It is never part of
+// a deployment.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/urfave/cli/v3"
+
+	"github.com/waxwingloom/waxwingloom/internal/stand/commander"
+	"github.com/waxwingloom/waxwingloom/internal/stand/demonstrator"
+	"github.com/waxwingloom/waxwingloom/internal/stand/worker"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	app := &cli.Command{
+		Name:     "waxwingstand",
+		Usage:    "stand-ins of the systems that waxwingloom serves, and a load of callers",
+		Commands: []*cli.Command{platform(), upstream(), caller(), demo()},
+	}
+	if err := app.Run(ctx, os.Args); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+func listenFlag() cli.Flag {
+	return &cli.StringFlag{Name: "listen", Usage: "the `ADDRESS` to listen on", Value: "127.0.0.1:0"}
+}
+
+func platform() *cli.Command {
+	return &cli.Command{
+		Name: "platform", Usage: "the platform's object API",
+		Flags: []cli.Flag{listenFlag()},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return commander.Platform(ctx, c.String("listen"))
+		},
+	}
+}
+
+func upstream() *cli.Command {
+	return &cli.Command{
+		Name: "upstream", Usage: "an upstream with slots and a journal",
+		Flags: []cli.Flag{
+			listenFlag(),
+			&cli.StringFlag{Name: "name", Usage: "the upstream's `NAME`", Required: true},
+			&cli.Int64Flag{Name: "slots", Usage: "the weight that it runs at once", Value: 6},
+			&cli.DurationFlag{Name: "work", Usage: "how long one request takes", Value: 8 * time.Millisecond},
+			&cli.FloatFlag{Name: "cold", Usage: "how much longer its first answers take, as a factor"},
+			&cli.DurationFlag{Name: "warm", Usage: "how long it takes to warm up"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			limits := worker.Limits{
+				Slots: c.Int64("slots"), Work: c.Duration("work"), Cold: c.Float("cold"), Warm: c.Duration("warm"),
+			}
+			return commander.Upstream(ctx, c.String("listen"), c.String("name"), limits)
+		},
+	}
+}
+
+func caller() *cli.Command {
+	return &cli.Command{
+		Name: "caller", Usage: "an open-loop load of callers, which stops by itself",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "plan", Usage: "the INI `FILE` of loads", Required: true},
+			&cli.StringFlag{Name: "entries", Usage: "`ADDRESSES` of entry VMs, separated by commas", Required: true},
+			&cli.StringFlag{Name: "sources", Usage: "loopback `IPS` of callers, separated by commas", Value: "127.0.0.1"},
+			&cli.DurationFlag{Name: "duration", Usage: "how long to send", Value: 10 * time.Second},
+			&cli.DurationFlag{Name: "try", Usage: "the time for one try at one entry VM", Value: 2 * time.Second},
+			&cli.Uint64Flag{Name: "seed", Usage: "the seed of the requests' bodies", Value: 1},
+			&cli.StringFlag{Name: "out", Usage: "the `FILE` of the report as JSON"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return commander.Callers(ctx, commander.CallerOptions{
+				Plan: c.String("plan"), Entries: c.String("entries"), Sources: c.String("sources"),
+				Duration: c.Duration("duration"), Try: c.Duration("try"), Seed: c.Uint64("seed"), Out: c.String("out"),
+			}, os.Stdout)
+		},
+	}
+}
+
+func demo() *cli.Command {
+	return &cli.Command{
+		Name: "demo", Usage: "a whole deployment on loopback under faults",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "programs", Usage: "the `FOLDER` of the built programs", Value: "bin"},
+			&cli.StringFlag{Name: "example", Usage: "the `FOLDER` of the steering document", Value: "examples/lonestar"},
+			&cli.BoolFlag{Name: "keep", Usage: "keep the logs"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			o := demonstrator.Options{Programs: c.String("programs"), Example: c.String("example"), Keep: c.Bool("keep")}
+			return demonstrator.Run(ctx, o, os.Stdout)
+		},
+	}
+}
--- /dev/null
+++ b/internal/document/parser/nodes.go
@@ -0,0 +1,213 @@
+package parser
+
+import (
+	"net/netip"
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/config/checker"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+// The kinds of drain target.
+const (
+	UpstreamTarget TargetKind = "upstream"
+	VMTarget       TargetKind = "vm"
+	ZoneTarget     TargetKind = "zone"
+	RegionTarget   TargetKind = "region"
+)
+
+type (
+	// Document is a whole steering document that passed every check. It is
+	// never changed after it was parsed.
+	Document struct {
+		Services   []Service
+		Zones      []Zone
+		Upstreams  []Upstream
+		Blocks     []Block
+		Drains     []Drain
+		Shifts     []Shift
+		Exceptions []Exception
+
+		entries []checker.Entry
+	}
+
+	// Service is a service and its classes.
+	Service struct {
+		Name         namer.Service
+		TTL          time.Duration
+		WitnessOther bool
+		Refusal      int
+		Queue        int
+		Reserve      int
+		Retry        int
+		Eject        int
+		Classes      []Class
+	}
+
+	// Class is a class of requests.
+	Class struct {
+		Name     namer.Class
+		Method   string
+		Path     string
+		Weight   namer.Weight
+		Once     bool
+		Deadline time.Duration
+	}
+
+	// Zone is an availability zone. VMs is the number of its entry VMs.
+	Zone struct {
+		Name   namer.Zone
+		Region namer.Region
+		VMs    int
+	}
+
+	// Upstream is an upstream with its limits.
+	Upstream struct {
+		Name    namer.Upstream
+		Service namer.Service
+		Zone    namer.Zone
+		Address string
+		Slots   namer.Weight
+		Conns   int
+	}
+
+	// Block is a block of caller addresses and its nearest zone.
+	Block struct {
+		Name string
+		Net  netip.Prefix
+		Zone namer.Zone
+	}
+
+	// TargetKind says what a drain's target is.
+	TargetKind string
+
+	// Drain keeps new work from its target.
+	Drain struct {
+		Name   string
+		Kind   TargetKind
+		Target string
+	}
+
+	// Shift caps the weight shifted into a zone within any window.
+	Shift struct {
+		Zone   namer.Zone
+		Weight namer.Weight
+		Window time.Duration
+	}
+
+	// Exception steers some callers of a service to a zone.
+	Exception struct {
+		Name    string
+		Net     netip.Prefix
+		Service namer.Service
+		Zone    namer.Zone
+	}
+)
+
+// Service returns the named service.
+func (d *Document) Service(name namer.Service) (Service, bool) {
+	for _, s := range d.Services {
+		if s.Name == name {
+			return s, true
+		}
+	}
+	return Service{}, false
+}
+
+// Zone returns the named zone.
+func (d *Document) Zone(name namer.Zone) (Zone, bool) {
+	for _, z := range d.Zones {
+		if z.Name == name {
+			return z, true
+		}
+	}
+	return Zone{}, false
+}
+
+// ServiceUpstreams returns the upstreams of a service in a zone, in the order
+// of the document.
+func (d *Document) ServiceUpstreams(service namer.Service, zone namer.Zone) []Upstream {
+	var ups []Upstream
+	for _, u := range d.Upstreams {
+		if u.Service == service && u.Zone == zone {
+			ups = append(ups, u)
+		}
+	}
+	return ups
+}
+
+// Shift returns the cap on traffic shifted into a zone.
+func (d *Document) Shift(zone namer.Zone) (Shift, bool) {
+	for _, s := range d.Shifts {
+		if s.Zone == zone {
+			return s, true
+		}
+	}
+	return Shift{}, false
+}
+
+// Drained returns the name of the drain that keeps new work from the target.
+func (d *Document) Drained(kind TargetKind, target string) (string, bool) {
+	for _, dr := range d.Drains {
+		if dr.Kind == kind && dr.Target == target {
+			return dr.Name, true
+		}
+	}
+	return "", false
+}
+
+// ZoneDrained returns the name of the drain on a zone or on its region.
+func (d *Document) ZoneDrained(zone namer.Zone) (string, bool) {
+	if name, ok := d.Drained(ZoneTarget, string(zone)); ok {
+		return name, true
+	}
+	z, ok := d.Zone(zone)
+	if !ok {
+		return "", false
+	}
+	return d.Drained(RegionTarget, string(z.Region))
+}
+
+// LongestDeadline returns the longest deadline of any class.
+func (d *Document) LongestDeadline() time.Duration {
+	var longest time.Duration
+	for _, s := range d.Services {
+		for _, c := range s.Classes {
+			longest = max(longest, c.Deadline)
+		}
+	}
+	return longest
+}
+
+// LongestTTL returns the longest time for which callers cache any look-up.
+func (d *Document) LongestTTL() time.Duration {
+	var longest time.Duration
+	for _, s := range d.Services {
+		longest = max(longest, s.TTL)
+	}
+	return longest
+}
+
+// Classify returns the class of a request by its method and its path within
+// the service. The longest matching path wins.
+func (s Service) Classify(method, path string) (Class, bool) {
+	var best Class
+	found := false
+	for _, c := range s.Classes {
+		if c.Method != method || !underPath(c.Path, path) {
+			continue
+		}
+		if !found || len(c.Path) > len(best.Path) {
+			best = c
+			found = true
+		}
+	}
+	return best, found
+}
+
+func underPath(prefix, path string) bool {
+	if len(path) < len(prefix) || path[:len(prefix)] != prefix {
+		return false
+	}
+	return len(path) == len(prefix) || prefix[len(prefix)-1] == '/' || path[len(prefix)] == '/'
+}
--- /dev/null
+++ b/internal/document/parser/parser.go
@@ -0,0 +1,164 @@
+// Package parser reads the steering document: five owned sections, each an INI
+// file. A document is checked as a whole, so that valid sections which don't
+// fit each other are refused together with the line that needs mending.
+//
+// # Usage
+//
+//	doc, err := parser.Parse(parser.Sources{{Section: parser.Services, Text: text}})
+//	var problems checker.Problems
+//	if errors.As(err, &problems) {
+//		// One problem a line, each with file, line, section and key.
+//	}
+package parser
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/waxwingloom/waxwingloom/internal/config/checker"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+type (
+	// Source is the text of one section.
+	Source struct {
+		Section Section
+		Text    []byte
+	}
+
+	// Sources is the text of the document. A section without a source is
+	// empty.
+	Sources []Source
+)
+
+// Of returns the text of a section.
+func (s Sources) Of(section Section) []byte {
+	for _, src := range s {
+		if src.Section == section {
+			return src.Text
+		}
+	}
+	return nil
+}
+
+// With returns a copy in which a section has a new text.
+func (s Sources) With(section Section, text []byte) Sources {
+	out := Sources{{Section: section, Text: text}}
+	for _, src := range s {
+		if src.Section != section {
+			out = append(out, src)
+		}
+	}
+	return out
+}
+
+// Parse reads the whole document. The error holds every problem found, as
+// checker.Problems.
+func Parse(sources Sources) (*Document, error) {
+	d := &Document{}
+	var problems checker.Problems
+	for _, section := range Sections() {
+		text := sources.Of(section)
+		file := string(section) + ".ini"
+		if len(text) > MaxSectionBytes {
+			problems = append(problems, checker.Problem{
+				File:   file,
+				Reason: fmt.Sprintf("%d bytes; allowed: at most %d bytes a section", len(text), MaxSectionBytes),
+			})
+			continue
+		}
+		entries, found := checker.Check(SchemaOf(section), file, text)
+		problems = append(problems, found...)
+		d.entries = append(d.entries, entries...)
+	}
+	for _, e := range d.entries {
+		d.add(e)
+	}
+	problems = append(problems, d.relate()...)
+	if err := problems.AsError(); err != nil {
+		return nil, err
+	}
+	return d, nil
+}
+
+// Entries returns the checked INI sections of the document, for reading back.
+func (d *Document) Entries() []checker.Entry {
+	return d.entries
+}
+
+func (d *Document) add(e checker.Entry) {
+	switch e.Kind {
+	case "service":
+		d.Services = append(d.Services, newService(e))
+	case "class":
+		d.addClass(e)
+	case "zone":
+		d.Zones = append(d.Zones, Zone{
+			Name:   namer.Zone(e.Name),
+			Region: namer.Region(e.Text("region")),
+			VMs:    int(e.Number("vms")),
+		})
+	case "upstream":
+		d.Upstreams = append(d.Upstreams, newUpstream(e))
+	case "block":
+		d.Blocks = append(d.Blocks, Block{Name: e.Name, Net: e.Prefix("net"), Zone: namer.Zone(e.Text("zone"))})
+	case "drain":
+		d.Drains = append(d.Drains, Drain{Name: e.Name, Kind: TargetKind(e.Text("kind")), Target: e.Text("target")})
+	case "shift":
+		d.Shifts = append(d.Shifts, Shift{
+			Zone:   namer.Zone(e.Name),
+			Weight: namer.Weight(e.Number("weight")),
+			Window: e.Duration("window"),
+		})
+	case "exception":
+		d.Exceptions = append(d.Exceptions, Exception{
+			Name:    e.Name,
+			Net:     e.Prefix("net"),
+			Service: namer.Service(e.Text("service")),
+			Zone:    namer.Zone(e.Text("zone")),
+		})
+	}
+}
+
+func newService(e checker.Entry) Service {
+	return Service{
+		Name:         namer.Service(e.Name),
+		TTL:          e.Duration("ttl"),
+		WitnessOther: e.Text("witness") == "other",
+		Refusal:      int(e.Number("refusal")),
+		Queue:        int(e.Number("queue")),
+		Reserve:      int(e.Number("reserve")),
+		Retry:        int(e.Number("retry")),
+		Eject:        int(e.Number("eject")),
+	}
+}
+
+func newUpstream(e checker.Entry) Upstream {
+	return Upstream{
+		Name:    namer.Upstream(e.Name),
+		Service: namer.Service(e.Text("service")),
+		Zone:    namer.Zone(e.Text("zone")),
+		Address: e.Text("address"),
+		Slots:   namer.Weight(e.Number("slots")),
+		Conns:   int(e.Number("conns")),
+	}
+}
+
+// addClass attaches a class to its service, which must stand before it; relate
+// reports a class whose service does not.
+func (d *Document) addClass(e checker.Entry) {
+	service, class, _ := strings.Cut(e.Name, "/")
+	for i := range d.Services {
+		if d.Services[i].Name != namer.Service(service) {
+			continue
+		}
+		d.Services[i].Classes = append(d.Services[i].Classes, Class{
+			Name:     namer.Class(class),
+			Method:   e.Text("method"),
+			Path:     e.Text("path"),
+			Weight:   namer.Weight(e.Number("weight")),
+			Once:     e.Switch("once"),
+			Deadline: e.Duration("deadline"),
+		})
+	}
+}
--- /dev/null
+++ b/internal/kernel/runner/runner.go
@@ -0,0 +1,99 @@
+// Package runner assembles the daemon from its services and takes it through
+// a planned stop.
+//
+// # Usage
+//
+//	err := runner.Run(ctx, settings, os.Stderr)
+//
+// The end of ctx begins the planned stop: peers are told, look-up answers that
+// callers still cache are served until they expire, and requests in flight end
+// before the process does.
+package runner
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/front/responder"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/logger"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
+	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
+	"github.com/waxwingloom/waxwingloom/internal/once/conductor"
+	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
+	"github.com/waxwingloom/waxwingloom/internal/share/claimer"
+)
+
+const (
+	// newsTime is how long other entry VMs may take to learn that this one is
+	// leaving, in heartbeats.
+	newsTime = 4
+
+	idleCheck   = 20 * time.Millisecond
+	releaseTime = 2 * time.Second
+	// stopMargin is added to the longest deadline when waiting for requests.
+	stopMargin = 3 * time.Second
+)
+
+// Run runs a daemon until ctx ends and its planned stop is done, or until one
+// of its services fails.
+func Run(ctx context.Context, s loader.Settings, logTo io.Writer) error {
+	log, flush := logger.New(logTo, s.LogLevel)
+	defer flush()
+	log = log.With("vm", string(s.VM))
+	r := registrar.New()
+	register(r, s, log)
+	kernel, err := r.Build()
+	if err != nil {
+		log.Error("not started", "reason", err.Error())
+		return err
+	}
+	defer kernel.Clean()
+	runCtx, cancel := context.WithCancel(context.WithoutCancel(ctx))
+	defer cancel()
+	stop := context.AfterFunc(ctx, func() {
+		leave(kernel, s, log)
+		cancel()
+	})
+	defer stop()
+	err = kernel.Run(runCtx)
+	log.Info("stopped", "failed", err != nil)
+	return err
+}
+
+// leave takes the daemon through its planned stop while every service runs.
+func leave(k *registrar.Kernel, s loader.Settings, log *slog.Logger) {
+	front := k.Find(callersName).(*responder.Responder)
+	members := k.Find(membersName).(*heartbeater.Heartbeater)
+	tokens := k.Find(tokensName).(*conductor.Conductor)
+	documents := k.Find(documentsName).(*keeper.Keeper)
+	ordinals := k.Find(ordinalsName).(*claimer.Claimer)
+	clock := k.Find(clockName).(clockwork.Clock)
+	log.Info("leaving")
+	front.Leave()
+	members.Leave()
+	longest := time.Duration(0)
+	if f := documents.Current(); f != nil {
+		longest = f.Document.LongestDeadline()
+		clock.Sleep(f.Document.LongestTTL() + newsTime*s.Timing.Heartbeat)
+	}
+	waitIdle(clock, longest+stopMargin, func() bool {
+		return front.Busy() == 0 && tokens.Busy() == 0
+	})
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+	defer cancel()
+	if err := ordinals.Release(ctx); err != nil {
+		log.Warn("ordinal not released", "reason", err.Error())
+	}
+}
+
+func waitIdle(clock clockwork.Clock, most time.Duration, idle func() bool) {
+	until := clock.Now().Add(most)
+	for !idle() && clock.Now().Before(until) {
+		clock.Sleep(idleCheck)
+	}
+}
--- /dev/null
+++ b/internal/member/heartbeater/heartbeater.go
@@ -0,0 +1,348 @@
+// Package heartbeater keeps the view of members fresh and spreads what is in
+// force. Each heartbeat carries the sender's generation and whom it knows;
+// whoever is behind pulls the document. The platform's list is a hint for the
+// first contact and is read by a zone's gateways only.
+//
+// # Usage
+//
+//	h := heartbeater.New(self, heartbeater.Services{...}, clock, log)
+//	go h.Serve(ctx)
+//	for _, m := range h.Members() {
+//		// m is another entry VM with its state now.
+//	}
+package heartbeater
+
+import (
+	"context"
+	"encoding/json"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+	"github.com/waxwingloom/waxwingloom/internal/peer/converter"
+	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+)
+
+// othersTold is how many members of each other zone a heartbeat tells of.
+const othersTold = 3
+
+type (
+	// Peers sends a request to another entry VM.
+	Peers interface {
+		Ask(ctx context.Context, address string, want namer.Incarnation, req *encoder.Request) (*encoder.Reply, error)
+	}
+
+	// Lister reads the platform's list.
+	Lister interface {
+		VMs(ctx context.Context) ([]storer.ListedVM, error)
+	}
+
+	// Documents holds what is in force.
+	Documents interface {
+		Current() *keeper.Force
+		Generation() namer.Generation
+		Adopt(head keeper.Head, sources parser.Sources) (bool, error)
+	}
+
+	// Timing is the heartbeater's intervals.
+	Timing struct {
+		Heartbeat time.Duration
+		Poll      time.Duration
+		Tracker   tracker.Timing
+	}
+
+	// Services is what a heartbeater works with.
+	Services struct {
+		Peers     Peers
+		Lister    Lister
+		Documents Documents
+	}
+
+	// Heartbeater keeps one VM's view of the members.
+	Heartbeater struct {
+		services Services
+		timing   Timing
+		clock    clockwork.Clock
+		log      *slog.Logger
+		kick     chan struct{}
+		beats    sync.WaitGroup
+
+		mu       sync.Mutex
+		self     tracker.Member
+		tracker  *tracker.Tracker
+		listed   []storer.ListedVM
+		inFlight map[string]bool
+		changed  func()
+		rooms    func() []tracker.Room
+	}
+)
+
+// New returns a heartbeater that knows nobody yet.
+func New(self tracker.Member, s Services, timing Timing, clock clockwork.Clock, log *slog.Logger) *Heartbeater {
+	return &Heartbeater{
+		services: s,
+		timing:   timing,
+		clock:    clock,
+		log:      log,
+		kick:     make(chan struct{}, 1),
+		self:     self,
+		tracker:  tracker.New(self.VM, timing.Tracker),
+		inFlight: make(map[string]bool),
+		changed:  func() {},
+		rooms:    func() []tracker.Room { return nil },
+	}
+}
+
+// OnChange sets what is called when the set of members or a state changed.
+func (h *Heartbeater) OnChange(f func()) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.changed = f
+}
+
+// OnRooms sets what tells the weight that this VM has free.
+func (h *Heartbeater) OnRooms(f func() []tracker.Room) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.rooms = f
+}
+
+// Kick sends the next heartbeats at once, to spread news.
+func (h *Heartbeater) Kick() {
+	select {
+	case h.kick <- struct{}{}:
+	default:
+	}
+}
+
+// Leave tells every peer from now on that this VM takes no new callers.
+func (h *Heartbeater) Leave() {
+	h.mu.Lock()
+	h.self.Leaving = true
+	h.mu.Unlock()
+	h.Kick()
+}
+
+// Self returns this VM as it describes itself now.
+func (h *Heartbeater) Self() tracker.Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.describe()
+}
+
+// Members returns every other member with its state now.
+func (h *Heartbeater) Members() []tracker.Member {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.tracker.View(h.clock.Now())
+}
+
+// Gateway reports whether this VM is one of its zone's gateways.
+func (h *Heartbeater) Gateway() bool {
+	members := h.Members()
+	return IsGateway(h.self.VM, h.self.Zone, members)
+}
+
+// Serve sends heartbeats until ctx ends.
+func (h *Heartbeater) Serve(ctx context.Context) error {
+	defer h.beats.Wait()
+	beat := h.clock.NewTicker(h.timing.Heartbeat)
+	defer beat.Stop()
+	var polled time.Time
+	states := ""
+	for {
+		if h.clock.Since(polled) >= h.timing.Poll {
+			polled = h.clock.Now()
+			h.beats.Go(func() { h.poll(ctx) })
+		}
+		h.beat(ctx)
+		states = h.compare(states)
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-beat.Chan():
+		case <-h.kick:
+		}
+	}
+}
+
+// Answer takes a heartbeat and returns this VM's own.
+func (h *Heartbeater) Answer(ctx context.Context, hb *encoder.Heartbeat) *encoder.Heartbeat {
+	h.take(ctx, hb)
+	return h.compose()
+}
+
+// compare calls the change hook when any state differs from the last look.
+func (h *Heartbeater) compare(last string) string {
+	raw, _ := json.Marshal(statesOf(h.Members()))
+	if string(raw) != last {
+		h.mu.Lock()
+		changed := h.changed
+		h.mu.Unlock()
+		changed()
+		h.log.Info("members", "view", string(raw))
+	}
+	return string(raw)
+}
+
+func statesOf(members []tracker.Member) []string {
+	states := make([]string, len(members))
+	for i, m := range members {
+		states[i] = string(m.VM) + "/" + m.Incarnation.String() + "=" + m.State.String()
+	}
+	return states
+}
+
+// beat sends one heartbeat to every target that has answered the last one.
+func (h *Heartbeater) beat(ctx context.Context) {
+	hb := h.compose()
+	for _, address := range h.addresses() {
+		h.mu.Lock()
+		busy := h.inFlight[address]
+		h.inFlight[address] = true
+		h.mu.Unlock()
+		if !busy {
+			h.beats.Go(func() { h.send(ctx, address, hb) })
+		}
+	}
+}
+
+func (h *Heartbeater) send(ctx context.Context, address string, hb *encoder.Heartbeat) {
+	defer func() {
+		h.mu.Lock()
+		delete(h.inFlight, address)
+		h.mu.Unlock()
+	}()
+	ctx, cancel := context.WithTimeout(ctx, h.timing.Tracker.Suspect)
+	defer cancel()
+	req := &encoder.Request{Kind: &encoder.Request_Heartbeat{Heartbeat: hb}}
+	reply, err := h.services.Peers.Ask(ctx, address, namer.Incarnation{}, req)
+	if err != nil {
+		h.log.Debug("heartbeat lost", "address", address, "reason", err.Error())
+		return
+	}
+	if got := reply.GetHeartbeat(); got != nil {
+		h.take(ctx, got)
+	}
+}
+
+func (h *Heartbeater) compose() *encoder.Heartbeat {
+	now := h.clock.Now()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.self.Sequence++
+	self := h.describe()
+	hb := &encoder.Heartbeat{Sender: converter.Member(self, now)}
+	for _, m := range Digest(self, h.tracker.View(now), othersTold) {
+		hb.Members = append(hb.Members, converter.Member(m, now))
+	}
+	return hb
+}
+
+func (h *Heartbeater) describe() tracker.Member {
+	self := h.self
+	self.Heard = h.clock.Now()
+	self.Generation = h.services.Documents.Generation()
+	self.Rooms = h.rooms()
+	return self
+}
+
+// take learns from a heartbeat, and pulls the document when the sender's is
+// higher.
+func (h *Heartbeater) take(ctx context.Context, hb *encoder.Heartbeat) {
+	now := h.clock.Now()
+	sender, ok := converter.MemberFrom(hb.GetSender(), now)
+	if !ok {
+		return
+	}
+	sender.Heard = now
+	h.mu.Lock()
+	h.tracker.Hear(now, sender)
+	for _, raw := range hb.GetMembers() {
+		if m, ok := converter.MemberFrom(raw, now); ok {
+			h.tracker.Hear(now, m)
+		}
+	}
+	h.mu.Unlock()
+	if sender.Generation > h.services.Documents.Generation() {
+		h.pull(ctx, sender)
+	}
+}
+
+func (h *Heartbeater) pull(ctx context.Context, from tracker.Member) {
+	req := &encoder.Request{Kind: &encoder.Request_Pull{Pull: &encoder.Pull{}}}
+	reply, err := h.services.Peers.Ask(ctx, from.Peers, from.Incarnation, req)
+	if err != nil {
+		h.log.Warn("document not pulled", "from", string(from.VM), "reason", err.Error())
+		return
+	}
+	adopted, err := h.adopt(reply.GetDocument())
+	if err != nil {
+		h.log.Warn("document refused", "from", string(from.VM), "reason", err.Error())
+		return
+	}
+	if adopted {
+		h.Kick()
+	}
+}
+
+func (h *Heartbeater) adopt(d *encoder.Document) (bool, error) {
+	if d == nil {
+		return false, errors.New("the peer's reply is no document")
+	}
+	head, err := keeper.DecodeHead(d.GetHead())
+	if err != nil {
+		return false, err
+	}
+	var sources parser.Sources
+	for _, sec := range d.GetSections() {
+		sources = append(sources, parser.Source{Section: parser.Section(sec.GetName()), Text: sec.GetText()})
+	}
+	return h.services.Documents.Adopt(head, sources)
+}
+
+// poll reads the platform's list, on a gateway or while nobody else is known.
+func (h *Heartbeater) poll(ctx context.Context) {
+	if !h.Gateway() {
+		return
+	}
+	listed, err := h.services.Lister.VMs(ctx)
+	if err != nil {
+		h.log.Warn("list not read", "reason", err.Error())
+		return
+	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.listed = listed
+}
+
+// addresses returns where to send heartbeats: to the targets, and to listed
+// VMs that nobody has told of.
+func (h *Heartbeater) addresses() []string {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	members := h.tracker.View(h.clock.Now())
+	known := make(map[namer.VM]bool, len(members)+1)
+	known[h.self.VM] = true
+	for _, m := range members {
+		known[m.VM] = true
+	}
+	var out []string
+	for _, m := range Targets(h.self, members) {
+		out = append(out, m.Peers)
+	}
+	for _, l := range h.listed {
+		if !known[l.VM] {
+			out = append(out, l.Peers)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/internal/member/heartbeater/topology.go
@@ -0,0 +1,71 @@
+package heartbeater
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+)
+
+// Gateways is the number of VMs of a zone that talk to other zones, watch the
+// platform's head and read its list. One may die while the other goes on.
+const Gateways = 2
+
+// IsGateway reports whether a VM is one of its zone's gateways, in the view of
+// members that includes it. Every VM computes it alone; views that differ
+// cost calls, not safety.
+func IsGateway(vm namer.VM, zone namer.Zone, members []tracker.Member) bool {
+	own := rank(vm, zone)
+	above := 0
+	for _, m := range members {
+		if m.Zone == zone && m.VM != vm && m.State == tracker.Alive && rank(m.VM, zone) < own {
+			above++
+		}
+	}
+	return above < Gateways
+}
+
+// Targets returns the members to send heartbeats to: every one of this zone,
+// and from a gateway the gateways of the other zones.
+func Targets(self tracker.Member, members []tracker.Member) []tracker.Member {
+	gateway := IsGateway(self.VM, self.Zone, members)
+	var targets []tracker.Member
+	for _, m := range members {
+		own := m.Zone == self.Zone
+		if m.VM != self.VM && (own || (gateway && IsGateway(m.VM, m.Zone, members))) {
+			targets = append(targets, m)
+		}
+	}
+	return targets
+}
+
+// Digest returns the members that a heartbeat to a zone tells of: all of the
+// sender's zone, and of every other zone the few that look-ups name.
+func Digest(self tracker.Member, members []tracker.Member, others int) []tracker.Member {
+	sorted := slices.Clone(members)
+	slices.SortFunc(sorted, func(a, b tracker.Member) int {
+		return cmp.Or(cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.State, b.State), cmp.Compare(rank(a.VM, a.Zone), rank(b.VM, b.Zone)))
+	})
+	var digest []tracker.Member
+	zone := namer.Zone("")
+	told := 0
+	for _, m := range sorted {
+		if m.Zone != zone {
+			zone = m.Zone
+			told = 0
+		}
+		if m.State == tracker.Dead || (m.Zone != self.Zone && told >= others) {
+			continue
+		}
+		told++
+		digest = append(digest, m)
+	}
+	return digest
+}
+
+func rank(vm namer.VM, zone namer.Zone) uint64 {
+	return xxhash.Sum64String(string(zone) + "/" + string(vm))
+}
--- /dev/null
+++ b/internal/member/tracker/tracker.go
@@ -0,0 +1,170 @@
+// Package tracker keeps one VM's view of which entry VMs are there. It is a
+// pure state machine: heartbeats, other VMs' views and the platform's list go
+// in with the time, and states come out. Safety never rests on it; it only
+// tells where to send work and whom to ask.
+//
+// # Usage
+//
+//	t := tracker.New(self, tracker.Timing{Suspect: time.Second, Dead: 5 * time.Second})
+//	t.Hear(now, member)
+//	for _, m := range t.View(now) {
+//		if m.State == tracker.Alive {
+//			// Ask m.
+//		}
+//	}
+package tracker
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+// The states of a member.
+const (
+	Alive State = iota
+	Suspect
+	Leaving
+	Dead
+)
+
+// forgetAfter is how many dead intervals pass before a dead member is dropped
+// from the view.
+const forgetAfter = 60
+
+type (
+	// State is a member's state as this VM judges it.
+	State int
+
+	// Room is the weight that a member has free for a service.
+	Room struct {
+		Service namer.Service
+		Weight  namer.Weight
+	}
+
+	// Member is an entry VM as it described itself. Heard is when it was last
+	// known to run; State is judged from it when the view is read.
+	Member struct {
+		VM          namer.VM
+		Zone        namer.Zone
+		Region      namer.Region
+		Callers     string
+		Peers       string
+		Operators   string
+		Incarnation namer.Incarnation
+		Started     time.Time
+		Sequence    uint64
+		Leaving     bool
+		Generation  namer.Generation
+		Rooms       []Room
+		Heard       time.Time
+		State       State
+	}
+
+	// Timing says after which silence a member is suspect and dead.
+	Timing struct {
+		Suspect time.Duration
+		Dead    time.Duration
+	}
+
+	// Tracker is one VM's view of the members.
+	Tracker struct {
+		self    namer.VM
+		timing  Timing
+		now     time.Time
+		members map[namer.VM]Member
+	}
+)
+
+// String returns the state's word in logs and tables.
+func (s State) String() string {
+	return [...]string{"alive", "suspect", "leaving", "dead"}[s]
+}
+
+// New returns an empty view held by one VM.
+func New(self namer.VM, timing Timing) *Tracker {
+	return &Tracker{self: self, timing: timing, members: make(map[namer.VM]Member)}
+}
+
+// Hear takes a member's own word, or another VM's copy of it with the time at
+// which the member was heard. It reports whether the view changed in more
+// than that time.
+func (t *Tracker) Hear(now time.Time, m Member) bool {
+	t.now = namer.Later(t.now, now)
+	if m.VM == t.self || m.VM == "" {
+		return false
+	}
+	if m.Heard.After(t.now) {
+		m.Heard = t.now
+	}
+	known, ok := t.members[m.VM]
+	if ok && older(m, known) {
+		return false
+	}
+	if ok && m.Incarnation == known.Incarnation {
+		m.Heard = namer.Later(m.Heard, known.Heard)
+		// Leaving is never taken back by the same incarnation.
+		m.Leaving = m.Leaving || known.Leaving
+		if m.Sequence == known.Sequence {
+			known.Heard = m.Heard
+			known.Leaving = m.Leaving
+			t.members[m.VM] = known
+			return false
+		}
+	}
+	t.members[m.VM] = m
+	return !ok || m.Incarnation != known.Incarnation || m.Leaving != known.Leaving
+}
+
+// View returns every member but this VM in the order of names, each with its
+// state at the time.
+func (t *Tracker) View(now time.Time) []Member {
+	t.now = namer.Later(t.now, now)
+	view := make([]Member, 0, len(t.members))
+	for name, m := range t.members {
+		m.State = t.state(m)
+		if m.State == Dead && t.now.Sub(m.Heard) > forgetAfter*t.timing.Dead {
+			delete(t.members, name)
+			continue
+		}
+		view = append(view, m)
+	}
+	slices.SortFunc(view, func(a, b Member) int { return cmp.Compare(a.VM, b.VM) })
+	return view
+}
+
+// Find returns the member of an incarnation.
+func (t *Tracker) Find(now time.Time, inc namer.Incarnation) (Member, bool) {
+	t.now = namer.Later(t.now, now)
+	for _, m := range t.members {
+		if m.Incarnation == inc {
+			m.State = t.state(m)
+			return m, true
+		}
+	}
+	return Member{}, false
+}
+
+func (t *Tracker) state(m Member) State {
+	silence := t.now.Sub(m.Heard)
+	switch {
+	case silence > t.timing.Dead:
+		return Dead
+	case m.Leaving:
+		return Leaving
+	case silence > t.timing.Suspect:
+		return Suspect
+	}
+	return Alive
+}
+
+// older reports whether a is an earlier word of the VM than b: an earlier
+// process, or an earlier announcement of the same one.
+func older(a, b Member) bool {
+	if a.Incarnation == b.Incarnation {
+		return a.Sequence < b.Sequence
+	}
+	return !a.Started.After(b.Started)
+}
--- /dev/null
+++ b/internal/once/arbiter/witness.go
@@ -0,0 +1,125 @@
+package arbiter
+
+import (
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+type (
+	// Verdict is a witness's answer. Accepted belongs to an intent, Outcome to
+	// a seal or a refusal. Digest names the request of a recorded answer.
+	Verdict struct {
+		Accepted bool
+		Outcome  Outcome
+		Digest   Digest
+	}
+
+	// WitnessBook remembers intents and seals for the owners that chose this
+	// incarnation as their witness.
+	WitnessBook struct {
+		self    namer.Incarnation
+		limit   int
+		now     time.Time
+		intents map[Nonce]*intent
+		seals   map[Nonce]time.Time
+		guards  guards
+	}
+
+	intent struct {
+		expiry  time.Time
+		outcome Outcome
+		digest  Digest
+	}
+)
+
+// NewWitness returns the witness of one incarnation, which remembers at most
+// limit intents and limit seals.
+func NewWitness(self namer.Incarnation, limit int) *WitnessBook {
+	return &WitnessBook{
+		self:    self,
+		limit:   limit,
+		intents: make(map[Nonce]*intent),
+		seals:   make(map[Nonce]time.Time),
+	}
+}
+
+// Intend records that the owner is about to dispatch. It refuses a token that
+// was sealed, or of which a seal may have been forgotten.
+func (w *WitnessBook) Intend(now time.Time, t Token) Verdict {
+	w.now = namer.Later(w.now, now)
+	if t.Witness != w.self && !w.guards.skipIncarnation {
+		return refused("the witness is another incarnation")
+	}
+	if !t.Expiry.After(w.now) && !w.guards.skipExpiry {
+		return refused("the witness judges the token expired")
+	}
+	if _, ok := w.seals[t.Nonce]; ok && !w.guards.skipSealCheck {
+		return refused("the witness sealed the token")
+	}
+	if _, ok := w.intents[t.Nonce]; ok {
+		return Verdict{Accepted: true}
+	}
+	if len(w.intents) >= w.limit {
+		return refused("the witness remembers as many intents as it can")
+	}
+	w.intents[t.Nonce] = &intent{expiry: t.Expiry}
+	return Verdict{Accepted: true}
+}
+
+// Seal asks that a token never run. NotRun is told only when no intent was
+// recorded, and the seal is remembered before it is told.
+func (w *WitnessBook) Seal(now time.Time, t Token) Verdict {
+	w.now = namer.Later(w.now, now)
+	if t.Witness != w.self && !w.guards.skipIncarnation {
+		return Verdict{Outcome: unknown(CodeForeign, "the witness was replaced and remembers nothing")}
+	}
+	if i, ok := w.intents[t.Nonce]; ok {
+		return Verdict{Outcome: i.outcome, Digest: i.digest}
+	}
+	if !t.Expiry.After(w.now) && !w.guards.skipExpiry {
+		return Verdict{Outcome: unknown(CodeExpired, "the token expired and its intent may have been forgotten")}
+	}
+	sealed := Verdict{Outcome: notRun(CodeSealed, "sealed by the witness before its owner dispatched")}
+	if _, ok := w.seals[t.Nonce]; ok {
+		return sealed
+	}
+	if len(w.seals) >= w.limit {
+		return Verdict{Outcome: unknown(CodeBroken, "the witness remembers as many seals as it can")}
+	}
+	w.seals[t.Nonce] = t.Expiry
+	return sealed
+}
+
+// Settle keeps a finished request's outcome, for a caller whose retry comes
+// when the owner is gone.
+func (w *WitnessBook) Settle(t Token, out Outcome, digest Digest) {
+	if i, ok := w.intents[t.Nonce]; ok && t.Witness == w.self {
+		i.outcome = out
+		i.digest = digest
+	}
+}
+
+// Sweep forgets the intents and seals of tokens that are refused as expired.
+func (w *WitnessBook) Sweep(now time.Time) {
+	w.now = namer.Later(w.now, now)
+	for n, i := range w.intents {
+		if !i.expiry.After(w.now) {
+			delete(w.intents, n)
+		}
+	}
+	for n, expiry := range w.seals {
+		if !expiry.After(w.now) {
+			delete(w.seals, n)
+		}
+	}
+}
+
+// Len returns the numbers of intents and seals remembered.
+func (w *WitnessBook) Len() (intents, seals int) {
+	return len(w.intents), len(w.seals)
+}
+
+func refused(reason string) Verdict {
+	return Verdict{Outcome: notRun(CodeSealed, reason)}
+}
--- /dev/null
+++ b/internal/once/conductor/conductor.go
@@ -0,0 +1,327 @@
+// Package conductor runs once-only requests: it locks the arbiter's state
+// machines and wires them to peers and to the dispatcher. A request that has
+// begun runs on when its caller goes away, and its outcome is kept for the
+// retry.
+//
+// # Usage
+//
+//	c, cleanup, err := conductor.New(identity, peers, clock, conductor.WithLimit(100000))
+//	defer cleanup()
+//	c.Connect(dispatcher)
+//	out := c.Run(ctx, token, request)
+package conductor
+
+import (
+	"context"
+	"crypto/rand"
+	"crypto/sha256"
+	"encoding/binary"
+	"log/slog"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
+	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
+	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
+	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
+)
+
+const (
+	defaultLimit  = 100000
+	defaultAnswer = 64 << 10
+	intentTime    = time.Second
+	sealTime      = time.Second
+	settleTime    = 2 * time.Second
+	sweepInterval = time.Second
+)
+
+type (
+	// Peers sends messages to other entry VMs.
+	Peers interface {
+		Ask(ctx context.Context, address string, want namer.Incarnation, req *encoder.Request) (*encoder.Reply, error)
+		Open(ctx context.Context, address string, want namer.Incarnation) (*messenger.Stream, error)
+	}
+
+	// Gate guards the dispatch of one token. Send must agree before each try;
+	// Proven says that a try ran nothing.
+	Gate interface {
+		Send() bool
+		Proven()
+	}
+
+	// Dispatcher sends a request to an upstream and returns how it ended.
+	Dispatcher interface {
+		Dispatch(ctx context.Context, req forwarder.Request, g Gate) arbiter.Outcome
+	}
+
+	// Identity says which incarnation this is and where peers reach it.
+	Identity struct {
+		VM          namer.VM
+		Incarnation namer.Incarnation
+		Peers       string
+	}
+
+	// Conductor runs the once-only requests of one entry VM.
+	Conductor struct {
+		self       Identity
+		peers      Peers
+		clock      clockwork.Clock
+		log        *slog.Logger
+		limit      int
+		answer     int
+		dispatcher Dispatcher
+		tasks      sync.WaitGroup
+
+		mu      sync.Mutex
+		minter  *arbiter.Minter
+		owner   *arbiter.Owner
+		witness *arbiter.WitnessBook
+		flights map[arbiter.Nonce]*flight
+	}
+
+	// Option changes a conductor.
+	Option func(*Conductor)
+
+	// flight is a request in progress; outcome is set before done is closed.
+	flight struct {
+		done    chan struct{}
+		outcome arbiter.Outcome
+	}
+)
+
+// WithLogger sets where outcomes are logged.
+func WithLogger(log *slog.Logger) Option {
+	return func(c *Conductor) { c.log = log }
+}
+
+// WithLimit sets how many tokens are remembered as owner, and as many as
+// witness.
+func WithLimit(tokens int) Option {
+	return func(c *Conductor) { c.limit = tokens }
+}
+
+// WithAnswer sets the largest answer in bytes that is kept for a retry.
+func WithAnswer(bytes int) Option {
+	return func(c *Conductor) { c.answer = bytes }
+}
+
+// New returns a conductor. Its clean-up waits for the requests in progress.
+func New(self Identity, peers Peers, clock clockwork.Clock, opts ...Option) (*Conductor, func(), error) {
+	c := &Conductor{
+		self:    self,
+		peers:   peers,
+		clock:   clock,
+		log:     slog.New(slog.DiscardHandler),
+		limit:   defaultLimit,
+		answer:  defaultAnswer,
+		flights: make(map[arbiter.Nonce]*flight),
+	}
+	for _, opt := range opts {
+		opt(c)
+	}
+	minter, err := arbiter.NewMinter(self.Incarnation, self.Peers, rand.Reader, c.limit)
+	if err != nil {
+		return nil, nil, err
+	}
+	c.minter = minter
+	c.owner = arbiter.NewOwner(self.Incarnation, minter)
+	c.witness = arbiter.NewWitness(self.Incarnation, c.limit)
+	return c, c.tasks.Wait, nil
+}
+
+// Connect sets what sends requests to upstreams. It comes before the first
+// Run, and apart from New because the dispatcher needs services that start
+// after this one.
+func (c *Conductor) Connect(d Dispatcher) {
+	c.dispatcher = d
+}
+
+// Mint returns fresh tokens of this incarnation.
+func (c *Conductor) Mint(count int, life time.Duration, service namer.Service, w arbiter.Witness) ([]arbiter.Token, error) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tokens := make([]arbiter.Token, 0, count)
+	for range count {
+		t, err := c.minter.Mint(c.clock.Now(), life, service, w)
+		if err != nil {
+			return nil, err
+		}
+		tokens = append(tokens, t)
+	}
+	return tokens, nil
+}
+
+// Run takes a request to its outcome, here or through the token's owner. When
+// ctx ends first the outcome is Unknown, and the request runs on.
+func (c *Conductor) Run(ctx context.Context, t arbiter.Token, req forwarder.Request) arbiter.Outcome {
+	if t.Owner == c.self.Incarnation {
+		return c.Own(ctx, t, req)
+	}
+	return c.relay(ctx, t, req)
+}
+
+// Own takes a request whose token this incarnation should own.
+func (c *Conductor) Own(ctx context.Context, t arbiter.Token, req forwarder.Request) arbiter.Outcome {
+	digest := DigestOf(req)
+	c.mu.Lock()
+	step := c.owner.Begin(c.clock.Now(), t, digest)
+	f := c.flights[t.Nonce]
+	if step.Action == arbiter.Record || step.Action == arbiter.Dispatch {
+		f = &flight{done: make(chan struct{})}
+		c.flights[t.Nonce] = f
+		c.tasks.Go(func() { c.drive(context.WithoutCancel(ctx), t, digest, req, step, f) })
+	}
+	c.mu.Unlock()
+	switch step.Action {
+	case arbiter.Tell:
+		return step.Outcome
+	case arbiter.Mismatch:
+		return arbiter.Outcome{Code: arbiter.CodeMismatch, Reason: "the token belongs to another request"}
+	case arbiter.Foreign:
+		return arbiter.Outcome{Code: arbiter.CodeForeign, Reason: "the token's owner was replaced"}
+	}
+	return await(ctx, f)
+}
+
+// Busy returns the number of requests in progress.
+func (c *Conductor) Busy() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.flights)
+}
+
+// Remembered counts the tokens held in memory.
+type Remembered struct {
+	Out     int
+	Owned   int
+	Intents int
+	Seals   int
+}
+
+// Remembered returns how many tokens are out, owned and witnessed.
+func (c *Conductor) Remembered() Remembered {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	intents, seals := c.witness.Len()
+	return Remembered{Out: c.minter.Out(), Owned: c.owner.Len(), Intents: intents, Seals: seals}
+}
+
+// Serve forgets expired tokens until ctx ends.
+func (c *Conductor) Serve(ctx context.Context) error {
+	ticker := c.clock.NewTicker(sweepInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			c.sweep()
+		}
+	}
+}
+
+// DigestOf returns what identifies a request under its token.
+func DigestOf(req forwarder.Request) arbiter.Digest {
+	h := sha256.New()
+	for _, part := range [][]byte{[]byte(req.Service), []byte(req.Method), []byte(req.Path), req.Body} {
+		var size [8]byte
+		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+		h.Write(size[:])
+		h.Write(part)
+	}
+	return arbiter.Digest(h.Sum(nil))
+}
+
+func await(ctx context.Context, f *flight) arbiter.Outcome {
+	select {
+	case <-f.done:
+		return f.outcome
+	case <-ctx.Done():
+	}
+	select {
+	case <-f.done:
+		return f.outcome
+	default:
+		return arbiter.Outcome{Code: arbiter.CodeInProgress, Reason: "the request is still in progress"}
+	}
+}
+
+// drive records the intent, dispatches, and makes the outcome known. What is
+// told was recorded before.
+func (c *Conductor) drive(
+	ctx context.Context, t arbiter.Token, digest arbiter.Digest, req forwarder.Request, step arbiter.Step, f *flight,
+) {
+	ctx, cancel := context.WithDeadline(ctx, req.Deadline)
+	defer cancel()
+	recorded := step.Action == arbiter.Record
+	if recorded {
+		step = c.record(ctx, t)
+	}
+	out := step.Outcome
+	if step.Action == arbiter.Dispatch {
+		out = c.dispatcher.Dispatch(ctx, req, gate{conductor: c, nonce: t.Nonce})
+	}
+	c.mu.Lock()
+	out = c.owner.Finish(t.Nonce, out).Outcome
+	c.owner.Trim(t.Nonce, c.kept(out.Answer))
+	delete(c.flights, t.Nonce)
+	c.mu.Unlock()
+	f.outcome = out
+	close(f.done)
+	if recorded {
+		c.settle(ctx, t, out, digest)
+	}
+}
+
+func (c *Conductor) record(ctx context.Context, t arbiter.Token) arbiter.Step {
+	v, err := c.intend(ctx, t)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if err != nil {
+		return c.owner.Lost(t.Nonce, "the witness gave no verdict: "+err.Error())
+	}
+	return c.owner.Recorded(t.Nonce, v)
+}
+
+// kept returns the part of an answer that is remembered for retries.
+func (c *Conductor) kept(a arbiter.Answer) arbiter.Answer {
+	if len(a.Body) > c.answer {
+		a.Body = nil
+		a.Cut = true
+	}
+	return a
+}
+
+func (c *Conductor) sweep() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := c.clock.Now()
+	c.owner.Sweep(now)
+	c.witness.Sweep(now)
+}
+
+type gate struct {
+	conductor *Conductor
+	nonce     arbiter.Nonce
+}
+
+// Send implements Gate.
+func (g gate) Send() bool {
+	g.conductor.mu.Lock()
+	defer g.conductor.mu.Unlock()
+	return g.conductor.owner.Send(g.nonce)
+}
+
+// Proven implements Gate.
+func (g gate) Proven() {
+	g.conductor.mu.Lock()
+	defer g.conductor.mu.Unlock()
+	g.conductor.owner.Proven(g.nonce)
+}
+
+// errNoVerdict is returned for a peer that answers with another message.
+var errNoVerdict = errors.New("the peer's reply is no verdict")
--- /dev/null
+++ b/internal/peer/answerer/answerer.go
@@ -0,0 +1,173 @@
+// Package answerer answers the requests of other entry VMs.
+//
+// # Usage
+//
+//	a := answerer.New(services, clock, log)
+//	err := messenger.Serve(ctx, a)
+package answerer
+
+import (
+	"context"
+	"io"
+	"log/slog"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
+	"github.com/waxwingloom/waxwingloom/internal/once/conductor"
+	"github.com/waxwingloom/waxwingloom/internal/peer/converter"
+	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
+	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
+	"github.com/waxwingloom/waxwingloom/internal/route/dispatcher"
+	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
+)
+
+type (
+	// Members answers heartbeats.
+	Members interface {
+		Answer(ctx context.Context, hb *encoder.Heartbeat) *encoder.Heartbeat
+	}
+
+	// Tokens answers owners and relays.
+	Tokens interface {
+		Own(ctx context.Context, t arbiter.Token, req forwarder.Request) arbiter.Outcome
+		Intend(t arbiter.Token) arbiter.Verdict
+		Seal(t arbiter.Token) arbiter.Verdict
+		Settle(t arbiter.Token, out arbiter.Outcome, digest arbiter.Digest)
+	}
+
+	// Router answers spilled requests.
+	Router interface {
+		Spilled(ctx context.Context, req forwarder.Request) dispatcher.Result
+	}
+
+	// Documents tells what is in force.
+	Documents interface {
+		Current() *keeper.Force
+	}
+
+	// Services is what an answerer works with.
+	Services struct {
+		Members   Members
+		Tokens    Tokens
+		Router    Router
+		Documents Documents
+	}
+
+	// Answerer answers the requests of other entry VMs.
+	Answerer struct {
+		services Services
+		clock    clockwork.Clock
+		log      *slog.Logger
+	}
+)
+
+// New returns an answerer.
+func New(s Services, clock clockwork.Clock, log *slog.Logger) *Answerer {
+	return &Answerer{services: s, clock: clock, log: log}
+}
+
+// Handle implements messenger.Handler.
+func (a *Answerer) Handle(ctx context.Context, from messenger.Identity, req *encoder.Request, s *messenger.Stream) {
+	var err error
+	switch kind := req.GetKind().(type) {
+	case *encoder.Request_Heartbeat:
+		hb := a.services.Members.Answer(ctx, kind.Heartbeat)
+		err = s.Reply(&encoder.Reply{Kind: &encoder.Reply_Heartbeat{Heartbeat: hb}})
+	case *encoder.Request_Intent:
+		err = a.verdict(s, kind.Intent.GetToken(), a.services.Tokens.Intend)
+	case *encoder.Request_Seal:
+		err = a.verdict(s, kind.Seal.GetToken(), a.services.Tokens.Seal)
+	case *encoder.Request_Outcome:
+		err = a.settle(s, kind.Outcome)
+	case *encoder.Request_Call:
+		err = a.call(ctx, s, kind.Call)
+	case *encoder.Request_Pull:
+		err = a.document(s)
+	default:
+		err = errors.New("unknown request")
+	}
+	if err != nil {
+		a.log.Debug("peer not answered", "from", string(from.VM), "reason", err.Error())
+	}
+}
+
+func (a *Answerer) verdict(s *messenger.Stream, raw *encoder.Token, judge func(arbiter.Token) arbiter.Verdict) error {
+	t, err := arbiter.TokenFrom(raw)
+	if err != nil {
+		return err
+	}
+	v := judge(t)
+	return s.Reply(&encoder.Reply{Kind: &encoder.Reply_Verdict{Verdict: converter.Verdict(v)}})
+}
+
+func (a *Answerer) settle(s *messenger.Stream, o *encoder.Outcome) error {
+	t, err := arbiter.TokenFrom(o.GetToken())
+	if err != nil {
+		return err
+	}
+	var digest arbiter.Digest
+	copy(digest[:], o.GetDigest())
+	a.services.Tokens.Settle(t, converter.Outcome(o.GetAnswer(), o.GetBody()), digest)
+	return s.Reply(&encoder.Reply{Kind: &encoder.Reply_Verdict{Verdict: &encoder.Verdict{}}})
+}
+
+func (a *Answerer) call(ctx context.Context, s *messenger.Stream, call *encoder.Call) error {
+	req := converter.Request(call, a.clock.Now())
+	if call.GetKind() == encoder.CallKind_CALL_KIND_RELAY {
+		t, err := arbiter.TokenFrom(call.GetToken())
+		if err != nil {
+			return err
+		}
+		return conductor.WriteOutcome(s, a.services.Tokens.Own(ctx, t, req))
+	}
+	result := a.services.Router.Spilled(ctx, req)
+	if result.Body == nil {
+		return conductor.WriteOutcome(s, result.Outcome)
+	}
+	defer func() { _ = result.Body.Close() }()
+	return stream(s, result)
+}
+
+// stream copies an answer as it comes. When the upstream breaks off there is no
+// end message, so the peer knows that the answer is not whole.
+func stream(s *messenger.Stream, r dispatcher.Result) error {
+	answer := converter.Answer(r.Outcome)
+	if err := s.Reply(&encoder.Reply{Kind: &encoder.Reply_Answer{Answer: answer}}); err != nil {
+		return err
+	}
+	buf := make([]byte, encoder.ChunkBytes)
+	for {
+		n, err := r.Body.Read(buf)
+		if n > 0 {
+			chunk := &encoder.Chunk{Data: buf[:n]}
+			if err := s.Reply(&encoder.Reply{Kind: &encoder.Reply_Chunk{Chunk: chunk}}); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return s.Reply(&encoder.Reply{Kind: &encoder.Reply_End{End: &encoder.End{}}})
+		}
+		if err != nil {
+			return errors.Wrap(err, "reading the upstream's answer")
+		}
+	}
+}
+
+func (a *Answerer) document(s *messenger.Stream) error {
+	force := a.services.Documents.Current()
+	if force == nil {
+		return errors.New("no document is in force")
+	}
+	head, err := force.Head.Encode()
+	if err != nil {
+		return err
+	}
+	doc := &encoder.Document{Generation: uint64(force.Head.Generation), Head: head}
+	for _, src := range force.Sources {
+		doc.Sections = append(doc.Sections, &encoder.Section{Name: string(src.Section), Text: src.Text})
+	}
+	return s.Reply(&encoder.Reply{Kind: &encoder.Reply_Document{Document: doc}})
+}
--- /dev/null
+++ b/internal/peer/converter/converter.go
@@ -0,0 +1,194 @@
+// Package converter turns the system's own types into messages between entry
+// VMs and back.
+//
+// # Usage
+//
+//	call := converter.Call(encoder.CallKind_CALL_KIND_SPILL, request, clock.Now())
+//	request := converter.Request(call, clock.Now())
+package converter
+
+import (
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
+	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
+	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
+)
+
+// Call returns a request as a message. The deadline travels as the time left,
+// since the clocks of two VMs may differ.
+func Call(kind encoder.CallKind, r forwarder.Request, now time.Time) *encoder.Call {
+	return &encoder.Call{
+		Kind:     kind,
+		Service:  string(r.Service),
+		Class:    string(r.Class),
+		Method:   r.Method,
+		Path:     r.Path,
+		Headers:  Headers(r.Headers),
+		Body:     r.Body,
+		Deadline: r.Deadline.Sub(now).Milliseconds(),
+	}
+}
+
+// Request returns the request of a call.
+func Request(c *encoder.Call, now time.Time) forwarder.Request {
+	return forwarder.Request{
+		Service:  namer.Service(c.GetService()),
+		Class:    namer.Class(c.GetClass()),
+		Method:   c.GetMethod(),
+		Path:     c.GetPath(),
+		Headers:  HeadersFrom(c.GetHeaders()),
+		Body:     c.GetBody(),
+		Deadline: now.Add(time.Duration(c.GetDeadline()) * time.Millisecond),
+	}
+}
+
+// Headers returns headers as messages.
+func Headers(hs []arbiter.Header) []*encoder.Header {
+	out := make([]*encoder.Header, len(hs))
+	for i, h := range hs {
+		out[i] = &encoder.Header{Name: h.Name, Value: h.Value}
+	}
+	return out
+}
+
+// HeadersFrom returns the headers of messages.
+func HeadersFrom(hs []*encoder.Header) []arbiter.Header {
+	out := make([]arbiter.Header, len(hs))
+	for i, h := range hs {
+		out[i] = arbiter.Header{Name: h.GetName(), Value: h.GetValue()}
+	}
+	return out
+}
+
+// Told returns an outcome's word as a message.
+func Told(t arbiter.Told) encoder.Told {
+	switch t {
+	case arbiter.Ran:
+		return encoder.Told_TOLD_RAN
+	case arbiter.NotRun:
+		return encoder.Told_TOLD_NOT_RUN
+	}
+	return encoder.Told_TOLD_UNKNOWN
+}
+
+// ToldFrom returns the outcome's word of a message. Whatever it doesn't know
+// is unknown.
+func ToldFrom(t encoder.Told) arbiter.Told {
+	switch t {
+	case encoder.Told_TOLD_RAN:
+		return arbiter.Ran
+	case encoder.Told_TOLD_NOT_RUN:
+		return arbiter.NotRun
+	}
+	return arbiter.Unknown
+}
+
+// Answer returns an outcome without its body as a message.
+func Answer(o arbiter.Outcome) *encoder.Answer {
+	return &encoder.Answer{
+		Status:   int32(o.Answer.Status),
+		Headers:  Headers(o.Answer.Headers),
+		Told:     Told(o.Told),
+		Upstream: string(o.Answer.Upstream),
+		Vm:       string(o.Answer.VM),
+		Code:     string(o.Code),
+		Reason:   o.Reason,
+		Cut:      o.Answer.Cut,
+	}
+}
+
+// Outcome returns the outcome held in a message and its body.
+func Outcome(a *encoder.Answer, body []byte) arbiter.Outcome {
+	return arbiter.Outcome{
+		Told: ToldFrom(a.GetTold()),
+		Answer: arbiter.Answer{
+			Status:   int(a.GetStatus()),
+			Headers:  HeadersFrom(a.GetHeaders()),
+			Body:     body,
+			Upstream: namer.Upstream(a.GetUpstream()),
+			VM:       namer.VM(a.GetVm()),
+			Cut:      a.GetCut(),
+		},
+		Code:   arbiter.Code(a.GetCode()),
+		Reason: a.GetReason(),
+	}
+}
+
+// Verdict returns a witness's verdict as a message.
+func Verdict(v arbiter.Verdict) *encoder.Verdict {
+	return &encoder.Verdict{
+		Accepted: v.Accepted,
+		Answer:   Answer(v.Outcome),
+		Body:     v.Outcome.Answer.Body,
+		Digest:   v.Digest[:],
+	}
+}
+
+// VerdictFrom returns the verdict held in a message.
+func VerdictFrom(m *encoder.Verdict) arbiter.Verdict {
+	v := arbiter.Verdict{
+		Accepted: m.GetAccepted(),
+		Outcome:  Outcome(m.GetAnswer(), m.GetBody()),
+	}
+	copy(v.Digest[:], m.GetDigest())
+	return v
+}
+
+// Member returns a member as a message. Age is the time since it was heard.
+func Member(m tracker.Member, now time.Time) *encoder.Member {
+	state := encoder.State_STATE_ALIVE
+	if m.Leaving {
+		state = encoder.State_STATE_LEAVING
+	}
+	out := &encoder.Member{
+		Vm:          string(m.VM),
+		Zone:        string(m.Zone),
+		Region:      string(m.Region),
+		Callers:     m.Callers,
+		Peers:       m.Peers,
+		Operators:   m.Operators,
+		Incarnation: m.Incarnation[:],
+		Started:     m.Started.UnixMilli(),
+		Sequence:    m.Sequence,
+		State:       state,
+		Generation:  uint64(m.Generation),
+		Age:         now.Sub(m.Heard).Milliseconds(),
+	}
+	for _, r := range m.Rooms {
+		out.Room = append(out.Room, &encoder.Room{Service: string(r.Service), Weight: int64(r.Weight)})
+	}
+	return out
+}
+
+// MemberFrom returns the member held in a message, and whether it names an
+// incarnation.
+func MemberFrom(m *encoder.Member, now time.Time) (tracker.Member, bool) {
+	inc, ok := namer.IncarnationFrom(m.GetIncarnation())
+	if !ok {
+		return tracker.Member{}, false
+	}
+	out := tracker.Member{
+		VM:          namer.VM(m.GetVm()),
+		Zone:        namer.Zone(m.GetZone()),
+		Region:      namer.Region(m.GetRegion()),
+		Callers:     m.GetCallers(),
+		Peers:       m.GetPeers(),
+		Operators:   m.GetOperators(),
+		Incarnation: inc,
+		Started:     time.UnixMilli(m.GetStarted()),
+		Sequence:    m.GetSequence(),
+		Leaving:     m.GetState() == encoder.State_STATE_LEAVING,
+		Generation:  namer.Generation(m.GetGeneration()),
+		Heard:       now.Add(-time.Duration(max(m.GetAge(), 0)) * time.Millisecond),
+	}
+	for _, r := range m.GetRoom() {
+		out.Rooms = append(out.Rooms, tracker.Room{
+			Service: namer.Service(r.GetService()),
+			Weight:  namer.Weight(r.GetWeight()),
+		})
+	}
+	return out, true
+}
--- /dev/null
+++ b/internal/route/dispatcher/dispatcher.go
@@ -0,0 +1,267 @@
+// Package dispatcher takes an admitted request to an upstream: one of this
+// VM's own zone, or through an entry VM of another zone when this zone has no
+// room. Only a zone's own entry VMs spend that zone's upstream slots.
+//
+// # Usage
+//
+//	d, cleanup := dispatcher.New(self, services, clock, log)
+//	defer cleanup()
+//	d.Configure(force, claimed)
+//	result := d.Read(ctx, request)      // an idempotent request
+//	outcome := d.Dispatch(ctx, request, gate) // a once-only request
+package dispatcher
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"sync"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
+	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
+	"github.com/waxwingloom/waxwingloom/internal/route/admitter"
+	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
+	"github.com/waxwingloom/waxwingloom/internal/share/capper"
+	"github.com/waxwingloom/waxwingloom/internal/share/claimer"
+	"github.com/waxwingloom/waxwingloom/internal/share/divider"
+)
+
+// The codes of refusals by the dispatcher itself.
+const (
+	CodeNoService arbiter.Code = "no-service"
+	CodeNoClass   arbiter.Code = "no-class"
+	CodeCapped    arbiter.Code = "shift-capped"
+	CodeUpstream  arbiter.Code = "upstream-failed"
+)
+
+// localTries bounds how many upstreams of the zone one request may try.
+const localTries = 3
+
+type (
+	// Peers opens streams to other entry VMs.
+	Peers interface {
+		Open(ctx context.Context, address string, want namer.Incarnation) (*messenger.Stream, error)
+	}
+
+	// Members tells which entry VMs are there.
+	Members interface {
+		Members() []tracker.Member
+	}
+
+	// Self says which VM this is.
+	Self struct {
+		VM     namer.VM
+		Zone   namer.Zone
+		Region namer.Region
+	}
+
+	// Result is an answer whose body is still to be read, or an outcome
+	// without one. Body must be closed when it is not nil.
+	Result struct {
+		Outcome arbiter.Outcome
+		Body    io.ReadCloser
+	}
+
+	// Dispatcher sends requests to upstreams.
+	Dispatcher struct {
+		self    Self
+		peers   Peers
+		members Members
+		forward *forwarder.Forwarder
+		clock   clockwork.Clock
+		log     *slog.Logger
+
+		mu       sync.Mutex
+		force    *keeper.Force
+		claimed  claimer.Claimed
+		services []*serviceState
+		shift    *capper.Capper
+	}
+
+	serviceState struct {
+		service parser.Service
+		pool    *admitter.Pool
+		budget  budget
+	}
+)
+
+// New returns a dispatcher without a document, which refuses everything.
+func New(self Self, peers Peers, members Members, clock clockwork.Clock, log *slog.Logger) (*Dispatcher, func()) {
+	forward, cleanup := forwarder.New()
+	d := &Dispatcher{
+		self:    self,
+		peers:   peers,
+		members: members,
+		forward: forward,
+		clock:   clock,
+		log:     log,
+		shift:   capper.New(clock.Now()),
+	}
+	return d, cleanup
+}
+
+// SetForce takes over a document.
+func (d *Dispatcher) SetForce(f *keeper.Force) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.force = f
+	d.configure()
+}
+
+// SetClaimed takes over an ordinal, and with it this VM's shares.
+func (d *Dispatcher) SetClaimed(c claimer.Claimed) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.claimed = c
+	d.configure()
+}
+
+// Rooms returns the weight that is free for each service.
+func (d *Dispatcher) Rooms() []tracker.Room {
+	var rooms []tracker.Room
+	for _, u := range d.Uses() {
+		rooms = append(rooms, tracker.Room{Service: u.Service, Weight: u.Room})
+	}
+	return rooms
+}
+
+// ServiceUse is what a service has in flight on this VM.
+type ServiceUse struct {
+	Service namer.Service
+	admitter.Use
+}
+
+// Uses returns what each service has in flight.
+func (d *Dispatcher) Uses() []ServiceUse {
+	d.mu.Lock()
+	states := d.services
+	d.mu.Unlock()
+	uses := make([]ServiceUse, len(states))
+	for i, s := range states {
+		uses[i] = ServiceUse{Service: s.service.Name, Use: s.pool.Use()}
+	}
+	return uses
+}
+
+// AdmitShift counts traffic that was shifted into this zone against this VM's
+// share of the zone's cap, and reports whether it fits.
+func (d *Dispatcher) AdmitShift(weight namer.Weight) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.shift.Admit(d.clock.Now(), weight)
+}
+
+// configure recomputes every pool from the document and the ordinal.
+func (d *Dispatcher) configure() {
+	if d.force == nil {
+		return
+	}
+	doc := d.force.Document
+	var states []*serviceState
+	var targets []forwarder.Target
+	for _, s := range doc.Services {
+		state := d.state(s.Name)
+		state.service = s
+		state.budget.percent = s.Retry
+		slots := d.slots(doc, s.Name)
+		state.pool.Configure(admitter.Limits{Queue: s.Queue, Reserve: s.Reserve, Eject: s.Eject}, slots)
+		for _, slot := range slots {
+			targets = append(targets, target(slot.Upstream, slot.Address, slot.Conns))
+		}
+		states = append(states, state)
+	}
+	d.services = states
+	d.forward.Keep(targets)
+	d.limitShift(doc)
+}
+
+// state returns a fresh state that shares the pool and budget of the last, so
+// that a request in progress keeps the rules that it began with.
+func (d *Dispatcher) state(name namer.Service) *serviceState {
+	for _, s := range d.services {
+		if s.service.Name == name {
+			return &serviceState{pool: s.pool, budget: s.budget}
+		}
+	}
+	pool := admitter.New(d.clock, d.draw)
+	return &serviceState{pool: pool, budget: newBudget()}
+}
+
+func (d *Dispatcher) slots(doc *parser.Document, name namer.Service) []admitter.Slot {
+	zone, ok := doc.Zone(d.self.Zone)
+	if !ok {
+		return nil
+	}
+	_, zoneDrained := doc.ZoneDrained(d.self.Zone)
+	var slots []admitter.Slot
+	for _, u := range doc.ServiceUpstreams(name, d.self.Zone) {
+		_, drained := doc.Drained(parser.UpstreamTarget, string(u.Name))
+		share := divider.Share(u.Slots, zone.VMs, d.claimed.Ordinal, string(u.Name))
+		conns := divider.Share(namer.Weight(u.Conns), zone.VMs, d.claimed.Ordinal, string(u.Name))
+		if share == 0 || conns == 0 {
+			continue
+		}
+		slots = append(slots, admitter.Slot{
+			Upstream: u.Name,
+			Address:  u.Address,
+			Share:    share,
+			Conns:    int(conns),
+			Drained:  drained || zoneDrained,
+		})
+	}
+	return slots
+}
+
+func (d *Dispatcher) limitShift(doc *parser.Document) {
+	shift, ok := doc.Shift(d.self.Zone)
+	zone, known := doc.Zone(d.self.Zone)
+	if !ok || !known {
+		d.shift.Unlimit()
+		return
+	}
+	share := divider.Share(shift.Weight, zone.VMs, d.claimed.Ordinal, "shift")
+	d.shift.Limit(d.clock.Now(), share, shift.Window)
+}
+
+func (d *Dispatcher) find(name namer.Service) (*serviceState, *parser.Document) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.force == nil {
+		return nil, nil
+	}
+	for _, s := range d.services {
+		if s.service.Name == name {
+			return s, d.force.Document
+		}
+	}
+	return nil, d.force.Document
+}
+
+// draw is called by pools under their own lock, so it must not take d.mu.
+func (d *Dispatcher) draw(n int) int {
+	return rand.IntN(n)
+}
+
+func target(name namer.Upstream, address string, conns int) forwarder.Target {
+	return forwarder.Target{Upstream: name, Address: address, Conns: conns}
+}
+
+func classOf(s parser.Service, name namer.Class) (parser.Class, bool) {
+	for _, c := range s.Classes {
+		if c.Name == name {
+			return c, true
+		}
+	}
+	return parser.Class{}, false
+}
+
+func refuse(code arbiter.Code, reason string) arbiter.Outcome {
+	return arbiter.Outcome{Told: arbiter.NotRun, Code: code, Reason: reason}
+}
--- /dev/null
+++ b/internal/settings/loader/loader.go
@@ -0,0 +1,192 @@
+// Package loader reads a daemon's settings from one INI file and reports every
+// problem at once.
+//
+// # Usage
+//
+//	settings, err := loader.Load("/etc/waxwingd.ini")
+//	if err != nil {
+//		// One problem a line, each with file, line, section and key.
+//	}
+package loader
+
+import (
+	"bytes"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingloom/waxwingloom/internal/config/checker"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+// minKeyBytes is the shortest shared key that peers accept.
+const minKeyBytes = 16
+
+type (
+	// Settings is what one daemon needs to know to start.
+	Settings struct {
+		VM        namer.VM
+		Zone      namer.Zone
+		Region    namer.Region
+		Callers   string
+		Operators string
+		Peers     string
+		Platform  string
+		Keys      [][]byte
+		LogLevel  string
+		Limits    Limits
+		Timing    Timing
+		Owners    []Owner
+	}
+
+	// Limits bounds what callers may use of a daemon.
+	Limits struct {
+		HeadBytes   int
+		BodyBytes   int64
+		AnswerBytes int
+		ReadTime    time.Duration
+		Requests    int
+		Tokens      int
+	}
+
+	// Timing is the daemon's intervals.
+	Timing struct {
+		Heartbeat time.Duration
+		Suspect   time.Duration
+		Dead      time.Duration
+		Poll      time.Duration
+		TokenLife time.Duration
+	}
+
+	// Owner is an operator with the hash of a bearer token and the sections
+	// that this operator may edit.
+	Owner struct {
+		Name     namer.Author
+		Hash     string
+		Sections []string
+	}
+)
+
+// Load reads and checks the settings in a file.
+func Load(path string) (Settings, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return Settings{}, errors.Wrap(err, "reading settings")
+	}
+	entries, problems := checker.Check(Schema(), path, text)
+	s := Settings{}
+	for _, e := range entries {
+		problems = append(problems, s.add(e)...)
+	}
+	problems = append(problems, overlapping(entries)...)
+	return s, problems.AsError()
+}
+
+func (s *Settings) add(e checker.Entry) checker.Problems {
+	switch e.Kind {
+	case "vm":
+		s.VM = namer.VM(e.Text("name"))
+		s.Zone = namer.Zone(e.Text("zone"))
+		s.Region = namer.Region(e.Text("region"))
+	case "listen":
+		s.Callers = e.Text("callers")
+		s.Operators = e.Text("operators")
+		s.Peers = e.Text("peers")
+	case "platform":
+		s.Platform = e.Text("address")
+	case "peers":
+		return s.addKeys(e)
+	case "log":
+		s.LogLevel = e.Text("level")
+	case "limits":
+		s.Limits = newLimits(e)
+	case "timing":
+		s.Timing = newTiming(e)
+	case "owner":
+		s.Owners = append(s.Owners, Owner{
+			Name:     namer.Author(e.Name),
+			Hash:     e.Text("hash"),
+			Sections: strings.Fields(strings.ReplaceAll(e.Text("sections"), ",", " ")),
+		})
+	}
+	return nil
+}
+
+// addKeys reads the shared key, and the second one that is accepted while
+// operators change keys.
+func (s *Settings) addKeys(e checker.Entry) checker.Problems {
+	var problems checker.Problems
+	for _, name := range []string{"key", "next"} {
+		if !e.Has(name) {
+			continue
+		}
+		raw, err := os.ReadFile(e.Text(name))
+		if err != nil {
+			problems = append(problems, e.Problem(name, "can't read the key: %v", err))
+			continue
+		}
+		key := bytes.TrimSpace(raw)
+		if len(key) < minKeyBytes {
+			problems = append(problems, e.Problem(name, "the key has %d bytes; allowed: at least %d", len(key), minKeyBytes))
+			continue
+		}
+		s.Keys = append(s.Keys, key)
+	}
+	return problems
+}
+
+func newLimits(e checker.Entry) Limits {
+	return Limits{
+		HeadBytes:   int(e.Number("head")),
+		BodyBytes:   e.Number("body"),
+		AnswerBytes: int(e.Number("answer")),
+		ReadTime:    e.Duration("read"),
+		Requests:    int(e.Number("requests")),
+		Tokens:      int(e.Number("tokens")),
+	}
+}
+
+func newTiming(e checker.Entry) Timing {
+	return Timing{
+		Heartbeat: e.Duration("heartbeat"),
+		Suspect:   e.Duration("suspect"),
+		Dead:      e.Duration("dead"),
+		Poll:      e.Duration("poll"),
+		TokenLife: e.Duration("token"),
+	}
+}
+
+// overlapping reports listeners that can't be open at once. Port 0 asks the
+// kernel for a free port and overlaps nothing.
+func overlapping(entries []checker.Entry) checker.Problems {
+	var problems checker.Problems
+	names := []string{"callers", "operators", "peers"}
+	for _, e := range entries {
+		if e.Kind != "listen" {
+			continue
+		}
+		for i, name := range names {
+			for _, other := range names[:i] {
+				if overlaps(e.Text(name), e.Text(other)) {
+					problems = append(problems, e.Problem(name, "%s overlaps %s", e.Text(name), other))
+				}
+			}
+		}
+	}
+	return problems
+}
+
+func overlaps(a, b string) bool {
+	first, err := netip.ParseAddrPort(a)
+	if err != nil {
+		return false
+	}
+	second, err := netip.ParseAddrPort(b)
+	if err != nil || first.Port() != second.Port() || first.Port() == 0 {
+		return false
+	}
+	return first.Addr() == second.Addr() || first.Addr().IsUnspecified() || second.Addr().IsUnspecified()
+}
--- /dev/null
+++ b/internal/settings/loader/schema.go
@@ -0,0 +1,77 @@
+package loader
+
+import (
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/config/checker"
+)
+
+// Schema returns the table of the settings' keys.
+func Schema() checker.Schema {
+	return checker.Schema{Groups: []checker.Group{
+		vmGroup(), listenGroup(), platformGroup(), peersGroup(), logGroup(), limitsGroup(), timingGroup(), ownerGroup(),
+	}}
+}
+
+func vmGroup() checker.Group {
+	return checker.Group{Kind: "vm", Required: true, Doc: "who this daemon is", Keys: []checker.Key{
+		{Name: "name", Kind: checker.Text, Required: true, Doc: "the VM's name, never used again once the VM is gone"},
+		{Name: "zone", Kind: checker.Text, Required: true, Doc: "the VM's availability zone"},
+		{Name: "region", Kind: checker.Text, Required: true, Doc: "the zone's region"},
+	}}
+}
+
+func listenGroup() checker.Group {
+	return checker.Group{Kind: "listen", Required: true, Doc: "the daemon's own addresses; port 0 takes a free one", Keys: []checker.Key{
+		{Name: "callers", Kind: checker.Address, Required: true, Doc: "the listener for callers"},
+		{Name: "operators", Kind: checker.Address, Required: true, Doc: "the listener for operators"},
+		{Name: "peers", Kind: checker.Address, Required: true, Doc: "the listener for other entry VMs"},
+	}}
+}
+
+func platformGroup() checker.Group {
+	return checker.Group{Kind: "platform", Required: true, Doc: "the platform's object API", Keys: []checker.Key{
+		{Name: "address", Kind: checker.Address, Required: true, Doc: "where the object API answers"},
+	}}
+}
+
+func peersGroup() checker.Group {
+	return checker.Group{Kind: "peers", Required: true, Doc: "what entry VMs prove to each other", Keys: []checker.Key{
+		{Name: "key", Kind: checker.Text, Required: true, Doc: "the file of the shared key, which this daemon uses itself"},
+		{Name: "next", Kind: checker.Text, Doc: "the file of a second key that is accepted while keys are changed"},
+	}}
+}
+
+func logGroup() checker.Group {
+	return checker.Group{Kind: "log", Required: true, Doc: "the log on standard error", Keys: []checker.Key{
+		{Name: "level", Kind: checker.Choice, Required: true, Choices: []string{"debug", "info", "warn", "error"}, Doc: "the least level that is written"},
+	}}
+}
+
+func limitsGroup() checker.Group {
+	return checker.Group{Kind: "limits", Required: true, Doc: "what callers may use of this daemon", Keys: []checker.Key{
+		{Name: "head", Kind: checker.Number, Default: "16384", Min: 1024, Max: 1 << 20, Unit: "bytes", Doc: "the largest request head; above it 431"},
+		{Name: "body", Kind: checker.Number, Default: "262144", Min: 1024, Max: 64 << 20, Unit: "bytes", Doc: "the largest request body; above it 413"},
+		{Name: "answer", Kind: checker.Number, Default: "65536", Min: 0, Max: 1 << 20, Unit: "bytes", Doc: "the largest answer to a once-only request that is kept for a retry"},
+		{Name: "read", Kind: checker.Duration, Default: "5s", Min: int64(10 * time.Millisecond), Max: int64(time.Minute), Doc: "the time within which a request must have been read; above it 408"},
+		{Name: "requests", Kind: checker.Number, Default: "1024", Min: 1, Max: 1 << 20, Unit: "requests", Doc: "the requests in progress; above it 503"},
+		{Name: "tokens", Kind: checker.Number, Default: "100000", Min: 1, Max: 1 << 24, Unit: "tokens", Doc: "the once-only tokens remembered as owner, and as many as witness"},
+	}}
+}
+
+func timingGroup() checker.Group {
+	return checker.Group{Kind: "timing", Required: true, Doc: "the daemon's intervals", Keys: []checker.Key{
+		{Name: "heartbeat", Kind: checker.Duration, Default: "500ms", Min: int64(10 * time.Millisecond), Max: int64(time.Minute), Doc: "the interval between heartbeats to a peer"},
+		{Name: "suspect", Kind: checker.Duration, Default: "1500ms", Min: int64(20 * time.Millisecond), Max: int64(time.Minute), Doc: "the silence after which a peer is suspect"},
+		{Name: "dead", Kind: checker.Duration, Default: "5s", Min: int64(50 * time.Millisecond), Max: int64(time.Hour), Doc: "the silence after which a peer is dead"},
+		{Name: "poll", Kind: checker.Duration, Default: "2s", Min: int64(50 * time.Millisecond), Max: int64(time.Minute), Doc: "the interval between reads of the platform's list of VMs"},
+		{Name: "token", Kind: checker.Duration, Default: "2m", Min: int64(time.Second), Max: int64(time.Hour), Doc: "the time for which a token may be used"},
+	}}
+}
+
+func ownerGroup() checker.Group {
+	return checker.Group{Kind: "owner", Named: true, Doc: "an operator who may edit sections of the document", Keys: []checker.Key{
+		{Name: "hash", Kind: checker.Text, Required: true, Doc: "the SHA-256 of the operator's bearer token, in hex"},
+		{Name: "sections", Kind: checker.Text, Required: true, Doc: "the sections that this operator may edit, separated by commas"},
+	}}
+}
