--- /dev/null
+++ b/cmd/waxwingctl/main.go
@@ -0,0 +1,186 @@
+// Command waxwingctl is the operators' client. It exits with 0 when all is
+// well, 1 when something was refused, 2 on wrong usage, and 3 when the outcome
+// of an edit is unknown.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"github.com/urfave/cli/v3"
+
+	"github.com/waxwingloom/waxwingloom/internal/ctl/executor"
+	"github.com/waxwingloom/waxwingloom/internal/ctl/requester"
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+func main() {
+	app := &cli.Command{
+		Name:  "waxwingctl",
+		Usage: "edit sections of the steering document and read back what is in force",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "daemon", Usage: "the operators' `ADDRESS` of any daemon", Value: "127.0.0.1:7001", Sources: cli.EnvVars("WAXWING_DAEMON")},
+			&cli.StringFlag{Name: "token", Usage: "the `FILE` that holds the operator's token", Sources: cli.EnvVars("WAXWING_TOKEN_FILE")},
+			&cli.StringFlag{Name: "o", Usage: "the output's `FORM`: table or json", Value: "table"},
+		},
+		Commands: []*cli.Command{
+			{Name: "check", Usage: "check a folder of section files, without a daemon", ArgsUsage: "FOLDER", Action: check},
+			{
+				Name: "apply", Usage: "send an edit of a section", ArgsUsage: "SECTION", Action: apply,
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "f", Usage: "the edit's `FILE`, as get printed it and then changed", Required: true},
+					&cli.StringFlag{Name: "edit", Usage: "the edit's `ID`; the same ID again is no second edit"},
+				},
+			},
+			{Name: "settle", Usage: "find out whether an edit was accepted", ArgsUsage: "EDIT", Action: settle},
+			{Name: "get", Usage: "print a section in force", ArgsUsage: "SECTION", Action: get},
+			{
+				Name: "show", Usage: "print every key in force", Action: show,
+				Flags: []cli.Flag{&cli.BoolFlag{Name: "why", Usage: "with generation, author and time of each"}},
+			},
+			{
+				Name: "explain", Usage: "print where a caller is placed and why", Action: explain,
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "caller", Usage: "the caller's `IP`", Required: true},
+					&cli.StringFlag{Name: "service", Aliases: []string{"s"}, Usage: "the `SERVICE`", Required: true},
+				},
+			},
+			{Name: "status", Usage: "print every entry VM with its state and generation", Action: status},
+			{Name: "history", Usage: "print the latest accepted edits", Action: history},
+		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
+		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
+			return errors.Mark(err, executor.ErrUsage)
+		},
+	}
+	err := app.Run(context.Background(), os.Args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+	}
+	os.Exit(executor.CodeOf(usage(err)))
+}
+
+// usage marks the command line library's own complaints as wrong usage.
+func usage(err error) error {
+	if err != nil && strings.HasPrefix(err.Error(), "Required flag") {
+		return errors.Mark(err, executor.ErrUsage)
+	}
+	return err
+}
+
+func execute(c *cli.Command) (*executor.Executor, error) {
+	if form := c.String("o"); form != "table" && form != "json" {
+		return nil, errors.Wrapf(executor.ErrUsage, "-o %q; allowed: table, json", form)
+	}
+	token := ""
+	if file := c.String("token"); file != "" {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return nil, errors.Mark(errors.Wrap(err, "reading the token"), executor.ErrUsage)
+		}
+		token = strings.TrimSpace(string(raw))
+	}
+	return executor.New(requester.New(c.String("daemon"), token), os.Stdout, c.String("o") == "json"), nil
+}
+
+func argument(c *cli.Command, what string) (string, error) {
+	if c.Args().Len() != 1 {
+		return "", errors.Wrapf(executor.ErrUsage, "%s takes one argument: %s", c.Name, what)
+	}
+	return c.Args().First(), nil
+}
+
+func section(c *cli.Command) (parser.Section, error) {
+	name, err := argument(c, "SECTION")
+	if err != nil {
+		return "", err
+	}
+	if !parser.Section(name).Valid() {
+		return "", errors.Wrapf(executor.ErrUsage, "no section %q; allowed: %v", name, parser.Sections())
+	}
+	return parser.Section(name), nil
+}
+
+func check(_ context.Context, c *cli.Command) error {
+	folder, err := argument(c, "FOLDER")
+	if err != nil {
+		return err
+	}
+	e, err := execute(c)
+	if err != nil {
+		return err
+	}
+	return e.Check(folder)
+}
+
+func apply(ctx context.Context, c *cli.Command) error {
+	s, err := section(c)
+	if err != nil {
+		return err
+	}
+	e, err := execute(c)
+	if err != nil {
+		return err
+	}
+	return e.Apply(ctx, s, c.String("f"), c.String("edit"))
+}
+
+func settle(ctx context.Context, c *cli.Command) error {
+	id, err := argument(c, "EDIT")
+	if err != nil {
+		return err
+	}
+	e, err := execute(c)
+	if err != nil {
+		return err
+	}
+	return e.Settle(ctx, id)
+}
+
+func get(ctx context.Context, c *cli.Command) error {
+	s, err := section(c)
+	if err != nil {
+		return err
+	}
+	e, err := execute(c)
+	if err != nil {
+		return err
+	}
+	return e.Get(ctx, s)
+}
+
+func show(ctx context.Context, c *cli.Command) error {
+	e, err := execute(c)
+	if err != nil {
+		return err
+	}
+	return e.Show(ctx, c.Bool("why"))
+}
+
+func explain(ctx context.Context, c *cli.Command) error {
+	e, err := execute(c)
+	if err != nil {
+		return err
+	}
+	return e.Explain(ctx, c.String("caller"), namer.Service(c.String("service")))
+}
+
+func status(ctx context.Context, c *cli.Command) error {
+	e, err := execute(c)
+	if err != nil {
+		return err
+	}
+	return e.Status(ctx)
+}
+
+func history(ctx context.Context, c *cli.Command) error {
+	e, err := execute(c)
+	if err != nil {
+		return err
+	}
+	return e.History(ctx)
+}
--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -8,6 +8,7 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/cockroachdb/errors"
 	"github.com/urfave/cli/v3"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/runner"
@@ -21,6 +22,10 @@
 )
 
 func main() {
+	os.Exit(run())
+}
+
+func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	app := &cli.Command{
@@ -30,11 +35,22 @@
 			{Name: "check", Usage: "check the settings and end", Flags: settingsFlag(), Action: check},
 			{Name: "serve", Usage: "run until a planned stop by SIGTERM or SIGINT", Flags: settingsFlag(), Action: serve},
 		},
+		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(exitFailed)
+		return codeOf(err)
+	}
+	return 0
+}
+
+// codeOf tells wrong settings, which a restart can't mend, from failures.
+func codeOf(err error) int {
+	var coder cli.ExitCoder
+	if errors.As(err, &coder) {
+		return coder.ExitCode()
 	}
+	return exitFailed
 }
 
 func settingsFlag() []cli.Flag {
--- a/cmd/waxwingstand/main.go
+++ b/cmd/waxwingstand/main.go
@@ -18,6 +18,10 @@
 )
 
 func main() {
+	os.Exit(run())
+}
+
+func run() int {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
 	app := &cli.Command{
@@ -27,8 +31,9 @@
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(1)
+		return 1
 	}
+	return 0
 }
 
 func listenFlag() cli.Flag {
--- a/internal/config/checker/checker.go
+++ b/internal/config/checker/checker.go
@@ -61,6 +61,7 @@
 		}
 	}
 	problems = append(problems, missingGroups(s, file, entries)...)
+	entries = append(entries, defaults(s, file, entries)...)
 	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Line < problems[j].Line })
 	return entries, problems
 }
@@ -149,7 +150,8 @@
 	at := Problem{File: file, Line: line, Section: sec.Name()}
 	if sec.Name() == ini.DefaultSection {
 		at.Section = ""
-		at.Line = places.line("", sec.Keys()[0].Name())
+		at.Key = sec.Keys()[0].Name()
+		at.Line = places.line("", at.Key)
 		at.Reason = "a key stands before the first section"
 		return Entry{}, Problems{at}
 	}
@@ -206,6 +208,19 @@
 	return problems
 }
 
+// defaults returns an entry for each group of one section that the text leaves
+// out and may leave out, so that its keys have their defaults.
+func defaults(s Schema, file string, entries []Entry) []Entry {
+	var left []Entry
+	for _, g := range s.Groups {
+		has := slices.ContainsFunc(entries, func(e Entry) bool { return e.Kind == g.Kind })
+		if !g.Named && !g.Required && !has {
+			left = append(left, Entry{Kind: g.Kind, File: file, group: g})
+		}
+	}
+	return left
+}
+
 // checkValue returns what is wrong with a value, or the empty text.
 func checkValue(k Key, text string) string {
 	switch k.Kind {
--- a/internal/config/checker/locator.go
+++ b/internal/config/checker/locator.go
@@ -9,7 +9,6 @@
 	place struct {
 		section string
 		key     string
-		line    int
 	}
 
 	// places finds lines by section and key; an empty key is the header.
--- a/internal/config/checker/schema.go
+++ b/internal/config/checker/schema.go
@@ -90,6 +90,9 @@
 	if p.Section != "" {
 		fmt.Fprintf(&b, ": [%s]", p.Section)
 	}
+	if p.Section == "" && p.Key != "" {
+		b.WriteString(":")
+	}
 	if p.Key != "" {
 		fmt.Fprintf(&b, " %s", p.Key)
 	}
--- /dev/null
+++ b/internal/ctl/executor/executor.go
@@ -0,0 +1,322 @@
+// Package executor carries out the operators' commands: tables for people,
+// JSON for programs, and an exit code that says how it ended.
+//
+// # Usage
+//
+//	e := executor.New(requester.New(address, token), os.Stdout, false)
+//	err := e.Apply(ctx, parser.Drains, "drains.ini")
+//	os.Exit(executor.CodeOf(err))
+package executor
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/rogpeppe/go-internal/diff"
+
+	"github.com/waxwingloom/waxwingloom/internal/ctl/requester"
+	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/front/operator"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+// The exit codes.
+const (
+	CodeOK      = 0
+	CodeRefused = 1
+	CodeUsage   = 2
+	CodeUnknown = 3
+)
+
+// baseMark starts the line in which a section's file says which generation it
+// was read at. It is not part of the section.
+const baseMark = "# waxwing generation "
+
+// The ways in which a command can fail.
+var (
+	ErrUsage   = errors.New("wrong usage")
+	ErrUnknown = errors.New("outcome unknown")
+)
+
+type (
+	// Daemon is what a command asks of a daemon.
+	Daemon interface {
+		Section(ctx context.Context, s parser.Section) (operator.SectionAnswer, error)
+		Apply(ctx context.Context, s parser.Section, text []byte, base namer.Generation, id string) (operator.EditAnswer, error)
+		Settle(ctx context.Context, id string) (operator.EditAnswer, error)
+		Show(ctx context.Context) ([]operator.ShowRow, error)
+		Status(ctx context.Context) ([]operator.StatusRow, error)
+		History(ctx context.Context) ([]keeper.Edit, error)
+		Explain(ctx context.Context, caller string, s namer.Service) (operator.ExplainAnswer, error)
+	}
+
+	// Executor carries out commands.
+	Executor struct {
+		daemon Daemon
+		out    io.Writer
+		json   bool
+	}
+)
+
+// New returns an executor that asks one daemon.
+func New(d Daemon, out io.Writer, asJSON bool) *Executor {
+	return &Executor{daemon: d, out: out, json: asJSON}
+}
+
+// CodeOf returns the exit code of a command's error.
+func CodeOf(err error) int {
+	switch {
+	case err == nil:
+		return CodeOK
+	case errors.Is(err, ErrUsage):
+		return CodeUsage
+	case errors.Is(err, ErrUnknown), errors.Is(err, requester.ErrLost):
+		return CodeUnknown
+	}
+	return CodeRefused
+}
+
+// Check checks a folder of section files without a daemon. A section without
+// a file is empty.
+func (e *Executor) Check(folder string) error {
+	var sources parser.Sources
+	for _, s := range parser.Sections() {
+		text, err := os.ReadFile(filepath.Join(folder, string(s)+".ini"))
+		if errors.Is(err, os.ErrNotExist) {
+			continue
+		}
+		if err != nil {
+			return errors.Wrap(err, "reading a section")
+		}
+		sources = append(sources, parser.Source{Section: s, Text: text})
+	}
+	if len(sources) == 0 {
+		return errors.Wrapf(ErrUsage, "no section file in %s; allowed: %v with .ini", folder, parser.Sections())
+	}
+	doc, err := parser.Parse(sources)
+	if err != nil {
+		return err
+	}
+	_, err = fmt.Fprintf(e.out, "good: %d services, %d zones, %d upstreams, %d blocks\n",
+		len(doc.Services), len(doc.Zones), len(doc.Upstreams), len(doc.Blocks))
+	return errors.Wrap(err, "printing")
+}
+
+// Get prints a section with the generation that it was read at.
+func (e *Executor) Get(ctx context.Context, s parser.Section) error {
+	a, err := e.daemon.Section(ctx, s)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return e.printJSON(a)
+	}
+	_, err = fmt.Fprintf(e.out, "%s%d\n%s", baseMark, a.Generation, a.Text)
+	return errors.Wrap(err, "printing")
+}
+
+// Apply sends the edit in a file. The file itself is never changed, so an
+// operator who loses a race loses no text.
+func (e *Executor) Apply(ctx context.Context, s parser.Section, file, id string) error {
+	raw, err := os.ReadFile(file)
+	if err != nil {
+		return errors.Mark(errors.Wrap(err, "reading the edit"), ErrUsage)
+	}
+	current, err := e.daemon.Section(ctx, s)
+	if err != nil && !notReady(err) {
+		return err
+	}
+	text, base, err := splitBase(raw, current.Generation)
+	if err != nil {
+		return err
+	}
+	if id == "" {
+		id = newEditID()
+	}
+	a, err := e.daemon.Apply(ctx, s, text, base, id)
+	if errors.Is(err, requester.ErrLost) {
+		return errors.Wrapf(err, "edit %s; find out with: waxwingctl settle %s", id, id)
+	}
+	if err != nil {
+		return err
+	}
+	return e.verdict(ctx, s, file, text, a)
+}
+
+// Settle finds out whether an edit was accepted.
+func (e *Executor) Settle(ctx context.Context, id string) error {
+	a, err := e.daemon.Settle(ctx, id)
+	if err != nil {
+		return err
+	}
+	return e.verdict(ctx, "", "", nil, a)
+}
+
+// Show prints every key in force; why adds where each comes from.
+func (e *Executor) Show(ctx context.Context, why bool) error {
+	rows, err := e.daemon.Show(ctx)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return e.printJSON(rows)
+	}
+	t := e.table()
+	if why {
+		fmt.Fprintln(t, "SECTION\tENTRY\tKEY\tVALUE\tGENERATION\tAUTHOR\tTIME")
+	} else {
+		fmt.Fprintln(t, "SECTION\tENTRY\tKEY\tVALUE")
+	}
+	for _, r := range rows {
+		value := r.Value
+		if r.Default {
+			value += " (default)"
+		}
+		fmt.Fprintf(t, "%s\t%s\t%s\t%s", r.Section, r.Entry, r.Key, value)
+		if why {
+			fmt.Fprintf(t, "\t%d\t%s\t%s", r.Generation, r.Author, r.Time.Format(time.RFC3339))
+		}
+		fmt.Fprintln(t)
+	}
+	return errors.Wrap(t.Flush(), "printing")
+}
+
+// Status prints every entry VM in the daemon's view.
+func (e *Executor) Status(ctx context.Context) error {
+	rows, err := e.daemon.Status(ctx)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return e.printJSON(rows)
+	}
+	t := e.table()
+	fmt.Fprintln(t, "VM\tZONE\tSTATE\tGENERATION\tHEARD\tSINCE")
+	for _, r := range rows {
+		fmt.Fprintf(t, "%s\t%s\t%s\t%d\t%.1fs ago\t%s\n", r.VM, r.Zone, r.State, r.Generation, r.Age, r.Since.Format(time.RFC3339))
+	}
+	return errors.Wrap(t.Flush(), "printing")
+}
+
+// History prints the latest accepted edits.
+func (e *Executor) History(ctx context.Context) error {
+	edits, err := e.daemon.History(ctx)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return e.printJSON(edits)
+	}
+	t := e.table()
+	fmt.Fprintln(t, "GENERATION\tSECTION\tAUTHOR\tTIME\tEDIT")
+	for _, ed := range edits {
+		fmt.Fprintf(t, "%d\t%s\t%s\t%s\t%s\n", ed.Generation, ed.Section, ed.Author, ed.Time.Format(time.RFC3339), ed.ID)
+	}
+	return errors.Wrap(t.Flush(), "printing")
+}
+
+// Explain prints where a caller is placed, with the reason that the decision
+// log has.
+func (e *Executor) Explain(ctx context.Context, caller string, s namer.Service) error {
+	a, err := e.daemon.Explain(ctx, caller, s)
+	if err != nil {
+		return err
+	}
+	if e.json {
+		return e.printJSON(a)
+	}
+	t := e.table()
+	fmt.Fprintln(t, "SERVICE\tCALLER\tHOME\tZONE\tREASON\tENTRIES\tGENERATION")
+	names := make([]string, len(a.Entries))
+	for i, vm := range a.Entries {
+		names[i] = string(vm)
+	}
+	fmt.Fprintf(t, "%s\t%s\t%s\t%s\t%s\t%s\t%d\n",
+		a.Service, a.Caller, a.Home, a.Zone, a.Reason, strings.Join(names, ","), a.Generation)
+	return errors.Wrap(t.Flush(), "printing")
+}
+
+// verdict prints how an edit ended and returns it as an error unless it was
+// accepted.
+func (e *Executor) verdict(ctx context.Context, s parser.Section, file string, text []byte, a operator.EditAnswer) error {
+	if e.json {
+		if err := e.printJSON(a); err != nil {
+			return err
+		}
+	}
+	switch a.Verdict {
+	case "accepted":
+		if !e.json {
+			fmt.Fprintf(e.out, "accepted as generation %d, edit %s\n", a.Generation, a.Edit)
+		}
+		return nil
+	case "conflict":
+		e.showConflict(ctx, s, file, text)
+		return errors.Newf("refused: generation %d by %s came first; %s is unchanged", a.Generation, a.Author, file)
+	case "invalid":
+		return errors.Newf("refused: the document would not be valid:\n%s", strings.Join(a.Problems, "\n"))
+	case "unknown":
+		return errors.Wrapf(ErrUnknown, "edit %s (%s); find out with: waxwingctl settle %s", a.Edit, a.Reason, a.Edit)
+	}
+	return errors.Newf("refused: %s", a.Reason)
+}
+
+func (e *Executor) showConflict(ctx context.Context, s parser.Section, file string, text []byte) {
+	current, err := e.daemon.Section(ctx, s)
+	if err != nil || e.json {
+		return
+	}
+	_, _ = e.out.Write(diff.Diff("in force", []byte(current.Text), file, text))
+}
+
+func (e *Executor) printJSON(v any) error {
+	enc := json.NewEncoder(e.out)
+	enc.SetIndent("", "  ")
+	return errors.Wrap(enc.Encode(v), "printing")
+}
+
+func (e *Executor) table() *tabwriter.Writer {
+	return tabwriter.NewWriter(e.out, 0, 0, 2, ' ', 0)
+}
+
+// splitBase takes the line with the base generation off a file. A file without
+// it may only fill a section that is empty.
+func splitBase(raw []byte, current namer.Generation) ([]byte, namer.Generation, error) {
+	rest, ok := strings.CutPrefix(string(raw), baseMark)
+	if !ok {
+		if current != 0 {
+			return nil, 0, errors.Wrapf(ErrUsage,
+				"the file does not say which generation it was read at; begin it with %q as get does", baseMark+current.Text())
+		}
+		return raw, 0, nil
+	}
+	line, text, _ := strings.Cut(rest, "\n")
+	base, err := strconv.ParseUint(strings.TrimSpace(line), 10, 64)
+	if err != nil {
+		return nil, 0, errors.Wrapf(ErrUsage, "line 1: %q is no generation", line)
+	}
+	return []byte(text), namer.Generation(base), nil
+}
+
+func notReady(err error) bool {
+	var refused *requester.RefusedError
+	return errors.As(err, &refused) && refused.Code == "not-ready"
+}
+
+func newEditID() string {
+	var raw [8]byte
+	_, _ = rand.Read(raw[:])
+	return hex.EncodeToString(raw[:])
+}
--- a/internal/ctl/requester/requester.go
+++ b/internal/ctl/requester/requester.go
@@ -78,7 +78,7 @@
 		return operator.EditAnswer{}, errors.Wrap(err, "building the edit")
 	}
 	req.Header.Set("Authorization", "Bearer "+r.token)
-	resp, err := r.client.Do(req)
+	resp, err := r.client.Do(req) //nolint:bodyclose // editAnswer closes it.
 	if err != nil {
 		return operator.EditAnswer{}, errors.Mark(err, ErrLost)
 	}
@@ -87,7 +87,7 @@
 
 // Settle asks whether an edit was accepted.
 func (r *Requester) Settle(ctx context.Context, id string) (operator.EditAnswer, error) {
-	resp, err := r.send(ctx, "/v1/edits/"+url.PathEscape(id))
+	resp, err := r.send(ctx, "/v1/edits/"+url.PathEscape(id)) //nolint:bodyclose // editAnswer closes it.
 	if err != nil {
 		return operator.EditAnswer{}, errors.Mark(err, ErrLost)
 	}
--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
 
@@ -210,7 +211,8 @@
 	}
 	status := http.StatusInternalServerError
 	out := notRun("internal", "the request could not be handled")
-	if he, ok := err.(*echo.HTTPError); ok {
+	var he *echo.HTTPError
+	if errors.As(err, &he) {
 		status = he.Code
 		out = notRun("no-route", "no such path or method")
 	}
--- a/internal/front/responder/serve.go
+++ b/internal/front/responder/serve.go
@@ -36,7 +36,7 @@
 	rc := http.NewResponseController(c.Response())
 	_ = rc.SetWriteDeadline(req.Deadline.Add(graceTime))
 	if class.Once {
-		out = r.once(c, req, class)
+		out = r.once(c, req)
 		r.logRoute(c, req, out, begun)
 		return r.writeOnce(c, out)
 	}
@@ -111,7 +111,7 @@
 	return min(class.Deadline, time.Duration(ms)*time.Millisecond)
 }
 
-func (r *Responder) once(c echo.Context, req forwarder.Request, class parser.Class) arbiter.Outcome {
+func (r *Responder) once(c echo.Context, req forwarder.Request) arbiter.Outcome {
 	text := c.Request().Header.Get(TokenHeader)
 	if text == "" {
 		return notRun("no-token", "a once-only request needs a token in "+TokenHeader)
--- a/internal/platform/storer/storer.go
+++ b/internal/platform/storer/storer.go
@@ -111,6 +111,7 @@
 	if err != nil {
 		return 0, errors.Mark(errors.Wrapf(err, "writing %s", key), ErrLost)
 	}
+	defer func() { _ = resp.Body.Close() }()
 	defer drain(resp.Body)
 	switch {
 	case resp.StatusCode == http.StatusOK:
@@ -131,6 +132,7 @@
 	if err != nil {
 		return nil, err
 	}
+	defer func() { _ = resp.Body.Close() }()
 	defer drain(resp.Body)
 	if resp.StatusCode != http.StatusOK {
 		return nil, errors.Newf("listing VMs: status %d", resp.StatusCode)
@@ -149,6 +151,7 @@
 	if err != nil {
 		return Object{}, err
 	}
+	defer func() { _ = resp.Body.Close() }()
 	defer drain(resp.Body)
 	if resp.StatusCode == http.StatusNotFound {
 		return Object{}, ErrMissing
@@ -180,7 +183,6 @@
 }
 
 // drain reads what is left, so that the connection can be used again.
-func drain(body io.ReadCloser) {
+func drain(body io.Reader) {
 	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxValue))
-	_ = body.Close()
 }
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -92,7 +92,7 @@
 	if err != nil {
 		return Answer{}, errors.Mark(err, ErrUnwritten)
 	}
-	resp, err := f.transport(t).RoundTrip(out)
+	resp, err := f.transport(t).RoundTrip(out) //nolint:bodyclose // The answer's reader closes it.
 	if err != nil {
 		if !connected.Load() {
 			err = errors.Mark(err, ErrUnwritten)
--- a/internal/settings/loader/schema.go
+++ b/internal/settings/loader/schema.go
@@ -43,13 +43,13 @@
 }
 
 func logGroup() checker.Group {
-	return checker.Group{Kind: "log", Required: true, Doc: "the log on standard error", Keys: []checker.Key{
-		{Name: "level", Kind: checker.Choice, Required: true, Choices: []string{"debug", "info", "warn", "error"}, Doc: "the least level that is written"},
+	return checker.Group{Kind: "log", Doc: "the log on standard error", Keys: []checker.Key{
+		{Name: "level", Kind: checker.Choice, Default: "info", Choices: []string{"debug", "info", "warn", "error"}, Doc: "the least level that is written"},
 	}}
 }
 
 func limitsGroup() checker.Group {
-	return checker.Group{Kind: "limits", Required: true, Doc: "what callers may use of this daemon", Keys: []checker.Key{
+	return checker.Group{Kind: "limits", Doc: "what callers may use of this daemon", Keys: []checker.Key{
 		{Name: "head", Kind: checker.Number, Default: "16384", Min: 1024, Max: 1 << 20, Unit: "bytes", Doc: "the largest request head; above it 431"},
 		{Name: "body", Kind: checker.Number, Default: "262144", Min: 1024, Max: 64 << 20, Unit: "bytes", Doc: "the largest request body; above it 413"},
 		{Name: "answer", Kind: checker.Number, Default: "65536", Min: 0, Max: 1 << 20, Unit: "bytes", Doc: "the largest answer to a once-only request that is kept for a retry"},
@@ -60,7 +60,7 @@
 }
 
 func timingGroup() checker.Group {
-	return checker.Group{Kind: "timing", Required: true, Doc: "the daemon's intervals", Keys: []checker.Key{
+	return checker.Group{Kind: "timing", Doc: "the daemon's intervals", Keys: []checker.Key{
 		{Name: "heartbeat", Kind: checker.Duration, Default: "500ms", Min: int64(10 * time.Millisecond), Max: int64(time.Minute), Doc: "the interval between heartbeats to a peer"},
 		{Name: "suspect", Kind: checker.Duration, Default: "1500ms", Min: int64(20 * time.Millisecond), Max: int64(time.Minute), Doc: "the silence after which a peer is suspect"},
 		{Name: "dead", Kind: checker.Duration, Default: "5s", Min: int64(50 * time.Millisecond), Max: int64(time.Hour), Doc: "the silence after which a peer is dead"},
--- a/internal/share/claimer/claimer.go
+++ b/internal/share/claimer/claimer.go
@@ -98,7 +98,9 @@
 	return t, Claimed{}
 }
 
-// Release returns the table in which an incarnation's ordinal is free.
+// Release returns the table in which an incarnation's ordinal is free. It may
+// only be used from the time at which the ordinal itself might be: before it, a
+// predecessor's requests may be in flight, and a successor must wait for them.
 func Release(t Table, incarnation string) Table {
 	var next Table
 	for _, h := range t.Holders {
