--- /dev/null
+++ b/internal/document/editor/editor_test.go
@@ -0,0 +1,139 @@
+package editor_test
+
+import (
+	"context"
+	"fmt"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/editor"
+	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
+)
+
+const services = "[service a]\n"
+
+func newPlatform(t *testing.T) (*storekeeper.Storekeeper, *storer.Storer) {
+	platform := storekeeper.New(clockwork.NewRealClock())
+	server := httptest.NewServer(platform.Handler())
+	t.Cleanup(server.Close)
+	s, cleanup := storer.New(strings.TrimPrefix(server.URL, "http://"))
+	t.Cleanup(cleanup)
+	return platform, s
+}
+
+func edit(id, text string, base namer.Generation) editor.Edit {
+	return editor.Edit{ID: id, Section: parser.Services, Text: []byte(text), Author: "kai", Base: base}
+}
+
+func TestRaceHasOneWinner(t *testing.T) {
+	t.Parallel()
+	_, s := newPlatform(t)
+	e := editor.New(s, clockwork.NewRealClock())
+	results := make([]editor.Result, 8)
+	var racers sync.WaitGroup
+	for i := range results {
+		racers.Go(func() {
+			results[i] = e.Apply(context.Background(), edit(fmt.Sprint("e", i), fmt.Sprintf("[service s%d]\n", i), 0))
+		})
+	}
+	racers.Wait()
+	won := 0
+	for _, r := range results {
+		if r.Verdict == editor.Accepted {
+			won++
+			continue
+		}
+		assert.Equal(t, r.Verdict, editor.Conflict)
+		assert.Equal(t, r.Edit.Generation, namer.Generation(1), "the loser is told what came first")
+		assert.Equal(t, string(r.Edit.Author), "kai")
+	}
+	assert.Equal(t, won, 1)
+}
+
+func TestRaceOnOtherSectionsBothWin(t *testing.T) {
+	t.Parallel()
+	_, s := newPlatform(t)
+	e := editor.New(s, clockwork.NewRealClock())
+	assert.Equal(t, e.Apply(context.Background(), edit("e0", services, 0)).Verdict, editor.Accepted)
+	texts := map[parser.Section]string{
+		parser.Places: "[zone z]\nregion = r\nvms = 1\n", parser.Exceptions: "# none\n", parser.Limits: "# none\n",
+	}
+	var racers sync.WaitGroup
+	for section, text := range texts {
+		racers.Go(func() {
+			r := e.Apply(context.Background(), editor.Edit{ID: string(section), Section: section, Text: []byte(text)})
+			assert.Check(t, r.Verdict == editor.Accepted, "%s: %v %s", section, r.Verdict, r.Reason)
+		})
+	}
+	racers.Wait()
+	head, _, err := editor.ReadHead(context.Background(), s)
+	assert.NilError(t, err)
+	assert.Equal(t, head.Generation, namer.Generation(4))
+}
+
+// TestLostAnswer loses the answer of the head's update after it took effect.
+func TestLostAnswer(t *testing.T) {
+	t.Parallel()
+	platform, s := newPlatform(t)
+	e := editor.New(&losing{Storer: s, platform: platform}, clockwork.NewRealClock())
+	r := e.Apply(context.Background(), edit("e1", services, 0))
+	assert.Equal(t, r.Verdict, editor.Accepted)
+	again := e.Apply(context.Background(), edit("e1", services, 0))
+	assert.Equal(t, again.Verdict, editor.Accepted)
+	assert.Equal(t, again.Edit.Generation, namer.Generation(1), "the same edit again is no second edit")
+}
+
+// TestLostAnswerAndOutage can't tell, and says so until the platform is back.
+func TestLostAnswerAndOutage(t *testing.T) {
+	t.Parallel()
+	platform, s := newPlatform(t)
+	e := editor.New(&losing{Storer: s, platform: platform, outage: true}, clockwork.NewRealClock())
+	r := e.Apply(context.Background(), edit("e1", services, 0))
+	assert.Equal(t, r.Verdict, editor.Unknown)
+	platform.SetFaults(storekeeper.Faults{})
+	assert.Equal(t, e.Settle(context.Background(), "e1").Verdict, editor.Accepted)
+}
+
+func TestOutageBeforeTheWriteFails(t *testing.T) {
+	t.Parallel()
+	platform, s := newPlatform(t)
+	platform.SetFaults(storekeeper.Faults{Outage: true})
+	r := editor.New(s, clockwork.NewRealClock()).Apply(context.Background(), edit("e1", services, 0))
+	assert.Equal(t, r.Verdict, editor.Failed)
+}
+
+func TestInvalidNamesThePlace(t *testing.T) {
+	t.Parallel()
+	_, s := newPlatform(t)
+	r := editor.New(s, clockwork.NewRealClock()).Apply(context.Background(), edit("e1", "[service a]\nttl = soon\n", 0))
+	assert.Equal(t, r.Verdict, editor.Invalid)
+	assert.Equal(t, r.Problems.Error(), `services.ini:2: [service a] ttl: "soon" is not a duration such as 250ms or 5s`)
+}
+
+// losing makes the platform lose the answer of each write of the head.
+type losing struct {
+	*storer.Storer
+	platform *storekeeper.Storekeeper
+	outage   bool
+}
+
+// Put implements editor.Platform.
+func (l *losing) Put(ctx context.Context, key string, body []byte, v storer.Version) (storer.Version, error) {
+	if key == keeper.HeadKey {
+		l.platform.SetFaults(storekeeper.Faults{LoseWrites: 1})
+	}
+	next, err := l.Storer.Put(ctx, key, body, v)
+	if key == keeper.HeadKey && l.outage {
+		l.platform.SetFaults(storekeeper.Faults{Outage: true})
+	}
+	return next, err
+}
--- /dev/null
+++ b/internal/document/keeper/keeper_test.go
@@ -0,0 +1,57 @@
+package keeper_test
+
+import (
+	"log/slog"
+	"testing"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+func offer(g namer.Generation, text string) (keeper.Head, parser.Sources) {
+	head := keeper.Head{Generation: g, Sections: []keeper.SectionHead{{
+		Hash: keeper.HashOf([]byte(text)), Edit: keeper.Edit{Section: parser.Services, Generation: g},
+	}}}
+	return head, parser.Sources{{Section: parser.Services, Text: []byte(text)}}
+}
+
+func TestPropertyNeverBack(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		k := keeper.New(slog.New(slog.DiscardHandler))
+		highest := namer.Generation(0)
+		told := namer.Generation(0)
+		k.Subscribe(func(f *keeper.Force) {
+			if f.Head.Generation <= told {
+				t.Fatalf("generation %d came into force after %d", f.Head.Generation, told)
+			}
+			told = f.Head.Generation
+		})
+		for range rapid.IntRange(1, 30).Draw(t, "offers") {
+			g := namer.Generation(rapid.IntRange(0, 12).Draw(t, "generation"))
+			head, sources := offer(g, "[service a]\n")
+			adopted, err := k.Adopt(head, sources)
+			assert.NilError(t, err)
+			if adopted != (g > highest) {
+				t.Fatalf("generation %d over %d: adopted %v", g, highest, adopted)
+			}
+			highest = max(highest, g)
+			if k.Generation() != highest {
+				t.Fatalf("generation %d in force, not %d", k.Generation(), highest)
+			}
+		}
+	})
+}
+
+func TestAdoptRefusesAnotherText(t *testing.T) {
+	t.Parallel()
+	k := keeper.New(slog.New(slog.DiscardHandler))
+	head, _ := offer(1, "[service a]\n")
+	_, other := offer(1, "[service b]\n")
+	_, err := k.Adopt(head, other)
+	assert.ErrorContains(t, err, "does not have its hash")
+	assert.Assert(t, k.Current() == nil)
+}
--- a/internal/front/responder/serve.go
+++ b/internal/front/responder/serve.go
@@ -89,11 +89,15 @@
 	rc := http.NewResponseController(c.Response())
 	_ = rc.SetReadDeadline(time.Now().Add(r.limits.ReadTime))
 	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, r.limits.BodyBytes))
-	_ = rc.SetReadDeadline(time.Time{})
+	if err == nil {
+		_ = rc.SetReadDeadline(time.Time{})
+		return body, 0, arbiter.Outcome{}
+	}
+	// The server would otherwise read the rest of the body before it answers,
+	// and wait for as long as the caller likes.
+	c.Response().Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
-	case err == nil:
-		return body, 0, arbiter.Outcome{}
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge, r.early(c, "body-too-large", "the request body is over the limit")
 	case errors.Is(err, os.ErrDeadlineExceeded):
