--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -136,7 +136,7 @@
 			Lister:    f.Find(platformName).(*storer.Storer),
 			Documents: f.Find(documentsName).(*keeper.Keeper),
 		}
-		return heartbeater.New(p.member(s, clock.Now()), services, timing(s), clock, log), nil, nil
+		return heartbeater.New(p.member(s, clock.Now()), services, s.Seeds, timing(s), clock, log), nil, nil
 	})
 	needs = []registrar.Name{clockName, platformName, documentsName, membersName}
 	r.Register(watchName, needs, func(f registrar.Finder) (any, func(), error) {
@@ -160,7 +160,7 @@
 	needs := []registrar.Name{portsName, clockName, peersName}
 	r.Register(tokensName, needs, func(f registrar.Finder) (any, func(), error) {
 		p := f.Find(portsName).(*ports)
-		self := conductor.Identity{VM: s.VM, Incarnation: p.incarnation, Peers: p.peers.Addr().String()}
+		self := conductor.Identity{VM: s.VM, Incarnation: p.incarnation, Peers: p.advertised(s)}
 		return wrap(conductor.New(self, f.Find(peersName).(*messenger.Messenger), f.Find(clockName).(clockwork.Clock),
 			conductor.WithLogger(log), conductor.WithLimit(s.Limits.Tokens), conductor.WithAnswer(s.Limits.AnswerBytes)))
 	})
@@ -278,13 +278,21 @@
 		Zone:        s.Zone,
 		Region:      s.Region,
 		Callers:     p.callers.Addr().String(),
-		Peers:       p.peers.Addr().String(),
+		Peers:       p.advertised(s),
 		Operators:   p.operators.Addr().String(),
 		Incarnation: p.incarnation,
 		Started:     now,
 	}
 }
 
+// advertised returns where peers reach this daemon.
+func (p *ports) advertised(s loader.Settings) string {
+	if s.Advertise != "" {
+		return s.Advertise
+	}
+	return p.peers.Addr().String()
+}
+
 func timing(s loader.Settings) heartbeater.Timing {
 	return heartbeater.Timing{
 		Heartbeat: s.Timing.Heartbeat,
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -69,6 +69,7 @@
 	// Heartbeater keeps one VM's view of the members.
 	Heartbeater struct {
 		services Services
+		seeds    []string
 		timing   Timing
 		clock    clockwork.Clock
 		log      *slog.Logger
@@ -85,10 +86,12 @@
 	}
 )
 
-// New returns a heartbeater that knows nobody yet.
-func New(self tracker.Member, s Services, timing Timing, clock clockwork.Clock, log *slog.Logger) *Heartbeater {
+// New returns a heartbeater that knows nobody yet. Seeds are addresses of peers
+// that it asks while it knows no other.
+func New(self tracker.Member, s Services, seeds []string, timing Timing, clock clockwork.Clock, log *slog.Logger) *Heartbeater {
 	return &Heartbeater{
 		services: s,
+		seeds:    seeds,
 		timing:   timing,
 		clock:    clock,
 		log:      log,
@@ -344,5 +347,8 @@
 			out = append(out, l.Peers)
 		}
 	}
+	if len(out) == 0 {
+		return h.seeds
+	}
 	return out
 }
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -36,6 +36,8 @@
 		Peers     string
 		Platform  string
 		Keys      [][]byte
+		Seeds     []string
+		Advertise string
 		LogLevel  string
 		Limits    Limits
 		Timing    Timing
@@ -98,7 +100,8 @@
 	case "platform":
 		s.Platform = e.Text("address")
 	case "peers":
-		return s.addKeys(e)
+		s.Advertise = e.Text("advertise")
+		return append(s.addKeys(e), s.addSeeds(e)...)
 	case "log":
 		s.LogLevel = e.Text("level")
 	case "limits":
@@ -109,7 +112,7 @@
 		s.Owners = append(s.Owners, Owner{
 			Name:     namer.Author(e.Name),
 			Hash:     e.Text("hash"),
-			Sections: strings.Fields(strings.ReplaceAll(e.Text("sections"), ",", " ")),
+			Sections: list(e.Text("sections")),
 		})
 	}
 	return nil
@@ -138,6 +141,23 @@
 	return problems
 }
 
+func (s *Settings) addSeeds(e checker.Entry) checker.Problems {
+	var problems checker.Problems
+	for _, seed := range list(e.Text("seeds")) {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			problems = append(problems, e.Problem("seeds", "%q is not an address of the form IP:PORT", seed))
+			continue
+		}
+		s.Seeds = append(s.Seeds, seed)
+	}
+	return problems
+}
+
+// list splits a text at commas and spaces.
+func list(text string) []string {
+	return strings.Fields(strings.ReplaceAll(text, ",", " "))
+}
+
 func newLimits(e checker.Entry) Limits {
 	return Limits{
 		HeadBytes:   int(e.Number("head")),
--- a/internal/stand/launcher/launcher.go
+++ b/internal/stand/launcher/launcher.go
@@ -67,6 +67,8 @@
 		VM     namer.VM
 		Zone   namer.Zone
 		Region namer.Region
+
+		seeds []string
 	}
 
 	// Upstream is an upstream with what the document says of it.
@@ -143,6 +145,20 @@
 	return err
 }
 
+// Add starts one more daemon in a zone, with every other as its seeds. The
+// platform's list does not have it until List is called.
+func (f *Fleet) Add(ctx context.Context, z parser.Zone, vm namer.VM) (*Daemon, error) {
+	d := &Daemon{VM: vm, Zone: z.Name, Region: z.Region}
+	for _, other := range f.Daemons {
+		d.seeds = append(d.seeds, other.Address("peers"))
+	}
+	if err := f.startDaemon(ctx, d); err != nil {
+		return nil, err
+	}
+	f.Daemons = append(f.Daemons, d)
+	return d, nil
+}
+
 // Apply edits a section through a daemon.
 func (f *Fleet) Apply(ctx context.Context, d *Daemon, s parser.Section, text []byte) (namer.Generation, error) {
 	ctl := f.Ctl(d)
@@ -275,6 +291,9 @@
 	fmt.Fprintf(&b, "[listen]\ncallers = %s\noperators = %s\npeers = %s\n", callers, operators, peers)
 	fmt.Fprintf(&b, "[platform]\naddress = %s\n", f.Platform.Address("address"))
 	fmt.Fprintf(&b, "[peers]\nkey = %s\n", filepath.Join(f.Spec.Dir, "key"))
+	if len(d.seeds) > 0 {
+		fmt.Fprintf(&b, "seeds = %s\n", strings.Join(d.seeds, ", "))
+	}
 	fmt.Fprintf(&b, "[log]\nlevel = %s\n[limits]\n[timing]\n", f.Spec.Level)
 	for _, kv := range []struct {
 		key   string
--- /dev/null
+++ b/internal/stand/launcher/launcher_test.go
@@ -0,0 +1,259 @@
+package launcher_test
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/stand/demonstrator"
+	"github.com/waxwingloom/waxwingloom/internal/stand/driver"
+	"github.com/waxwingloom/waxwingloom/internal/stand/launcher"
+	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
+	"github.com/waxwingloom/waxwingloom/internal/stand/worker"
+)
+
+const (
+	// bound is generous: it only keeps a broken test from hanging.
+	bound = 60 * time.Second
+	// try must be longer than any planned pause of a healthy system.
+	try = 5 * time.Second
+)
+
+// programs is the folder of the programs under test, with race detection.
+var programs string
+
+func TestMain(m *testing.M) {
+	os.Exit(build(m))
+}
+
+func build(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "waxwing-programs-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	out, err := exec.Command("go", "build", "-race", "-o", dir+"/", "../../../cmd/...").CombinedOutput()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, string(out))
+		return 1
+	}
+	programs = dir
+	return m.Run()
+}
+
+const services = `[service desk]
+ttl = 1s
+refusal = 503
+retry = 50
+[class desk/stock]
+path = /stock
+deadline = 3s
+[class desk/order]
+method = POST
+path = /orders
+once = yes
+deadline = 3s
+`
+
+// example writes a document of two zones with two upstreams each.
+func example(t *testing.T) string {
+	dir := t.TempDir()
+	places := ""
+	for _, z := range []string{"za", "zb"} {
+		places += fmt.Sprintf("[zone %s]\nregion = r\nvms = 2\n[block %s]\nnet = 10.0.0.0/8\nzone = %s\n", z, z, z)
+		for i := range 2 {
+			places += fmt.Sprintf("[upstream %s%d]\nservice = desk\nzone = %s\naddress = 10.0.0.1:80\nslots = 6\nconns = 60\n", z, i, z)
+		}
+	}
+	texts := map[parser.Section]string{parser.Services: services, parser.Places: places}
+	for _, s := range parser.Sections() {
+		assert.NilError(t, os.WriteFile(filepath.Join(dir, string(s)+".ini"), []byte(texts[s]), 0o600))
+	}
+	return dir
+}
+
+func launch(t *testing.T) (*launcher.Fleet, context.Context) {
+	ctx, cancel := context.WithTimeout(context.Background(), bound)
+	t.Cleanup(cancel)
+	fleet, cleanup, err := launcher.Launch(ctx, launcher.Spec{
+		Programs: programs, Example: example(t), Dir: t.TempDir(), PerZone: 2, Work: 5 * time.Millisecond, Level: "info",
+		Timing: launcher.Timing{Heartbeat: 100 * time.Millisecond, Suspect: time.Second, Dead: 3 * time.Second, Poll: 200 * time.Millisecond},
+	})
+	assert.NilError(t, err)
+	t.Cleanup(cleanup)
+	return fleet, ctx
+}
+
+// load runs callers until stop is closed, or for the plan's longest.
+func load(ctx context.Context, t *testing.T, f *launcher.Fleet, d time.Duration) func() driver.Report {
+	done := make(chan driver.Report, 1)
+	go func() {
+		r, err := driver.Run(ctx, driver.Plan{
+			Entries: f.Entries(), Sources: f.Sources, Duration: d, Try: try, Seed: 1,
+			Loads: []driver.Load{
+				{Service: "desk", Class: "stock", Method: "GET", Path: "/stock", Weight: 1, Rate: 60, Fill: 2000},
+				{Service: "desk", Class: "order", Method: "POST", Path: "/orders", Once: true, Weight: 1, Rate: 40, Body: 100},
+			},
+		})
+		assert.Check(t, err == nil, "%v", err)
+		done <- r
+	}()
+	return func() driver.Report { return <-done }
+}
+
+// judge holds what callers were told against the journals.
+func judge(ctx context.Context, t *testing.T, f *launcher.Fleet, r driver.Report) demonstrator.Verdict {
+	journal, err := demonstrator.Journals(ctx, f.Upstreams)
+	assert.NilError(t, err)
+	v := demonstrator.Judge(r.Attempts, journal)
+	assert.Equal(t, v.Duplicated, 0)
+	assert.Equal(t, v.FalseNotRun, 0)
+	assert.Equal(t, v.FalseRan, 0)
+	assert.Equal(t, r.Mismatched, 0)
+	for _, u := range f.Upstreams {
+		var s worker.Stats
+		assert.NilError(t, launcher.Get(ctx, u.Process.Address("address"), "/stand/stats", &s))
+		assert.Equal(t, s.OverSlots, 0, "%s was given %d of %d slots", u.Process.Name, s.MostUsed, s.Slots)
+	}
+	return v
+}
+
+// TestPlannedStop stops a daemon under load. No caller sees an error of it.
+func TestPlannedStop(t *testing.T) {
+	f, ctx := launch(t)
+	report := load(ctx, t, f, 5*time.Second)
+	f.Daemons[0].Terminate()
+	assert.Equal(t, f.Daemons[0].Wait(), 0)
+	r := report()
+	judge(ctx, t, f, r)
+	assert.Equal(t, r.Answered, r.Requests, "%+v", r.Reasons)
+	assert.Equal(t, len(r.Reasons), 0, "%+v", r.Reasons)
+}
+
+// TestKillAndRestart kills a daemon under load and starts it again on the same
+// addresses.
+func TestKillAndRestart(t *testing.T) {
+	f, ctx := launch(t)
+	report := load(ctx, t, f, 4*time.Second)
+	time.Sleep(time.Second)
+	f.Daemons[0].Kill()
+	assert.NilError(t, f.Restart(ctx, f.Daemons[0]))
+	r := report()
+	judge(ctx, t, f, r)
+	assert.Equal(t, r.ReadsAnswered, r.Reads, "%+v", r.Reasons)
+}
+
+// TestFreeze stops a daemon for longer than any intent or heartbeat waits.
+func TestFreeze(t *testing.T) {
+	f, ctx := launch(t)
+	report := load(ctx, t, f, 6*time.Second)
+	time.Sleep(500 * time.Millisecond)
+	f.Daemons[1].Freeze()
+	time.Sleep(4 * time.Second)
+	f.Daemons[1].Resume()
+	judge(ctx, t, f, report())
+}
+
+// TestPlatformGone ends the platform for the whole run. Orders go on, and a
+// new daemon learns the document from its peers.
+func TestPlatformGone(t *testing.T) {
+	f, ctx := launch(t)
+	f.Platform.Kill()
+	report := load(ctx, t, f, 2*time.Second)
+	added, err := f.Add(ctx, f.Document.Zones[0], "za-new")
+	assert.NilError(t, err)
+	await(ctx, t, func() error {
+		resp, err := http.Get("http://" + added.Address("callers") + "/v1/ready")
+		if err != nil {
+			return err
+		}
+		defer func() { _ = resp.Body.Close() }()
+		if resp.StatusCode != http.StatusOK {
+			return fmt.Errorf("status %d", resp.StatusCode)
+		}
+		return nil
+	})
+	r := report()
+	v := judge(ctx, t, f, r)
+	assert.Equal(t, r.Answered, r.Requests, "%+v", r.Reasons)
+	assert.Equal(t, v.Ran, r.Requests-r.Reads)
+}
+
+// TestDocumentEverywhere applies an edit, and then restores the platform from
+// an older copy. The edit reaches every daemon and none goes back.
+func TestDocumentEverywhere(t *testing.T) {
+	f, ctx := launch(t)
+	platform := f.Platform.Address("address")
+	assert.NilError(t, launcher.Post(ctx, platform, "/stand/save"))
+	g, err := f.Apply(ctx, f.Daemons[2], parser.Drains, []byte("[drain d]\nkind = upstream\ntarget = za0\n"))
+	assert.NilError(t, err)
+	for _, d := range f.Daemons {
+		await(ctx, t, func() error { return inForce(ctx, f, d, g) })
+	}
+	assert.NilError(t, launcher.Post(ctx, platform, "/stand/restore"))
+	stale := 0
+	await(ctx, t, func() error {
+		stale = 0
+		for _, d := range f.Daemons {
+			var vars struct{ Stale int }
+			if err := f.Ctl(d).Metrics(ctx, &vars); err != nil {
+				return err
+			}
+			stale += vars.Stale
+		}
+		if stale == 0 {
+			return fmt.Errorf("nobody has seen the older copy yet")
+		}
+		return nil
+	})
+	for _, d := range f.Daemons {
+		assert.NilError(t, inForce(ctx, f, d, g))
+	}
+}
+
+// TestOutageRefusesEditsAlone takes the platform away: an edit fails with the
+// reason, and what is in force stays.
+func TestOutageRefusesEditsAlone(t *testing.T) {
+	f, ctx := launch(t)
+	assert.NilError(t, launcher.Put(ctx, f.Platform.Address("address"), "/stand/faults", storekeeper.Faults{Outage: true}))
+	_, err := f.Apply(ctx, f.Daemons[0], parser.Drains, []byte("# none\n"))
+	assert.ErrorContains(t, err, "failed")
+	r := load(ctx, t, f, time.Second)()
+	judge(ctx, t, f, r)
+	assert.Equal(t, r.Answered, r.Requests, "%+v", r.Reasons)
+}
+
+func inForce(ctx context.Context, f *launcher.Fleet, d *launcher.Daemon, g namer.Generation) error {
+	var vars struct{ Generation namer.Generation }
+	if err := f.Ctl(d).Metrics(ctx, &vars); err != nil {
+		return err
+	}
+	if vars.Generation != g {
+		return fmt.Errorf("%s has generation %d, not %d", d.VM, vars.Generation, g)
+	}
+	return nil
+}
+
+func await(ctx context.Context, t *testing.T, check func() error) {
+	for {
+		err := check()
+		if err == nil {
+			return
+		}
+		select {
+		case <-time.After(20 * time.Millisecond):
+		case <-ctx.Done():
+			t.Fatal(err)
+		}
+	}
+}
