Measure the path, the once-only protocol and the planned size

Cause for a change in placement: at 143 zones of 30 VMs one decision took 1838 ns against a target of 1 us, and copying whole entries while ranking was most of it. Ruled out: the block table (169 to 283 ns).

--- a/cmd/waxwingstand/main.go
+++ b/cmd/waxwingstand/main.go
@@ -12,8 +12,10 @@
 
 	"github.com/urfave/cli/v3"
 
+	"github.com/waxwingloom/waxwingloom/internal/stand/assessor"
 	"github.com/waxwingloom/waxwingloom/internal/stand/commander"
 	"github.com/waxwingloom/waxwingloom/internal/stand/demonstrator"
+	"github.com/waxwingloom/waxwingloom/internal/stand/gauger"
 	"github.com/waxwingloom/waxwingloom/internal/stand/worker"
 )
 
@@ -27,7 +29,7 @@
 	app := &cli.Command{
 		Name:     "waxwingstand",
 		Usage:    "stand-ins of the systems that waxwingloom serves, and a load of callers",
-		Commands: []*cli.Command{platform(), upstream(), caller(), demo()},
+		Commands: []*cli.Command{platform(), upstream(), caller(), demo(), measure(), capacity()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -105,3 +107,28 @@
 		},
 	}
 }
+
+func measure() *cli.Command {
+	return &cli.Command{
+		Name: "measure", Usage: "what the system adds to a request's way, on loopback",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "programs", Usage: "the `FOLDER` of the built programs", Value: "bin"},
+			&cli.BoolFlag{Name: "once", Usage: "of a once-only request, rather than of an idempotent read"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Bool("once") {
+				return gauger.Once(ctx, c.String("programs"), os.Stdout)
+			}
+			return gauger.Path(ctx, c.String("programs"), os.Stdout)
+		},
+	}
+}
+
+func capacity() *cli.Command {
+	return &cli.Command{
+		Name: "capacity", Usage: "what control costs one entry VM at the planned size",
+		Action: func(context.Context, *cli.Command) error {
+			return assessor.Run(os.Stdout)
+		},
+	}
+}
--- a/internal/route/placer/placer.go
+++ b/internal/route/placer/placer.go
@@ -31,6 +31,9 @@
 // nearest is how many of them are of the nearest zone.
 const nearest = 2
 
+// scatter spreads a hash over all bits of a score.
+const scatter = 0x9e3779b97f4a7c15
+
 // The bits of a caller's address that make its block when no block of the
 // document has it.
 const (
@@ -56,7 +59,6 @@
 		VM      namer.VM
 		Zone    namer.Zone
 		Callers string
-		score   uint64
 	}
 
 	// Placement is the answer to a look-up. Home is the zone nearest to the
@@ -225,28 +227,40 @@
 	if !usable {
 		return
 	}
-	n = min(n, len(z.entries), MaxEntries-p.count)
-	first := p.count
-	for i, e := range z.entries {
-		e.score = (z.hashes[i] ^ key) * 0x9e3779b97f4a7c15
-		p.insert(e, first, first+n)
+	var best [nearest]ranked
+	count := 0
+	for i, h := range z.hashes {
+		score := (h ^ key) * scatter
+		if count == n && score <= best[n-1].score {
+			continue
+		}
+		count = ranked{index: i, score: score}.insert(&best, count, n)
+	}
+	for _, r := range best[:min(count, MaxEntries-p.count)] {
+		p.entries[p.count] = z.entries[r.index]
+		p.count++
 	}
 }
 
-// insert keeps the best-scored entries between two places of the answer.
-func (p *Placement) insert(e Entry, first, limit int) {
-	at := first
-	for at < p.count && p.entries[at].score >= e.score {
-		at++
-	}
-	if at >= limit {
-		return
+// ranked is an entry VM of a zone by its score for a caller's block.
+type ranked struct {
+	index int
+	score uint64
+}
+
+// insert keeps the n best in order, and returns how many there are.
+func (r ranked) insert(best *[nearest]ranked, count, n int) int {
+	at := count
+	for at > 0 && best[at-1].score < r.score {
+		at--
 	}
-	if p.count < limit {
-		p.count++
+	if at >= n {
+		return count
 	}
-	copy(p.entries[at+1:p.count], p.entries[at:p.count-1])
-	p.entries[at] = e
+	count = min(count+1, n)
+	copy(best[at+1:count], best[at:])
+	best[at] = r
+	return count
 }
 
 func (t *Table) order(home int) []int {
--- /dev/null
+++ b/internal/stand/assessor/assessor.go
@@ -0,0 +1,285 @@
+// Package assessor measures, at the size that the users plan for, what one
+// entry VM holds and does for control. docs/CAPACITY.md is worked out from its
+// figures.
+//
+// # Usage
+//
+//	err := assessor.Run(os.Stdout)
+package assessor
+
+import (
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/netip"
+	"runtime"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/gaissmai/bart"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
+	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
+	"github.com/waxwingloom/waxwingloom/internal/peer/converter"
+	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
+	"github.com/waxwingloom/waxwingloom/internal/route/placer"
+)
+
+// The size that the users plan for.
+const (
+	nodes   = 4400
+	blocks  = 2_900_000
+	sites   = 1800
+	regions = 40
+	zones   = 143
+	perZone = nodes / zones
+	// others is how many members of each other zone a heartbeat tells of.
+	others = 3
+
+	rounds    = 200
+	callRound = 2_000_000
+	tokens    = 200_000
+)
+
+// row prints one figure.
+func row(out io.Writer, name, format string, args ...any) {
+	fmt.Fprintf(out, "%-52s %s\n", name, fmt.Sprintf(format, args...))
+}
+
+// Run measures everything and prints a row for each figure.
+func Run(out io.Writer) error {
+	row(out, "size", "%d nodes, %d blocks, %d sites, %d regions, %d zones, %d VMs a zone", nodes, blocks, sites, regions, zones, perZone)
+	table := assessBlocks(out)
+	doc, err := assessDocument(out)
+	if err != nil {
+		return err
+	}
+	assessPlacement(out, doc, table)
+	assessHeartbeat(out)
+	return assessOnce(out)
+}
+
+func assessBlocks(out io.Writer) *bart.Table[int] {
+	rng := rand.New(rand.NewPCG(1, 2))
+	prefixes := make([]netip.Prefix, blocks)
+	for i := range prefixes {
+		a := rng.Uint32()
+		bits := 20 + rng.IntN(5)
+		prefixes[i] = netip.PrefixFrom(netip.AddrFrom4([4]byte{byte(a >> 24), byte(a >> 16), byte(a >> 8), byte(a)}), bits).Masked()
+	}
+	before := heap()
+	begun := time.Now()
+	table := &bart.Table[int]{}
+	for i, p := range prefixes {
+		table.Insert(p, i%zones)
+	}
+	row(out, "block table: distinct prefixes", "%d", table.Size())
+	row(out, "block table: build", "%.2f s", time.Since(begun).Seconds())
+	row(out, "block table: memory", "%.1f MB", float64(heap()-before)/1e6)
+	begun = time.Now()
+	found := 0
+	for i := range callRound {
+		if _, ok := table.Lookup(prefixes[i%blocks].Addr()); ok {
+			found++
+		}
+	}
+	row(out, "block table: one look-up", "%.0f ns (%d of %d found)", perOp(begun, callRound), found, callRound)
+	begun = time.Now()
+	next := table
+	for i := range rounds {
+		next = next.InsertPersist(prefixes[i], 1)
+	}
+	row(out, "block table: one edit, readers undisturbed", "%.1f µs", perOp(begun, rounds)/1e3)
+	runtime.KeepAlive(prefixes)
+	return table
+}
+
+func assessDocument(out io.Writer) (*parser.Document, error) {
+	var services, places strings.Builder
+	services.WriteString("[service desk]\n[class desk/stock]\npath = /stock\n")
+	for z := range zones {
+		fmt.Fprintf(&places, "[zone z%d]\nregion = r%d\nvms = %d\n", z, z%regions, perZone)
+	}
+	for u := range sites {
+		fmt.Fprintf(&places, "[upstream u%d]\nservice = desk\nzone = z%d\naddress = 10.%d.%d.1:80\nslots = 6\nconns = 330\n", u, u%zones, u/250, u%250)
+	}
+	sources := parser.Sources{
+		{Section: parser.Services, Text: []byte(services.String())}, {Section: parser.Places, Text: []byte(places.String())},
+	}
+	begun := time.Now()
+	doc, err := parser.Parse(sources)
+	if err != nil {
+		return nil, errors.Wrap(err, "parsing the full size")
+	}
+	row(out, "document without blocks: text", "%d bytes", places.Len()+services.Len())
+	row(out, "document without blocks: parse and check", "%.1f ms", perOp(begun, 1)/1e6)
+	wire := &encoder.Document{Sections: []*encoder.Section{{Name: "places", Text: sources[1].Text}}}
+	raw, err := proto.Marshal(wire)
+	if err != nil {
+		return nil, errors.Wrap(err, "encoding")
+	}
+	begun = time.Now()
+	for range rounds {
+		if err := proto.Unmarshal(raw, &encoder.Document{}); err != nil {
+			return nil, errors.Wrap(err, "decoding")
+		}
+	}
+	row(out, "document without blocks: decode from a peer", "%.1f µs", perOp(begun, rounds)/1e3)
+	return doc, nil
+}
+
+func assessPlacement(out io.Writer, doc *parser.Document, table *bart.Table[int]) {
+	all := members()
+	begun := time.Now()
+	var t *placer.Table
+	for range 3 {
+		t = placer.New(doc, 1, table, all)
+	}
+	row(out, "placement table: build after a change of members", "%.1f ms", perOp(begun, 3)/1e6)
+	rng := rand.New(rand.NewPCG(3, 4))
+	addrs := make([]netip.Addr, 1<<16)
+	for i := range addrs {
+		a := rng.Uint32()
+		addrs[i] = netip.AddrFrom4([4]byte{byte(a >> 24), byte(a >> 16), byte(a >> 8), byte(a)})
+	}
+	var before, after runtime.MemStats
+	runtime.ReadMemStats(&before)
+	begun = time.Now()
+	for i := range callRound {
+		p, _ := t.Place("desk", addrs[i%len(addrs)])
+		runtime.KeepAlive(p)
+	}
+	took := perOp(begun, callRound)
+	runtime.ReadMemStats(&after)
+	row(out, "placement: one decision", "%.0f ns, %.3f allocations", took, float64(after.Mallocs-before.Mallocs)/callRound)
+}
+
+// members returns every entry VM of the planned size.
+func members() []tracker.Member {
+	all := make([]tracker.Member, 0, nodes)
+	now := time.Now()
+	for i := range nodes {
+		z := i % zones
+		all = append(all, tracker.Member{
+			VM: namer.VM(fmt.Sprintf("zone-%d-%d", z, i/zones)), Zone: namer.Zone(fmt.Sprintf("z%d", z)),
+			Region: namer.Region(fmt.Sprintf("r%d", z%regions)), Callers: "10.100.100.100:8080", Peers: "10.100.100.100:7002",
+			Operators: "10.100.100.100:7001", Incarnation: namer.Incarnation{byte(i), byte(i >> 8), 1}, Started: now,
+			Heard: now, Sequence: 123456, Generation: 123456, Rooms: []tracker.Room{{Service: "blank-desk", Weight: 4}},
+		})
+	}
+	return all
+}
+
+func assessHeartbeat(out io.Writer) {
+	all := members()
+	self := all[0]
+	now := time.Now()
+	compose := func(others int) *encoder.Heartbeat {
+		hb := &encoder.Heartbeat{Sender: converter.Member(self, now)}
+		for _, m := range heartbeater.Digest(self, all, others) {
+			hb.Members = append(hb.Members, converter.Member(m, now))
+		}
+		return hb
+	}
+	for _, told := range []struct {
+		name   string
+		others int
+	}{{"heartbeat as sent (own zone, 3 of each other zone)", others}, {"heartbeat of the own zone alone", 0}, {"summary of 143 zones, one VM each", 1}} {
+		hb := compose(told.others)
+		raw, _ := proto.Marshal(hb)
+		t := tracker.New("other", tracker.Timing{Suspect: time.Minute, Dead: time.Hour})
+		begun := time.Now()
+		for range rounds {
+			got := &encoder.Heartbeat{}
+			_ = proto.Unmarshal(raw, got)
+			for _, m := range got.GetMembers() {
+				if member, ok := converter.MemberFrom(m, now); ok {
+					t.Hear(now, member)
+				}
+			}
+		}
+		row(out, told.name, "%d members, %d bytes, %.1f µs to take", len(hb.GetMembers()), len(raw), perOp(begun, rounds)/1e3)
+	}
+	begun := time.Now()
+	for range 20 {
+		compose(others)
+	}
+	row(out, "heartbeat as sent: compose", "%.1f µs", perOp(begun, 20)/1e3)
+	view := tracker.New("other", tracker.Timing{Suspect: time.Minute, Dead: time.Hour})
+	before := heap()
+	for _, m := range all {
+		view.Hear(now, m)
+	}
+	row(out, "view of every entry VM: memory", "%.2f MB", float64(heap()-before)/1e6)
+	runtime.KeepAlive(view)
+	gateways := 0
+	for _, m := range all {
+		if heartbeater.IsGateway(m.VM, m.Zone, all) {
+			gateways++
+		}
+	}
+	row(out, "VMs that watch the head and read the list", "%d of %d", gateways, nodes)
+	row(out, "targets of a gateway's heartbeats", "%d", len(heartbeater.Targets(gateway(all), all)))
+}
+
+func gateway(all []tracker.Member) tracker.Member {
+	for _, m := range all {
+		if heartbeater.IsGateway(m.VM, m.Zone, all) {
+			return m
+		}
+	}
+	return all[0]
+}
+
+func assessOnce(out io.Writer) error {
+	inc := namer.Incarnation{1}
+	minter, err := arbiter.NewMinter(inc, "10.0.0.1:1", rand.NewChaCha8([32]byte{}), tokens)
+	if err != nil {
+		return err
+	}
+	now := time.Now()
+	minted := make([]arbiter.Token, tokens)
+	for i := range minted {
+		if minted[i], err = minter.Mint(now, time.Hour, "desk", arbiter.Witness{Incarnation: namer.Incarnation{2}, Peers: "10.0.0.2:1"}); err != nil {
+			return err
+		}
+	}
+	before := heap()
+	begun := time.Now()
+	owner := arbiter.NewOwner(inc, minter)
+	for _, t := range minted {
+		owner.Begin(now, t, arbiter.Digest{1})
+		owner.Recorded(t.Nonce, arbiter.Verdict{Accepted: true})
+		owner.Send(t.Nonce)
+		owner.Finish(t.Nonce, arbiter.Outcome{Told: arbiter.Ran, Answer: arbiter.Answer{Status: 200, Upstream: "u", VM: "v"}})
+	}
+	row(out, "owner: tokens a second on one core", "%.0f", float64(tokens)/time.Since(begun).Seconds())
+	row(out, "owner: memory for one token without a body", "%.0f bytes", float64(heap()-before)/tokens)
+	runtime.KeepAlive(owner)
+	before = heap()
+	begun = time.Now()
+	book := arbiter.NewWitness(namer.Incarnation{2}, tokens)
+	for _, t := range minted {
+		book.Intend(now, t)
+	}
+	row(out, "witness: intents a second on one core", "%.0f", float64(tokens)/time.Since(begun).Seconds())
+	row(out, "witness: memory for one intent", "%.0f bytes", float64(heap()-before)/tokens)
+	runtime.KeepAlive(book)
+	return nil
+}
+
+func heap() int64 {
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
+
+func perOp(begun time.Time, n int) float64 {
+	return float64(time.Since(begun).Nanoseconds()) / float64(n)
+}
--- a/internal/stand/launcher/launcher.go
+++ b/internal/stand/launcher/launcher.go
@@ -27,6 +27,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+	"github.com/waxwingloom/waxwingloom/internal/stand/cutter"
 )
 
 const (
@@ -35,6 +36,9 @@
 	// TokenHash is its SHA-256 in hex.
 	TokenHash = "0562408876f7c0b29261917d41827a57e689bc57140e3b6b9b434099b2fdd8ce"
 
+	// Key is the shared key of the daemons.
+	Key = "a shared key of the stand"
+
 	readyTime  = 40 * time.Second
 	readyPause = 50 * time.Millisecond
 	anyPort    = "127.0.0.1:0"
@@ -51,6 +55,9 @@
 		Work     time.Duration
 		Level    string
 		Timing   Timing
+		// Relays puts a relay before every daemon's listener for peers, so
+		// that Link can slow and cut what travels between two daemons.
+		Relays bool
 	}
 
 	// Timing is the daemons' intervals; zero values leave the defaults.
@@ -68,7 +75,8 @@
 		Zone   namer.Zone
 		Region namer.Region
 
-		seeds []string
+		cutter *cutter.Cutter
+		seeds  []string
 	}
 
 	// Upstream is an upstream with what the document says of it.
@@ -87,8 +95,9 @@
 		// Sources are loopback addresses of callers, one in each zone's block.
 		Sources []string
 
-		sources parser.Sources
-		others  []*Process
+		sources  parser.Sources
+		others   []*Process
+		cleanups []func()
 	}
 )
 
@@ -145,12 +154,19 @@
 	return err
 }
 
+// Link sets what happens between two daemons: a delay each way, and a cut of
+// what travels from a to b and from b to a.
+func (f *Fleet) Link(a, b *Daemon, delay time.Duration, cutAB, cutBA bool) {
+	b.cutter.SetRule(a.VM, cutter.Rule{Delay: delay, CutToward: cutAB, CutBack: cutBA})
+	a.cutter.SetRule(b.VM, cutter.Rule{Delay: delay, CutToward: cutBA, CutBack: cutAB})
+}
+
 // Add starts one more daemon in a zone, with every other as its seeds. The
 // platform's list does not have it until List is called.
 func (f *Fleet) Add(ctx context.Context, z parser.Zone, vm namer.VM) (*Daemon, error) {
 	d := &Daemon{VM: vm, Zone: z.Name, Region: z.Region}
 	for _, other := range f.Daemons {
-		d.seeds = append(d.seeds, other.Address("peers"))
+		d.seeds = append(d.seeds, other.Peers())
 	}
 	if err := f.startDaemon(ctx, d); err != nil {
 		return nil, err
@@ -259,7 +275,7 @@
 }
 
 func (f *Fleet) startDaemons(ctx context.Context) error {
-	if err := os.WriteFile(filepath.Join(f.Spec.Dir, "key"), []byte("a shared key of the stand\n"), 0o600); err != nil {
+	if err := os.WriteFile(filepath.Join(f.Spec.Dir, "key"), []byte(Key), 0o600); err != nil {
 		return errors.Wrap(err, "writing the key")
 	}
 	for n := range f.Spec.PerZone {
@@ -276,12 +292,23 @@
 }
 
 func (f *Fleet) startDaemon(ctx context.Context, d *Daemon) error {
+	if f.Spec.Relays {
+		c, cleanup, err := cutter.New()
+		if err != nil {
+			return err
+		}
+		f.cleanups = append(f.cleanups, cleanup)
+		d.cutter = c
+	}
 	file := filepath.Join(f.Spec.Dir, string(d.VM)+".ini")
 	if err := os.WriteFile(file, f.settings(d, anyPort, anyPort, anyPort), 0o600); err != nil {
 		return errors.Wrap(err, "writing settings")
 	}
 	p, err := start(ctx, f.Spec.Dir, string(d.VM), f.Program("waxwingd"), "serve", "-settings", file)
 	d.Process = p
+	if err == nil && d.cutter != nil {
+		d.cutter.SetTarget(p.Address("peers"))
+	}
 	return err
 }
 
@@ -291,6 +318,9 @@
 	fmt.Fprintf(&b, "[listen]\ncallers = %s\noperators = %s\npeers = %s\n", callers, operators, peers)
 	fmt.Fprintf(&b, "[platform]\naddress = %s\n", f.Platform.Address("address"))
 	fmt.Fprintf(&b, "[peers]\nkey = %s\n", filepath.Join(f.Spec.Dir, "key"))
+	if d.cutter != nil {
+		fmt.Fprintf(&b, "advertise = %s\n", d.cutter.Address())
+	}
 	if len(d.seeds) > 0 {
 		fmt.Fprintf(&b, "seeds = %s\n", strings.Join(d.seeds, ", "))
 	}
@@ -321,11 +351,19 @@
 			continue
 		default:
 		}
-		vms = append(vms, storer.ListedVM{VM: d.VM, Zone: d.Zone, Peers: d.Address("peers")})
+		vms = append(vms, storer.ListedVM{VM: d.VM, Zone: d.Zone, Peers: d.Peers()})
 	}
 	return Put(ctx, f.Platform.Address("address"), "/stand/vms", vms)
 }
 
+// Peers returns where other daemons reach this one.
+func (d *Daemon) Peers() string {
+	if d.cutter != nil {
+		return d.cutter.Address()
+	}
+	return d.Address("peers")
+}
+
 // awaitShares waits until every daemon has a share of every service that its
 // zone serves, and sees every other daemon.
 func (f *Fleet) awaitShares(ctx context.Context) error {
@@ -385,6 +423,9 @@
 	for _, p := range f.processes() {
 		p.Kill()
 	}
+	for _, cleanup := range f.cleanups {
+		cleanup()
+	}
 }
 
 func (f *Fleet) processes() []*Process {
--- a/internal/stand/launcher/process.go
+++ b/internal/stand/launcher/process.go
@@ -8,7 +8,6 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync"
 	"syscall"
 	"time"
 
@@ -18,6 +17,11 @@
 // startTime bounds the wait for a process to say where it listens.
 const startTime = 20 * time.Second
 
+const (
+	startPause  = 10 * time.Millisecond
+	maxStartLog = 1 << 20
+)
+
 // listening marks the log line in which a process says where it listens.
 const listening = "msg=listening "
 
@@ -29,12 +33,9 @@
 		command []string
 		dir     string
 		cmd     *exec.Cmd
-		ready   chan struct{}
 		ended   chan struct{}
 		code    int
-
-		mu     sync.Mutex
-		listen []pair
+		listen  []pair
 	}
 
 	pair struct {
@@ -46,40 +47,34 @@
 // start runs a program and waits until it says where it listens. Its log goes
 // to a file named after it.
 func start(ctx context.Context, dir, name string, command ...string) (*Process, error) {
-	p := &Process{Name: name, command: command, dir: dir, ready: make(chan struct{}), ended: make(chan struct{})}
+	p := &Process{Name: name, command: command, dir: dir, ended: make(chan struct{})}
 	p.cmd = exec.Command(command[0], command[1:]...)
 	// A group of its own keeps the terminal's interrupt from it; it ends with
 	// its parent in any case.
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true, Pdeathsig: syscall.SIGKILL}
-	stderr, err := p.cmd.StderrPipe()
+	file, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_RDWR, 0o600)
 	if err != nil {
-		return nil, errors.Wrap(err, "opening a pipe")
+		return nil, errors.Wrap(err, "opening a log")
 	}
-	file, err := os.OpenFile(filepath.Join(dir, name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	defer func() { _ = file.Close() }()
+	begin, err := file.Seek(0, io.SeekEnd)
 	if err != nil {
 		return nil, errors.Wrap(err, "opening a log")
 	}
+	p.cmd.Stderr = file
 	if err := p.cmd.Start(); err != nil {
-		_ = file.Close()
 		return nil, errors.Wrapf(err, "starting %s", name)
 	}
-	go p.follow(stderr, file)
-	select {
-	case <-p.ready:
-		return p, nil
-	case <-p.ended:
-		return nil, errors.Newf("%s ended at its start, see its log", name)
-	case <-time.After(startTime):
-	case <-ctx.Done():
+	go p.reap()
+	if err := p.awaitListening(ctx, file, begin); err != nil {
+		p.Kill()
+		return nil, errors.Wrapf(err, "starting %s", name)
 	}
-	p.Kill()
-	return nil, errors.Newf("%s did not start in time", name)
+	return p, nil
 }
 
 // Address returns where the process listens, by the key of its log line.
 func (p *Process) Address(key string) string {
-	p.mu.Lock()
-	defer p.mu.Unlock()
 	for _, kv := range p.listen {
 		if kv.key == key {
 			return kv.value
@@ -121,35 +116,46 @@
 	_ = p.cmd.Process.Signal(s)
 }
 
-// follow copies the log and looks for the line that says where the process
-// listens. It reaps the process at the end.
-func (p *Process) follow(from io.Reader, to io.WriteCloser) {
-	reader := bufio.NewReader(from)
-	for {
-		line, err := reader.ReadString('\n')
-		_, _ = io.WriteString(to, line)
-		if _, rest, ok := strings.Cut(line, listening); ok {
-			p.noteListening(rest)
-		}
-		if err != nil {
-			break
-		}
-	}
-	_ = to.Close()
+// reap notes how the process ended.
+func (p *Process) reap() {
 	_ = p.cmd.Wait()
 	p.code = p.cmd.ProcessState.ExitCode()
 	close(p.ended)
 }
 
-func (p *Process) noteListening(rest string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.listen != nil {
-		return
+// awaitListening reads the log until the line that says where the process
+// listens. The log is a file, so that a busy process costs its reader nothing.
+func (p *Process) awaitListening(ctx context.Context, file io.ReaderAt, begin int64) error {
+	deadline := time.After(startTime)
+	for {
+		if p.findListening(io.NewSectionReader(file, begin, maxStartLog)) {
+			return nil
+		}
+		select {
+		case <-time.After(startPause):
+		case <-p.ended:
+			return errors.New("it ended at its start, see its log")
+		case <-deadline:
+			return errors.New("it did not say in time where it listens")
+		case <-ctx.Done():
+			return ctx.Err()
+		}
 	}
-	for _, field := range strings.Fields(rest) {
-		key, value, _ := strings.Cut(field, "=")
-		p.listen = append(p.listen, pair{key: key, value: value})
+}
+
+func (p *Process) findListening(log io.Reader) bool {
+	lines := bufio.NewReader(log)
+	for {
+		line, err := lines.ReadString('\n')
+		if err != nil {
+			return false
+		}
+		if _, rest, ok := strings.Cut(line, listening); ok {
+			for _, field := range strings.Fields(rest) {
+				key, value, _ := strings.Cut(field, "=")
+				p.listen = append(p.listen, pair{key: key, value: value})
+			}
+			return true
+		}
 	}
-	close(p.ready)
 }
