Fault matrix on real daemons, tests of the once-only wiring, fuzz targets

Found on the way: an owner frozen while its request waited for a slot sent it after its deadline had passed when it woke (told unknown, ran once). It now refuses it as not-run.

--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CHECKS = -rapid.seed=20261204 -rapid.checks=300
 MODELS = $(addprefix ./,$(sort $(dir $(shell grep -rl --include=*_test.go pgregory.net/rapid internal))))
 
-.PHONY: build test lint unit models demo bench explore capacity latency docs clean
+.PHONY: build test lint unit models demo bench explore capacity latency faults docs clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -32,6 +32,13 @@
 
 explore:
 	go test -count=1 $(MODELS) -run '^Test(ModelRandom|Property)' -rapid.checks=20000
+	go test ./internal/once/arbiter -run '^$$' -fuzz FuzzParseToken -fuzztime 30s
+	go test ./internal/peer/encoder -run '^$$' -fuzz FuzzRead -fuzztime 30s
+	go test ./internal/document/parser -run '^$$' -fuzz FuzzParse -fuzztime 30s
+
+# Every fault at every step, on real daemons.
+faults: build
+	./bin/waxwingstand faults | tee docs/reports/faults.txt; tail -1 docs/reports/faults.txt | grep -q ' 0 failed'
 
 # Writes the page of keys from the tables that check them.
 docs:
--- a/cmd/waxwingstand/main.go
+++ b/cmd/waxwingstand/main.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/stand/commander"
 	"github.com/waxwingloom/waxwingloom/internal/stand/demonstrator"
 	"github.com/waxwingloom/waxwingloom/internal/stand/gauger"
+	"github.com/waxwingloom/waxwingloom/internal/stand/prover"
 	"github.com/waxwingloom/waxwingloom/internal/stand/worker"
 )
 
@@ -29,7 +30,7 @@
 	app := &cli.Command{
 		Name:     "waxwingstand",
 		Usage:    "stand-ins of the systems that waxwingloom serves, and a load of callers",
-		Commands: []*cli.Command{platform(), upstream(), caller(), demo(), measure(), capacity()},
+		Commands: []*cli.Command{platform(), upstream(), caller(), demo(), measure(), capacity(), faults()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -132,3 +133,15 @@
 		},
 	}
 }
+
+func faults() *cli.Command {
+	return &cli.Command{
+		Name: "faults", Usage: "every fault at every step of a once-only request's way",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "programs", Usage: "the `FOLDER` of the built programs", Value: "bin"},
+		},
+		Action: func(ctx context.Context, c *cli.Command) error {
+			return prover.Run(ctx, c.String("programs"), os.Stdout)
+		},
+	}
+}
--- /dev/null
+++ b/internal/once/conductor/conductor_test.go
@@ -0,0 +1,190 @@
+package conductor_test
+
+import (
+	"context"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/goleak"
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
+	"github.com/waxwingloom/waxwingloom/internal/once/conductor"
+	"github.com/waxwingloom/waxwingloom/internal/peer/converter"
+	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
+	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
+	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+var errCut = errors.New("cut")
+
+// wire hands questions about tokens to another conductor, unless it is cut.
+// Relays to an owner always fail on it.
+type wire struct {
+	to  *conductor.Conductor
+	cut atomic.Bool
+}
+
+func (w *wire) Open(context.Context, string, namer.Incarnation) (*messenger.Stream, error) {
+	return nil, errCut
+}
+
+func (w *wire) Ask(_ context.Context, _ string, _ namer.Incarnation, req *encoder.Request) (*encoder.Reply, error) {
+	if w.cut.Load() {
+		return nil, errCut
+	}
+	v := arbiter.Verdict{}
+	switch kind := req.GetKind().(type) {
+	case *encoder.Request_Intent:
+		t, _ := arbiter.TokenFrom(kind.Intent.GetToken())
+		v = w.to.Intend(t)
+	case *encoder.Request_Seal:
+		t, _ := arbiter.TokenFrom(kind.Seal.GetToken())
+		v = w.to.Seal(t)
+	case *encoder.Request_Outcome:
+		t, _ := arbiter.TokenFrom(kind.Outcome.GetToken())
+		w.to.Settle(t, converter.Outcome(kind.Outcome.GetAnswer(), kind.Outcome.GetBody()), arbiter.Digest(kind.Outcome.GetDigest()))
+	}
+	return &encoder.Reply{Kind: &encoder.Reply_Verdict{Verdict: converter.Verdict(v)}}, nil
+}
+
+// upstream runs a request when it is let go on.
+type upstream struct {
+	begun chan struct{}
+	goOn  chan struct{}
+	runs  int
+	body  []byte
+}
+
+func (u *upstream) Dispatch(ctx context.Context, _ forwarder.Request, g conductor.Gate) arbiter.Outcome {
+	if !g.Send() {
+		return arbiter.Outcome{}
+	}
+	u.runs++
+	u.begun <- struct{}{}
+	select {
+	case <-u.goOn:
+	case <-ctx.Done():
+		return arbiter.Outcome{Reason: "canceled"}
+	}
+	return arbiter.Outcome{Told: arbiter.Ran, Answer: arbiter.Answer{Status: 200, Body: u.body}}
+}
+
+type pair struct {
+	owner, witness *conductor.Conductor
+	wire           *wire
+	upstream       *upstream
+	token          arbiter.Token
+	request        forwarder.Request
+}
+
+func newPair(t *testing.T) *pair {
+	clock := clockwork.NewRealClock()
+	p := &pair{upstream: &upstream{begun: make(chan struct{}, 9), goOn: make(chan struct{}), body: []byte("answer")}}
+	witness, cleanup, err := conductor.New(conductor.Identity{Incarnation: namer.Incarnation{2}}, &wire{}, clock)
+	assert.NilError(t, err)
+	t.Cleanup(cleanup)
+	p.witness = witness
+	p.wire = &wire{to: witness}
+	p.owner, cleanup, err = conductor.New(conductor.Identity{Incarnation: namer.Incarnation{1}}, p.wire, clock, conductor.WithAnswer(10))
+	assert.NilError(t, err)
+	t.Cleanup(cleanup)
+	p.owner.Connect(p.upstream)
+	tokens, err := p.owner.Mint(1, time.Minute, "desk", []arbiter.Witness{{Incarnation: namer.Incarnation{2}}})
+	assert.NilError(t, err)
+	p.token = tokens[0]
+	p.request = forwarder.Request{Service: "desk", Method: "POST", Path: "/orders", Body: []byte("x"), Deadline: time.Now().Add(time.Minute)}
+	return p
+}
+
+// TestCallerGoneRunsOn cancels the caller in the middle. The request runs on,
+// and the retry receives its answer.
+func TestCallerGoneRunsOn(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	ctx, cancel := context.WithCancel(context.Background())
+	told := make(chan arbiter.Outcome, 1)
+	go func() { told <- p.owner.Run(ctx, p.token, p.request) }()
+	<-p.upstream.begun
+	cancel()
+	assert.Equal(t, (<-told).Code, arbiter.CodeInProgress)
+	close(p.upstream.goOn)
+	out := p.owner.Run(context.Background(), p.token, p.request)
+	assert.Equal(t, out.Told, arbiter.Ran)
+	assert.Equal(t, string(out.Answer.Body), "answer")
+	assert.Equal(t, p.upstream.runs, 1)
+}
+
+func TestSameTokenTwice(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	told := make(chan arbiter.Outcome, 2)
+	go func() { told <- p.owner.Run(context.Background(), p.token, p.request) }()
+	<-p.upstream.begun
+	go func() { told <- p.owner.Run(context.Background(), p.token, p.request) }()
+	other := p.request
+	other.Body = []byte("y")
+	assert.Equal(t, p.owner.Run(context.Background(), p.token, other).Code, arbiter.CodeMismatch)
+	close(p.upstream.goOn)
+	for range 2 {
+		assert.Equal(t, string((<-told).Answer.Body), "answer")
+	}
+	assert.Equal(t, p.upstream.runs, 1)
+}
+
+// TestLargeAnswerIsNotKept tells the first caller all of it, and a retry the
+// outcome alone.
+func TestLargeAnswerIsNotKept(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	p.upstream.body = []byte("longer than ten bytes")
+	close(p.upstream.goOn)
+	first := p.owner.Run(context.Background(), p.token, p.request)
+	assert.Equal(t, string(first.Answer.Body), "longer than ten bytes")
+	again := p.owner.Run(context.Background(), p.token, p.request)
+	assert.Equal(t, again.Told, arbiter.Ran)
+	assert.Assert(t, again.Answer.Cut)
+	assert.Equal(t, len(again.Answer.Body), 0)
+}
+
+func TestWitnessOutOfReachIsNotRun(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	p.wire.cut.Store(true)
+	for range 2 {
+		out := p.owner.Run(context.Background(), p.token, p.request)
+		assert.Equal(t, out.Told, arbiter.NotRun)
+		p.wire.cut.Store(false)
+	}
+	assert.Equal(t, p.upstream.runs, 0)
+}
+
+// TestSealAtTheWitness sends a token to its witness, which can't reach the
+// owner. The owner's intent is refused from then on.
+func TestSealAtTheWitness(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	assert.Equal(t, p.witness.Run(context.Background(), p.token, p.request).Told, arbiter.NotRun)
+	assert.Equal(t, p.owner.Run(context.Background(), p.token, p.request).Told, arbiter.NotRun)
+	assert.Equal(t, p.upstream.runs, 0)
+}
+
+func TestWitnessHasTheSettledAnswer(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	close(p.upstream.goOn)
+	assert.Equal(t, p.owner.Run(context.Background(), p.token, p.request).Told, arbiter.Ran)
+	for p.witness.Run(context.Background(), p.token, p.request).Told != arbiter.Ran {
+		// The outcome is settled after it was told.
+		time.Sleep(time.Millisecond)
+	}
+	other := p.request
+	other.Body = []byte("y")
+	assert.Equal(t, p.witness.Run(context.Background(), p.token, other).Code, arbiter.CodeMismatch)
+}
--- a/internal/route/dispatcher/once.go
+++ b/internal/route/dispatcher/once.go
@@ -60,6 +60,11 @@
 			}
 			return refuse(refusal.Code, refusal.Reason)
 		}
+		if !d.clock.Now().Before(req.Deadline) {
+			// A VM that was paused while it waited wakes up too late.
+			grant.Done(false)
+			return refuse(admitter.CodeDeadline, "the deadline passed before the request could be sent")
+		}
 		if !g.Send() {
 			grant.Done(false)
 			return arbiter.Outcome{Code: arbiter.CodeBroken, Reason: "the request was sent before"}
--- a/internal/stand/launcher/launcher.go
+++ b/internal/stand/launcher/launcher.go
@@ -216,7 +216,7 @@
 			return err
 		}
 	}
-	return f.awaitShares(ctx)
+	return f.AwaitShares(ctx)
 }
 
 // read takes the example's sections.
@@ -364,9 +364,9 @@
 	return d.Address("peers")
 }
 
-// awaitShares waits until every daemon has a share of every service that its
+// AwaitShares waits until every daemon has a share of every service that its
 // zone serves, and sees every other daemon.
-func (f *Fleet) awaitShares(ctx context.Context) error {
+func (f *Fleet) AwaitShares(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, readyTime)
 	defer cancel()
 	for _, d := range f.Daemons {
--- a/internal/stand/worker/worker.go
+++ b/internal/stand/worker/worker.go
@@ -12,6 +12,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"encoding/json"
 	"io"
 	"net/http"
 	"strconv"
@@ -59,6 +60,11 @@
 		CloseAfterRead int
 		// Cut breaks off this many answers in the middle.
 		Cut int
+		// HoldRun and HoldHalf are prefixes of paths. A request under the first
+		// is run and then held before its answer, one under the second in the
+		// middle of it, until the faults are set again.
+		HoldRun  string
+		HoldHalf string
 		// Lie is what the load endpoint tells.
 		Lie string
 		// Drain refuses everything.
@@ -105,12 +111,13 @@
 		stats   Stats
 		journal []Run
 		seen    int
+		changed chan struct{}
 	}
 )
 
 // New returns a worker that has not run anything.
 func New(name string, limits Limits, clock clockwork.Clock) *Worker {
-	return &Worker{name: name, limits: limits, clock: clock, born: clock.Now(), stats: Stats{Slots: limits.Slots}}
+	return &Worker{name: name, limits: limits, clock: clock, born: clock.Now(), stats: Stats{Slots: limits.Slots}, changed: make(chan struct{})}
 }
 
 // Handler returns the upstream's service, and under /stand the controls.
@@ -143,6 +150,7 @@
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	w.clock.Sleep(work)
+	w.hold(c, faults.HoldRun)
 	w.end(weight)
 	if faults.CloseAfterRead > 0 {
 		panic(http.ErrAbortHandler)
@@ -161,9 +169,42 @@
 		c.Response().Flush()
 		panic(http.ErrAbortHandler)
 	}
+	if holds(c, faults.HoldHalf) {
+		return w.halves(c, answer)
+	}
 	return c.JSON(http.StatusOK, answer)
 }
 
+// halves sends an answer in two parts and holds between them.
+func (w *Worker) halves(c echo.Context, answer Echo) error {
+	raw, err := json.Marshal(answer)
+	if err != nil {
+		return err
+	}
+	c.Response().WriteHeader(http.StatusOK)
+	_, _ = c.Response().Write(raw[:len(raw)/2])
+	c.Response().Flush()
+	w.hold(c, c.Request().URL.Path)
+	_, err = c.Response().Write(raw[len(raw)/2:])
+	return err
+}
+
+// hold waits until the faults are set again, for requests under a prefix. It
+// goes on when the connection is gone, as work that was begun does.
+func (w *Worker) hold(c echo.Context, prefix string) {
+	if !holds(c, prefix) {
+		return
+	}
+	w.mu.Lock()
+	changed := w.changed
+	w.mu.Unlock()
+	<-changed
+}
+
+func holds(c echo.Context, prefix string) bool {
+	return prefix != "" && strings.HasPrefix(c.Request().URL.Path, prefix)
+}
+
 // begin admits and journals a request, and returns how long it takes and what
 // goes wrong with it. Work beyond the slots is run as well, and noted: it
 // shows that whoever steers has overloaded the upstream.
@@ -252,6 +293,8 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.faults = f
+	close(w.changed)
+	w.changed = make(chan struct{})
 	return c.NoContent(http.StatusOK)
 }
 
