Scripts of the commands, a bound on the measuring tool's connections

Commands are tested by scripts: every mistake of bad settings at once, races, settling, owners, exit codes 0 to 3.

The path's p99: the tool opened hundreds of connections after each stall.

--- a/cmd/waxwingctl/main.go
+++ b/cmd/waxwingctl/main.go
@@ -19,6 +19,10 @@
 )
 
 func main() {
+	os.Exit(run())
+}
+
+func run() int {
 	app := &cli.Command{
 		Name:  "waxwingctl",
 		Usage: "edit sections of the steering document and read back what is in force",
@@ -61,7 +65,7 @@
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 	}
-	os.Exit(executor.CodeOf(usage(err)))
+	return executor.CodeOf(usage(err))
 }
 
 // usage marks the command line library's own complaints as wrong usage.
--- /dev/null
+++ b/cmd/waxwingctl/main_test.go
@@ -0,0 +1,79 @@
+package main
+
+import (
+	"context"
+	"log/slog"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/rogpeppe/go-internal/testscript"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/editor"
+	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/front/operator"
+	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+	"github.com/waxwingloom/waxwingloom/internal/route/placer"
+	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
+	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
+)
+
+func TestMain(m *testing.M) {
+	testscript.Main(m, map[string]func(){"waxwingctl": func() { os.Exit(run()) }})
+}
+
+type alone struct{}
+
+func (alone) Members() []tracker.Member { return nil }
+
+func (alone) Self() tracker.Member {
+	return tracker.Member{VM: "vm1", Zone: "z1", Callers: "127.0.0.1:1"}
+}
+
+// accepting puts what was accepted in force, as a watcher would.
+type accepting struct {
+	*editor.Editor
+	store *storer.Storer
+	keep  *keeper.Keeper
+}
+
+func (a *accepting) Apply(ctx context.Context, e editor.Edit) editor.Result {
+	r := a.Editor.Apply(ctx, e)
+	if head, _, err := editor.ReadHead(ctx, a.store); err == nil {
+		if sources, err := editor.ReadSources(ctx, a.store, head); err == nil {
+			_, _ = a.keep.Adopt(head, sources)
+		}
+	}
+	return r
+}
+
+// TestScripts runs the client against an operators' listener of its own for
+// each script. The hash is that of the token "secret".
+func TestScripts(t *testing.T) {
+	t.Parallel()
+	testscript.Run(t, testscript.Params{Dir: "testdata/script", Setup: func(env *testscript.Env) error {
+		clock := clockwork.NewRealClock()
+		platform := httptest.NewServer(storekeeper.New(clock).Handler())
+		env.Defer(platform.Close)
+		store, cleanup := storer.New(strings.TrimPrefix(platform.URL, "http://"))
+		env.Defer(cleanup)
+		keep := keeper.New(slog.New(slog.DiscardHandler))
+		director := placer.NewDirector(func() []tracker.Member { return []tracker.Member{alone{}.Self()} })
+		keep.Subscribe(director.SetForce)
+		owners := []loader.Owner{{
+			Name: "kai", Hash: "2bb80d537b1da3e38bd30361aa855686bde0eacd7162fef6a25fe97bf527a25b",
+			Sections: []string{"services", "places", "drains"},
+		}}
+		services := operator.Services{
+			Editor: &accepting{Editor: editor.New(store, clock), store: store, keep: keep}, Documents: keep, Members: alone{}, Placer: director,
+		}
+		daemon := httptest.NewServer(operator.New(services, owners, clock, slog.New(slog.DiscardHandler)).Handler())
+		env.Defer(daemon.Close)
+		env.Setenv("WAXWING_DAEMON", strings.TrimPrefix(daemon.URL, "http://"))
+		env.Setenv("WAXWING_TOKEN_FILE", "token")
+		return nil
+	}})
+}
--- a/internal/stand/gauger/gauger.go
+++ b/internal/stand/gauger/gauger.go
@@ -39,6 +39,9 @@
 	histogramMost = 10_000_000
 	digits        = 3
 	tryTime       = 10 * time.Second
+	// connections to each host. Without a bound a stall makes the tool open
+	// hundreds at once, which is a longer stall.
+	connections = 64
 )
 
 type (
@@ -149,7 +152,7 @@
 }
 
 func newClient() *http.Client {
-	return &http.Client{Timeout: tryTime, Transport: &http.Transport{MaxIdleConnsPerHost: 512}}
+	return &http.Client{Timeout: tryTime, Transport: &http.Transport{MaxIdleConnsPerHost: connections, MaxConnsPerHost: connections}}
 }
 
 func getter(client *http.Client, address, path string) func(context.Context) error {
