A broken connection makes its peer suspect at once

Cause: after a kill, tokens went on being minted with the dead VM as their witness until its silence was noticed (1.5 s), and each ended as not-run (intent-lost).

A messenger now tells when a connection that it opened has ended, and the peer is suspect until it is heard again.

--- a/cmd/waxwingstand/main.go
+++ b/cmd/waxwingstand/main.go
@@ -111,12 +111,16 @@
 
 func measure() *cli.Command {
 	return &cli.Command{
-		Name: "measure", Usage: "what the system adds to a request's way, on loopback",
+		Name: "measure", Usage: "what the system adds to a request's way, and what a kill costs, on loopback",
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "programs", Usage: "the `FOLDER` of the built programs", Value: "bin"},
 			&cli.BoolFlag{Name: "once", Usage: "of a once-only request, rather than of an idempotent read"},
+			&cli.BoolFlag{Name: "kill", Usage: "how many orders end as unknown when a daemon is killed"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Bool("kill") {
+				return gauger.Kill(ctx, c.String("programs"), os.Stdout)
+			}
 			if c.Bool("once") {
 				return gauger.Once(ctx, c.String("programs"), os.Stdout)
 			}
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -136,7 +136,9 @@
 			Lister:    f.Find(platformName).(*storer.Storer),
 			Documents: f.Find(documentsName).(*keeper.Keeper),
 		}
-		return heartbeater.New(p.member(s, clock.Now()), services, s.Seeds, timing(s), clock, log), nil, nil
+		h := heartbeater.New(p.member(s, clock.Now()), services, s.Seeds, timing(s), clock, log)
+		f.Find(peersName).(*messenger.Messenger).OnDown(func(id messenger.Identity) { h.Doubt(id.Incarnation) })
+		return h, nil, nil
 	})
 	needs = []registrar.Name{clockName, platformName, documentsName, membersName}
 	r.Register(watchName, needs, func(f registrar.Finder) (any, func(), error) {
@@ -328,6 +330,7 @@
 	m.Set("generation", expvar.Func(func() any { return documents.Generation() }))
 	m.Set("stale", expvar.Func(func() any { return documents.Stale() }))
 	m.Set("use", expvar.Func(func() any { return router.Uses() }))
+	m.Set("busy", expvar.Func(func() any { return tokens.Busy() }))
 	m.Set("once", expvar.Func(func() any { return tokens.Remembered() }))
 	return m
 }
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -126,6 +126,19 @@
 	}
 }
 
+// Doubt notes that an incarnation could not be reached just now, so that
+// look-ups and new tokens leave it out until it is heard again.
+func (h *Heartbeater) Doubt(inc namer.Incarnation) {
+	h.mu.Lock()
+	news := h.tracker.Doubt(h.clock.Now(), inc)
+	changed := h.changed
+	h.mu.Unlock()
+	if news {
+		h.log.Info("doubted", "incarnation", inc.String(), "reason", "its connection ended")
+		changed()
+	}
+}
+
 // Leave tells every peer from now on that this VM takes no new callers.
 func (h *Heartbeater) Leave() {
 	h.mu.Lock()
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -61,6 +61,8 @@
 		Rooms       []Room
 		Heard       time.Time
 		State       State
+
+		doubted time.Time
 	}
 
 	// Timing says after which silence a member is suspect and dead.
@@ -114,10 +116,30 @@
 			return false
 		}
 	}
+	m.doubted = time.Time{}
+	if ok && m.Incarnation == known.Incarnation {
+		m.doubted = known.doubted
+	}
 	t.members[m.VM] = m
 	return !ok || m.Incarnation != known.Incarnation || m.Leaving != known.Leaving
 }
 
+// Doubt notes that an incarnation could not be reached just now. It is suspect
+// until it is heard again, and reports whether it was not so before.
+func (t *Tracker) Doubt(now time.Time, inc namer.Incarnation) bool {
+	t.now = namer.Later(t.now, now)
+	for name, m := range t.members {
+		if m.Incarnation != inc {
+			continue
+		}
+		before := t.state(m)
+		m.doubted = t.now
+		t.members[name] = m
+		return before == Alive
+	}
+	return false
+}
+
 // View returns every member but this VM in the order of names, each with its
 // state at the time.
 func (t *Tracker) View(now time.Time) []Member {
@@ -154,7 +176,7 @@
 		return Dead
 	case m.Leaving:
 		return Leaving
-	case silence > t.timing.Suspect:
+	case silence > t.timing.Suspect || !m.doubted.Before(m.Heard) && !m.doubted.IsZero():
 		return Suspect
 	}
 	return Alive
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -18,6 +18,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -59,6 +60,7 @@
 		keys     [][]byte
 		log      *slog.Logger
 		links    linkPool
+		down     atomic.Pointer[func(Identity)]
 		open     sync.WaitGroup
 	}
 
@@ -90,6 +92,12 @@
 	return m, cleanup, nil
 }
 
+// OnDown sets what is called when a connection that this messenger opened has
+// ended, with the peer that it led to.
+func (m *Messenger) OnDown(f func(Identity)) {
+	m.down.Store(&f)
+}
+
 // Serve accepts connections until ctx ends.
 func (m *Messenger) Serve(ctx context.Context, h Handler) error {
 	ctx, cancel := context.WithCancel(ctx)
@@ -199,9 +207,17 @@
 		_ = conn.Close()
 		return nil, errors.Wrapf(err, "opening a session to %s", address)
 	}
+	go m.watch(session, remote)
 	return &link{session: session, remote: remote}, nil
 }
 
+func (m *Messenger) watch(session *yamux.Session, remote Identity) {
+	<-session.CloseChan()
+	if f := m.down.Load(); f != nil {
+		(*f)(remote)
+	}
+}
+
 func sessionConfig() *yamux.Config {
 	c := yamux.DefaultConfig()
 	c.AcceptBacklog = acceptBacklog
--- a/internal/stand/driver/source.go
+++ b/internal/stand/driver/source.go
@@ -132,6 +132,8 @@
 			v.unknown = true
 			return v
 		}
+		// The tokens of one batch have one owner, which may be gone.
+		s.dropTokens(l.Service)
 	}
 	return v
 }
@@ -308,6 +310,12 @@
 	return "", false
 }
 
+func (s *source) dropTokens(service string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.tokens, service)
+}
+
 func (s *source) call(ctx context.Context, method, address, path string, into any) error {
 	ctx, cancel := context.WithTimeout(ctx, s.plan.Try)
 	defer cancel()
--- a/internal/stand/worker/worker.go
+++ b/internal/stand/worker/worker.go
@@ -51,6 +51,8 @@
 
 	// Faults is what goes wrong from now on.
 	Faults struct {
+		// Work replaces the time that work takes, when it is not 0.
+		Work time.Duration
 		// Slow multiplies the time that work takes.
 		Slow float64
 		// Shed refuses this part of requests, in percent, before running them.
@@ -234,6 +236,9 @@
 
 func (w *Worker) work(f Faults) time.Duration {
 	work := float64(w.limits.Work)
+	if f.Work > 0 {
+		work = float64(f.Work)
+	}
 	if f.Slow > 0 {
 		work *= f.Slow
 	}
