--- a/cmd/waxwingctl/main.go
+++ b/cmd/waxwingctl/main.go
@@ -32,29 +32,29 @@
 			&cli.StringFlag{Name: "o", Usage: "the output's `FORM`: table or json", Value: "table"},
 		},
 		Commands: []*cli.Command{
-			{Name: "check", Usage: "check a folder of section files, without a daemon", ArgsUsage: "FOLDER", Action: check},
+			{Name: "check", Usage: "check a folder of section files, without a daemon", ArgsUsage: "FOLDER", Action: action(check)},
 			{
-				Name: "apply", Usage: "send an edit of a section", ArgsUsage: "SECTION", Action: apply,
+				Name: "apply", Usage: "send an edit of a section", ArgsUsage: "SECTION", Action: action(apply),
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "f", Usage: "the edit's `FILE`, as get printed it and then changed", Required: true},
 					&cli.StringFlag{Name: "edit", Usage: "the edit's `ID`; the same ID again is no second edit"},
 				},
 			},
-			{Name: "settle", Usage: "find out whether an edit was accepted", ArgsUsage: "EDIT", Action: settle},
-			{Name: "get", Usage: "print a section in force", ArgsUsage: "SECTION", Action: get},
+			{Name: "settle", Usage: "find out whether an edit was accepted", ArgsUsage: "EDIT", Action: action(settle)},
+			{Name: "get", Usage: "print a section in force", ArgsUsage: "SECTION", Action: action(get)},
 			{
-				Name: "show", Usage: "print every key in force", Action: show,
+				Name: "show", Usage: "print every key in force", Action: action(show),
 				Flags: []cli.Flag{&cli.BoolFlag{Name: "why", Usage: "with generation, author and time of each"}},
 			},
 			{
-				Name: "explain", Usage: "print where a caller is placed and why", Action: explain,
+				Name: "explain", Usage: "print where a caller is placed and why", Action: action(explain),
 				Flags: []cli.Flag{
 					&cli.StringFlag{Name: "caller", Usage: "the caller's `IP`", Required: true},
 					&cli.StringFlag{Name: "service", Aliases: []string{"s"}, Usage: "the `SERVICE`", Required: true},
 				},
 			},
-			{Name: "status", Usage: "print every entry VM with its state and generation", Action: status},
-			{Name: "history", Usage: "print the latest accepted edits", Action: history},
+			{Name: "status", Usage: "print every entry VM with its state and generation", Action: action(status)},
+			{Name: "history", Usage: "print the latest accepted edits", Action: action(history)},
 		},
 		ExitErrHandler: func(context.Context, *cli.Command, error) {},
 		OnUsageError: func(_ context.Context, _ *cli.Command, err error, _ bool) error {
@@ -91,6 +91,17 @@
 	return executor.New(requester.New(c.String("daemon"), token), os.Stdout, c.String("o") == "json"), nil
 }
 
+// action returns a command's action, which takes the executor as well.
+func action(do func(ctx context.Context, e *executor.Executor, c *cli.Command) error) cli.ActionFunc {
+	return func(ctx context.Context, c *cli.Command) error {
+		e, err := execute(c)
+		if err != nil {
+			return err
+		}
+		return do(ctx, e, c)
+	}
+}
+
 func argument(c *cli.Command, what string) (string, error) {
 	if c.Args().Len() != 1 {
 		return "", errors.Wrapf(executor.ErrUsage, "%s takes one argument: %s", c.Name, what)
@@ -109,82 +120,50 @@
 	return parser.Section(name), nil
 }
 
-func check(_ context.Context, c *cli.Command) error {
+func check(_ context.Context, e *executor.Executor, c *cli.Command) error {
 	folder, err := argument(c, "FOLDER")
 	if err != nil {
 		return err
 	}
-	e, err := execute(c)
-	if err != nil {
-		return err
-	}
 	return e.Check(folder)
 }
 
-func apply(ctx context.Context, c *cli.Command) error {
+func apply(ctx context.Context, e *executor.Executor, c *cli.Command) error {
 	s, err := section(c)
 	if err != nil {
 		return err
 	}
-	e, err := execute(c)
-	if err != nil {
-		return err
-	}
 	return e.Apply(ctx, s, c.String("f"), c.String("edit"))
 }
 
-func settle(ctx context.Context, c *cli.Command) error {
+func settle(ctx context.Context, e *executor.Executor, c *cli.Command) error {
 	id, err := argument(c, "EDIT")
 	if err != nil {
 		return err
 	}
-	e, err := execute(c)
-	if err != nil {
-		return err
-	}
 	return e.Settle(ctx, id)
 }
 
-func get(ctx context.Context, c *cli.Command) error {
+func get(ctx context.Context, e *executor.Executor, c *cli.Command) error {
 	s, err := section(c)
 	if err != nil {
 		return err
 	}
-	e, err := execute(c)
-	if err != nil {
-		return err
-	}
 	return e.Get(ctx, s)
 }
 
-func show(ctx context.Context, c *cli.Command) error {
-	e, err := execute(c)
-	if err != nil {
-		return err
-	}
+func show(ctx context.Context, e *executor.Executor, c *cli.Command) error {
 	return e.Show(ctx, c.Bool("why"))
 }
 
-func explain(ctx context.Context, c *cli.Command) error {
-	e, err := execute(c)
-	if err != nil {
-		return err
-	}
+func explain(ctx context.Context, e *executor.Executor, c *cli.Command) error {
 	return e.Explain(ctx, c.String("caller"), namer.Service(c.String("service")))
 }
 
-func status(ctx context.Context, c *cli.Command) error {
-	e, err := execute(c)
-	if err != nil {
-		return err
-	}
+func status(ctx context.Context, e *executor.Executor, _ *cli.Command) error {
 	return e.Status(ctx)
 }
 
-func history(ctx context.Context, c *cli.Command) error {
-	e, err := execute(c)
-	if err != nil {
-		return err
-	}
+func history(ctx context.Context, e *executor.Executor, _ *cli.Command) error {
 	return e.History(ctx)
 }
--- a/internal/stand/gauger/gauger.go
+++ b/internal/stand/gauger/gauger.go
@@ -16,7 +16,6 @@
 	"io"
 	"net/http"
 	"os"
-	"path/filepath"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -25,7 +24,6 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/cockroachdb/errors"
 
-	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/front/responder"
 	"github.com/waxwingloom/waxwingloom/internal/stand/launcher"
 )
@@ -223,18 +221,5 @@
 		fmt.Fprintf(&places, "[upstream u%d]\nservice = desk\nzone = z%d\naddress = 10.0.0.1:80\nslots = 2000\nconns = 2000\n", i, i)
 		fmt.Fprintf(&places, "[block b%d]\nnet = 10.%d.0.0/16\nzone = z%d\n", i, i, i)
 	}
-	for _, s := range parser.Sections() {
-		text := ""
-		switch s {
-		case parser.Services:
-			text = services
-		case parser.Places:
-			text = places.String()
-		case parser.Drains, parser.Limits, parser.Exceptions:
-		}
-		if err := os.WriteFile(filepath.Join(dir, string(s)+".ini"), []byte(text), 0o600); err != nil {
-			return errors.Wrap(err, "writing a section")
-		}
-	}
-	return nil
+	return launcher.WriteExample(dir, services, places.String())
 }
--- a/internal/stand/launcher/launcher.go
+++ b/internal/stand/launcher/launcher.go
@@ -101,6 +101,25 @@
 	}
 )
 
+// WriteExample writes a steering document into a folder, for a Spec to name.
+// The sections but services and places are empty.
+func WriteExample(dir, services, places string) error {
+	for _, s := range parser.Sections() {
+		text := ""
+		switch s {
+		case parser.Services:
+			text = services
+		case parser.Places:
+			text = places
+		case parser.Drains, parser.Limits, parser.Exceptions:
+		}
+		if err := os.WriteFile(filepath.Join(dir, string(s)+".ini"), []byte(text), 0o600); err != nil {
+			return errors.Wrap(err, "writing a section")
+		}
+	}
+	return nil
+}
+
 // Launch starts a deployment and waits until every daemon is ready and holds
 // its share. The clean-up ends all of it.
 func Launch(ctx context.Context, spec Spec) (*Fleet, func(), error) {
--- a/internal/stand/launcher/launcher_test.go
+++ b/internal/stand/launcher/launcher_test.go
@@ -6,7 +6,6 @@
 	"net/http"
 	"os"
 	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
@@ -75,10 +74,7 @@
 			places += fmt.Sprintf("[upstream %s%d]\nservice = desk\nzone = %s\naddress = 10.0.0.1:80\nslots = 6\nconns = 60\n", z, i, z)
 		}
 	}
-	texts := map[parser.Section]string{parser.Services: services, parser.Places: places}
-	for _, s := range parser.Sections() {
-		assert.NilError(t, os.WriteFile(filepath.Join(dir, string(s)+".ini"), []byte(texts[s]), 0o600))
-	}
+	assert.NilError(t, launcher.WriteExample(dir, services, places))
 	return dir
 }
 
--- a/internal/stand/prover/prover.go
+++ b/internal/stand/prover/prover.go
@@ -17,13 +17,11 @@
 	"fmt"
 	"io"
 	"os"
-	"path/filepath"
 	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
 
-	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/stand/launcher"
 )
 
@@ -168,18 +166,5 @@
 		places += fmt.Sprintf("[zone %s]\nregion = r\nvms = 2\n[block %s]\nnet = 10.%d.0.0/16\nzone = %s\n", z, z, i, z)
 		places += fmt.Sprintf("[upstream u%s]\nservice = desk\nzone = %s\naddress = 10.0.0.1:80\nslots = 6\nconns = 2\n", z, z)
 	}
-	for _, s := range parser.Sections() {
-		text := ""
-		switch s {
-		case parser.Services:
-			text = services
-		case parser.Places:
-			text = places
-		case parser.Drains, parser.Limits, parser.Exceptions:
-		}
-		if err := os.WriteFile(filepath.Join(dir, string(s)+".ini"), []byte(text), 0o600); err != nil {
-			return errors.Wrap(err, "writing a section")
-		}
-	}
-	return nil
+	return launcher.WriteExample(dir, services, places)
 }
