Orders of another zone's callers count against the cap on shifts

Cause, found in reading: the cap was checked for reads that arrive straight and for spills, not for once-only requests that arrive straight, because only the owner may refuse a token. A request now carries its caller's nearest zone, also to peers, and the dispatcher of the zone that admits it counts it.

TestLongerWindow before: a longer window forgot what the shorter one had let go. Now the longer one starts afresh. TestCallerGoneAtARelaySealsNothing before: the token was sealed (not-run for good). Now it stays usable.

--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -56,7 +56,6 @@
 	// Router sends idempotent requests to upstreams.
 	Router interface {
 		Read(ctx context.Context, req forwarder.Request) dispatcher.Result
-		AdmitShift(weight namer.Weight) bool
 	}
 
 	// Members tells which entry VMs are there.
--- a/internal/front/responder/responder_test.go
+++ b/internal/front/responder/responder_test.go
@@ -105,8 +105,6 @@
 	return f.answer()
 }
 
-func (f *fakes) AdmitShift(namer.Weight) bool { return true }
-
 func (f *fakes) Members() []tracker.Member { return nil }
 
 func (f *fakes) Self() tracker.Member { return tracker.Member{} }
--- a/internal/front/responder/serve.go
+++ b/internal/front/responder/serve.go
@@ -4,7 +4,6 @@
 	"context"
 	"io"
 	"net/http"
-	"net/netip"
 	"os"
 	"strconv"
 	"strings"
@@ -40,7 +39,7 @@
 		r.logRoute(c, req, out, begun)
 		return r.writeOnce(c, out)
 	}
-	result := r.read(c, req, class)
+	result := r.services.Router.Read(c.Request().Context(), req)
 	r.logRoute(c, req, result.Outcome, begun)
 	return r.writeRead(c, result)
 }
@@ -64,6 +63,7 @@
 		return req, class, http.StatusNotFound, r.early(c, dispatcher.CodeNoClass, "no class of the service has this method and path")
 	}
 	req.Class = class.Name
+	req.Home, _ = r.services.Placer.Home(name, callerAddr(in))
 	req.Path = path
 	if in.URL.RawQuery != "" {
 		req.Path += "?" + in.URL.RawQuery
@@ -127,26 +127,11 @@
 	if t.Service != req.Service {
 		return arbiter.Outcome{Code: arbiter.CodeMismatch, Reason: "the token is for another service"}
 	}
-	// Only the owner may refuse a token, so the cap on shifts is met there, by
-	// the pool of the zone that admits the request.
 	ctx, cancel := context.WithDeadline(c.Request().Context(), req.Deadline)
 	defer cancel()
 	return r.services.Tokens.Run(ctx, t, req)
 }
 
-func (r *Responder) read(c echo.Context, req forwarder.Request, class parser.Class) dispatcher.Result {
-	if r.shifted(req.Service, callerAddr(c.Request())) && !r.services.Router.AdmitShift(class.Weight) {
-		return dispatcher.Result{Outcome: notRun(dispatcher.CodeCapped, "the cap on traffic shifted into the zone is reached")}
-	}
-	return r.services.Router.Read(c.Request().Context(), req)
-}
-
-// shifted reports whether a caller is not of this zone.
-func (r *Responder) shifted(service namer.Service, caller netip.Addr) bool {
-	home, ok := r.services.Placer.Home(service, caller)
-	return ok && home != r.self.Zone
-}
-
 func (r *Responder) writeOnce(c echo.Context, out arbiter.Outcome) error {
 	if out.Told != arbiter.Ran {
 		return r.fail(c, statusOf(out), out)
--- a/internal/once/conductor/conductor_test.go
+++ b/internal/once/conductor/conductor_test.go
@@ -188,3 +188,15 @@
 	other.Body = []byte("y")
 	assert.Equal(t, p.witness.Run(context.Background(), p.token, other).Code, arbiter.CodeMismatch)
 }
+
+// TestCallerGoneAtARelaySealsNothing cancels a caller whose relay was asking
+// the owner. The token must stay usable.
+func TestCallerGoneAtARelaySealsNothing(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	close(p.upstream.goOn)
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	assert.Equal(t, p.witness.Run(ctx, p.token, p.request).Told, arbiter.Unknown)
+	assert.Equal(t, p.owner.Run(context.Background(), p.token, p.request).Told, arbiter.Ran)
+}
--- a/internal/once/conductor/peers.go
+++ b/internal/once/conductor/peers.go
@@ -102,6 +102,10 @@
 		case arbiter.AskOwner:
 			out, err := c.askOwner(ctx, t, req)
 			switch {
+			case errors.Is(ctx.Err(), context.Canceled):
+				// The caller is gone, and the owner may be well. A seal would
+				// end a token that the caller may use again.
+				return arbiter.Outcome{Code: arbiter.CodeInProgress, Reason: "the caller went away"}
 			case err != nil:
 				action = r.OwnerFailed(err.Error())
 			case out.Code == arbiter.CodeForeign:
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -22,6 +22,7 @@
 func Call(kind encoder.CallKind, r forwarder.Request, now time.Time) *encoder.Call {
 	return &encoder.Call{
 		Kind:     kind,
+		Home:     string(r.Home),
 		Service:  string(r.Service),
 		Class:    string(r.Class),
 		Method:   r.Method,
@@ -35,6 +36,7 @@
 // Request returns the request of a call.
 func Request(c *encoder.Call, now time.Time) forwarder.Request {
 	return forwarder.Request{
+		Home:     namer.Zone(c.GetHome()),
 		Service:  namer.Service(c.GetService()),
 		Class:    namer.Class(c.GetClass()),
 		Method:   c.GetMethod(),
--- a/internal/route/dispatcher/dispatcher.go
+++ b/internal/route/dispatcher/dispatcher.go
@@ -150,14 +150,21 @@
 	return uses
 }
 
-// AdmitShift counts traffic that was shifted into this zone against this VM's
-// share of the zone's cap, and reports whether it fits.
-func (d *Dispatcher) AdmitShift(weight namer.Weight) bool {
+// admitShift counts a request from a caller of another zone against this VM's
+// share of the zone's cap on shifts, and reports whether it fits.
+func (d *Dispatcher) admitShift(req forwarder.Request, weight namer.Weight) bool {
+	if req.Home == d.self.Zone {
+		return true
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	return d.shift.Admit(d.clock.Now(), weight)
 }
 
+func capped() arbiter.Outcome {
+	return refuse(CodeCapped, "the cap on traffic shifted into the zone is reached")
+}
+
 // configure recomputes every pool from the document and the ordinal.
 func (d *Dispatcher) configure() {
 	if d.force == nil {
--- a/internal/route/dispatcher/once.go
+++ b/internal/route/dispatcher/once.go
@@ -38,7 +38,10 @@
 	if !ok {
 		return refuse(CodeNoClass, "no such class is in force")
 	}
-	local := d.onceLocal(ctx, s, class, req, g)
+	local := capped()
+	if d.admitShift(req, class.Weight) {
+		local = d.onceLocal(ctx, s, class, req, g)
+	}
 	if local.Told != arbiter.NotRun {
 		return local
 	}
--- a/internal/route/dispatcher/read.go
+++ b/internal/route/dispatcher/read.go
@@ -26,7 +26,10 @@
 		return Result{Outcome: refuse(CodeNoClass, "no such class is in force")}
 	}
 	s.budget.first()
-	local := d.readLocal(ctx, s, class, req)
+	local := Result{Outcome: capped()}
+	if d.admitShift(req, class.Weight) {
+		local = d.readLocal(ctx, s, class, req)
+	}
 	if local.Body != nil || ctx.Err() != nil {
 		return local
 	}
--- a/internal/route/dispatcher/spill.go
+++ b/internal/route/dispatcher/spill.go
@@ -32,8 +32,8 @@
 	if !ok {
 		return Result{Outcome: refuse(CodeNoClass, "no such class is in force")}
 	}
-	if !d.AdmitShift(class.Weight) {
-		return Result{Outcome: refuse(CodeCapped, "the cap on traffic shifted into the zone is reached")}
+	if !d.admitShift(req, class.Weight) {
+		return Result{Outcome: capped()}
 	}
 	if class.Once {
 		return Result{Outcome: d.onceLocal(ctx, s, class, req, openGate{})}
@@ -140,7 +140,8 @@
 	var targets []tracker.Member
 	for _, m := range d.members.Members() {
 		_, drained := doc.ZoneDrained(m.Zone)
-		if m.Zone == d.self.Zone || m.State != tracker.Alive || drained || roomFor(m, service) <= 0 {
+		_, vmDrained := doc.Drained(parser.VMTarget, string(m.VM))
+		if m.Zone == d.self.Zone || m.State != tracker.Alive || drained || vmDrained || roomFor(m, service) <= 0 {
 			continue
 		}
 		targets = append(targets, m)
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -42,8 +42,10 @@
 var ErrUnwritten = errors.New("no byte reached the upstream")
 
 type (
-	// Request is a request as it travels through the system.
+	// Request is a request as it travels through the system. Home is the zone
+	// nearest to its caller; in any other zone it counts as shifted.
 	Request struct {
+		Home     namer.Zone
 		Service  namer.Service
 		Class    namer.Class
 		Method   string
--- a/internal/share/capper/capper.go
+++ b/internal/share/capper/capper.go
@@ -43,9 +43,13 @@
 
 // Limit sets the weight allowed within any window. A process that has just
 // started can't know what its predecessor admitted, so it admits nothing
-// until a whole window has passed since its start.
+// until a whole window has passed since its start. The same holds after a
+// window was made longer, since what fell out of the shorter one is forgotten.
 func (c *Capper) Limit(now time.Time, limit namer.Weight, window time.Duration) {
 	c.now = namer.Later(c.now, now)
+	if c.limited && window > c.window {
+		c.started = c.now
+	}
 	c.limited = true
 	c.limit = limit
 	c.window = window
--- a/internal/share/capper/capper_test.go
+++ b/internal/share/capper/capper_test.go
@@ -66,3 +66,19 @@
 	assert.Assert(t, c.Admit(now, 1))
 	assert.Assert(t, c.Admit(now.Add(time.Second), 3))
 }
+
+// TestLongerWindow edits the cap under traffic. What the shorter window has
+// forgotten still counts in the longer one.
+func TestLongerWindow(t *testing.T) {
+	t.Parallel()
+	start := time.Unix(100, 0)
+	at := func(ms int) time.Time { return start.Add(time.Duration(ms) * time.Millisecond) }
+	c := capper.New(start)
+	c.Limit(start, 3, time.Second)
+	assert.Assert(t, c.Admit(at(1000), 3))
+	assert.Assert(t, c.Admit(at(2000), 3))
+	c.Limit(at(2100), 3, 5*time.Second)
+	assert.Assert(t, !c.Admit(at(4000), 1))
+	assert.Assert(t, !c.Admit(at(7000), 1))
+	assert.Assert(t, c.Admit(at(7100), 3))
+}
--- a/internal/stand/worker/worker.go
+++ b/internal/stand/worker/worker.go
@@ -140,6 +140,22 @@
 	return hex.EncodeToString(sum[:8])
 }
 
+// SetFaults changes what goes wrong, and lets go what is held.
+func (w *Worker) SetFaults(f Faults) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.faults = f
+	close(w.changed)
+	w.changed = make(chan struct{})
+}
+
+// Stats returns what the worker saw.
+func (w *Worker) Stats() Stats {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.stats
+}
+
 func (w *Worker) serve(c echo.Context) error {
 	body, err := io.ReadAll(c.Request().Body)
 	if err != nil {
@@ -295,11 +311,7 @@
 	if err := c.Bind(&f); err != nil {
 		return err
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.faults = f
-	close(w.changed)
-	w.changed = make(chan struct{})
+	w.SetFaults(f)
 	return c.NoContent(http.StatusOK)
 }
 
@@ -310,9 +322,7 @@
 }
 
 func (w *Worker) getStats(c echo.Context) error {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	return c.JSON(http.StatusOK, w.stats)
+	return c.JSON(http.StatusOK, w.Stats())
 }
 
 // fillBytes is the size of the answer that the caller asks for.
