A planned stop waits for what a daemon serves for peers

Cause, found in reading: the stop waited for its own callers and tokens, not for requests that other zones had sent on to it, and released its ordinal even when something was still in flight, so a successor could overload an upstream.

The daemon now gives up its shares, waits until nothing is in flight for anybody, and releases only then.

--- a/internal/kernel/runner/runner.go
+++ b/internal/kernel/runner/runner.go
@@ -24,6 +24,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
 	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
 	"github.com/waxwingloom/waxwingloom/internal/once/conductor"
+	"github.com/waxwingloom/waxwingloom/internal/route/dispatcher"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
 	"github.com/waxwingloom/waxwingloom/internal/share/claimer"
 )
@@ -72,6 +73,8 @@
 	tokens := k.Find(tokensName).(*conductor.Conductor)
 	documents := k.Find(documentsName).(*keeper.Keeper)
 	ordinals := k.Find(ordinalsName).(*claimer.Claimer)
+	answers := k.Find(answersName).(*peerServer)
+	router := k.Find(routerName).(*dispatcher.Dispatcher)
 	clock := k.Find(clockName).(clockwork.Clock)
 	log.Info("leaving")
 	front.Leave()
@@ -81,9 +84,16 @@
 		longest = f.Document.LongestDeadline()
 		clock.Sleep(f.Document.LongestTTL() + newsTime*s.Timing.Heartbeat)
 	}
-	waitIdle(clock, longest+stopMargin, func() bool {
-		return front.Busy() == 0 && tokens.Busy() == 0
+	// From here on nobody should send anything. What still comes is sent on to
+	// VMs that stay, so that the ordinal can be released with nothing in flight.
+	router.SetClaimed(claimer.Claimed{})
+	idle := waitIdle(clock, longest+stopMargin, func() bool {
+		return front.Busy() == 0 && tokens.Busy() == 0 && answers.answerer.Busy() == 0 && router.InFlight() == 0
 	})
+	if !idle {
+		log.Warn("ordinal not released", "reason", "requests are still in flight")
+		return
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
 	defer cancel()
 	if err := ordinals.Release(ctx); err != nil {
@@ -91,9 +101,14 @@
 	}
 }
 
-func waitIdle(clock clockwork.Clock, most time.Duration, idle func() bool) {
+// waitIdle reports whether the daemon became idle in time.
+func waitIdle(clock clockwork.Clock, most time.Duration, idle func() bool) bool {
 	until := clock.Now().Add(most)
-	for !idle() && clock.Now().Before(until) {
+	for !idle() {
+		if !clock.Now().Before(until) {
+			return false
+		}
 		clock.Sleep(idleCheck)
 	}
+	return true
 }
--- a/internal/peer/answerer/answerer.go
+++ b/internal/peer/answerer/answerer.go
@@ -10,6 +10,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync/atomic"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
@@ -61,6 +62,7 @@
 		services Services
 		clock    clockwork.Clock
 		log      *slog.Logger
+		busy     atomic.Int64
 	}
 )
 
@@ -69,6 +71,12 @@
 	return &Answerer{services: s, clock: clock, log: log}
 }
 
+// Busy returns the number of requests that are being answered for peers, until
+// the last byte of their answers was sent.
+func (a *Answerer) Busy() int64 {
+	return a.busy.Load()
+}
+
 // Handle implements messenger.Handler.
 func (a *Answerer) Handle(ctx context.Context, from messenger.Identity, req *encoder.Request, s *messenger.Stream) {
 	var err error
@@ -115,6 +123,8 @@
 }
 
 func (a *Answerer) call(ctx context.Context, s *messenger.Stream, call *encoder.Call) error {
+	a.busy.Add(1)
+	defer a.busy.Add(-1)
 	req := converter.Request(call, a.clock.Now())
 	if call.GetKind() == encoder.CallKind_CALL_KIND_RELAY {
 		t, err := arbiter.TokenFrom(call.GetToken())
--- a/internal/route/dispatcher/dispatcher.go
+++ b/internal/route/dispatcher/dispatcher.go
@@ -150,6 +150,16 @@
 	return uses
 }
 
+// InFlight returns the weight in flight at upstreams, for own callers and for
+// peers alike.
+func (d *Dispatcher) InFlight() namer.Weight {
+	var sum namer.Weight
+	for _, u := range d.Uses() {
+		sum += u.InFlight
+	}
+	return sum
+}
+
 // admitShift counts a request from a caller of another zone against this VM's
 // share of the zone's cap on shifts, and reports whether it fits.
 func (d *Dispatcher) admitShift(req forwarder.Request, weight namer.Weight) bool {
--- a/internal/stand/launcher/launcher_test.go
+++ b/internal/stand/launcher/launcher_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"net/http"
 	"os"
@@ -12,6 +13,7 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/front/responder"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/stand/demonstrator"
 	"github.com/waxwingloom/waxwingloom/internal/stand/driver"
@@ -253,3 +255,71 @@
 		}
 	}
 }
+
+// TestPlannedStopWithSpills stops a daemon while it serves long requests for
+// another zone, which has no upstream left. None is cut off.
+func TestPlannedStopWithSpills(t *testing.T) {
+	f, ctx := launch(t)
+	drains := "[drain a]\nkind = upstream\ntarget = za0\n[drain b]\nkind = upstream\ntarget = za1\n"
+	g, err := f.Apply(ctx, f.Daemons[0], parser.Drains, []byte(drains))
+	assert.NilError(t, err)
+	for _, d := range f.Daemons {
+		await(ctx, t, func() error { return inForce(ctx, f, d, g) })
+	}
+	for _, u := range f.Upstreams {
+		assert.NilError(t, launcher.Put(ctx, u.Process.Address("address"), "/stand/faults", worker.Faults{Work: 2200 * time.Millisecond}))
+	}
+	told := make(chan string, 8)
+	for range cap(told) {
+		go func() { told <- order(ctx, f.Daemons[0]) }()
+	}
+	stopped := f.Daemons[1]
+	await(ctx, t, func() error { return serves(ctx, f, stopped) })
+	stopped.Terminate()
+	assert.Equal(t, stopped.Wait(), 0)
+	for range cap(told) {
+		assert.Check(t, <-told == "ran")
+	}
+}
+
+// order takes a token from a daemon and sends it an order, and returns what it
+// was told.
+func order(ctx context.Context, d *launcher.Daemon) string {
+	base := "http://" + d.Address("callers") + "/v1/"
+	resp, err := post(ctx, base+"tokens?service=desk", "")
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	var a responder.TokensAnswer
+	if err := json.NewDecoder(resp.Body).Decode(&a); err != nil || len(a.Tokens) != 1 {
+		return "no token"
+	}
+	resp, err = post(ctx, base+"s/desk/orders", a.Tokens[0])
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.Header.Get(responder.OutcomeHeader)
+}
+
+func post(ctx context.Context, target, token string) (*http.Response, error) {
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target, nil)
+	if err != nil {
+		return nil, err
+	}
+	req.Header.Set(responder.TokenHeader, token)
+	return http.DefaultClient.Do(req)
+}
+
+// serves reports as an error that a daemon has nothing in flight.
+func serves(ctx context.Context, f *launcher.Fleet, d *launcher.Daemon) error {
+	var vars struct{ Use []struct{ InFlight int } }
+	if err := f.Ctl(d).Metrics(ctx, &vars); err != nil {
+		return err
+	}
+	if vars.Use[0].InFlight == 0 {
+		return fmt.Errorf("%s has nothing in flight", d.VM)
+	}
+	return nil
+}
