--- a/internal/stand/launcher/launcher_test.go
+++ b/internal/stand/launcher/launcher_test.go
@@ -84,7 +84,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
 	t.Cleanup(cancel)
 	fleet, cleanup, err := launcher.Launch(ctx, launcher.Spec{
-		Programs: programs, Example: example(t), Dir: t.TempDir(), PerZone: 2, Work: 5 * time.Millisecond, Level: "info",
+		Programs: programs, Example: example(t), Dir: t.TempDir(), PerZone: 2, Work: 5 * time.Millisecond, Level: "info", Relays: true,
 		Timing: launcher.Timing{Heartbeat: 100 * time.Millisecond, Suspect: time.Second, Dead: 3 * time.Second, Poll: 200 * time.Millisecond},
 	})
 	assert.NilError(t, err)
@@ -323,3 +323,48 @@
 	}
 	return nil
 }
+
+// TestZoneCutOff cuts the zones from each other and from the platform. Each
+// goes on with orders and reads, and learns of an edit once it is healed.
+func TestZoneCutOff(t *testing.T) {
+	f, ctx := launch(t)
+	platform := f.Platform.Address("address")
+	cut := func(off bool) {
+		for _, a := range f.Daemons {
+			for _, b := range f.Daemons {
+				if a.Zone < b.Zone {
+					f.Link(a, b, 0, off, off)
+				}
+			}
+		}
+		assert.NilError(t, launcher.Put(ctx, platform, "/stand/faults", storekeeper.Faults{Outage: off}))
+	}
+	cut(true)
+	for _, d := range f.Daemons {
+		await(ctx, t, func() error { return seesZoneAlone(ctx, f, d) })
+	}
+	r := load(ctx, t, f, 2*time.Second)()
+	v := judge(ctx, t, f, r)
+	assert.Equal(t, r.Answered, r.Requests, "%+v", r.Reasons)
+	assert.Equal(t, v.Ran, r.Requests-r.Reads)
+	cut(false)
+	g, err := f.Apply(ctx, f.Daemons[0], parser.Exceptions, []byte("# healed\n"))
+	assert.NilError(t, err)
+	for _, d := range f.Daemons {
+		await(ctx, t, func() error { return inForce(ctx, f, d, g) })
+	}
+}
+
+// seesZoneAlone reports as an error that a daemon counts on another zone.
+func seesZoneAlone(ctx context.Context, f *launcher.Fleet, d *launcher.Daemon) error {
+	rows, err := f.Ctl(d).Status(ctx)
+	if err != nil {
+		return err
+	}
+	for _, r := range rows {
+		if (r.Zone == d.Zone) != (r.State == "alive") {
+			return fmt.Errorf("%s sees %s as %s", d.VM, r.VM, r.State)
+		}
+	}
+	return nil
+}
