--- a/internal/config/checker/checker.go
+++ b/internal/config/checker/checker.go
@@ -18,22 +18,31 @@
 // parent whose keys are inherited.
 const noChild = "\x00"
 
-// Entry is one INI section whose keys have been checked. Its accessors return
-// the key's default when the text does not set it.
-type Entry struct {
-	Kind   string
-	Name   string
-	File   string
-	Line   int
-	group  Group
-	values []value
-}
+type (
+	// Entry is one INI section whose keys have been checked. Its accessors
+	// return the key's default when the text does not set it.
+	Entry struct {
+		Kind   string
+		Name   string
+		File   string
+		Line   int
+		group  Group
+		values []value
+	}
 
-type value struct {
-	key  string
-	text string
-	line int
-}
+	// Setting is one key with its value in force.
+	Setting struct {
+		Key     string
+		Value   string
+		Default bool
+	}
+
+	value struct {
+		key  string
+		text string
+		line int
+	}
+)
 
 // Check parses text and checks it against s. Entries are returned for the
 // sections that could be read even when there are problems, so that a caller
@@ -136,13 +145,6 @@
 	return settings
 }
 
-// Setting is one key with its value in force.
-type Setting struct {
-	Key     string
-	Value   string
-	Default bool
-}
-
 func checkSection(s Schema, file string, sec *ini.Section, places places) (Entry, Problems) {
 	kind, name, _ := strings.Cut(sec.Name(), " ")
 	name = strings.TrimSpace(name)
--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -98,6 +98,12 @@
 		counts   *Counts
 	}
 
+	// readiness is the JSON body of a ready VM.
+	readiness struct {
+		Ready bool     `json:"ready"`
+		VM    namer.VM `json:"vm"`
+	}
+
 	// failure is the JSON body of every answer that is not an upstream's.
 	failure struct {
 		Code    arbiter.Code `json:"code"`
@@ -179,11 +185,6 @@
 	return c.JSON(http.StatusOK, readiness{Ready: true, VM: r.self.VM})
 }
 
-type readiness struct {
-	Ready bool     `json:"ready"`
-	VM    namer.VM `json:"vm"`
-}
-
 // mark sets the headers that every answer carries.
 func (r *Responder) mark(c echo.Context) {
 	h := c.Response().Header()
--- a/internal/once/conductor/conductor.go
+++ b/internal/once/conductor/conductor.go
@@ -39,6 +39,9 @@
 	sweepInterval = time.Second
 )
 
+// errNoVerdict is returned for a peer that answers with another message.
+var errNoVerdict = errors.New("the peer's reply is no verdict")
+
 type (
 	// Peers sends messages to other entry VMs.
 	Peers interface {
@@ -83,9 +86,23 @@
 		flights map[arbiter.Nonce]*flight
 	}
 
+	// Remembered counts the tokens held in memory.
+	Remembered struct {
+		Out     int
+		Owned   int
+		Intents int
+		Seals   int
+	}
+
 	// Option changes a conductor.
 	Option func(*Conductor)
 
+	// gate is the Gate of one token.
+	gate struct {
+		conductor *Conductor
+		nonce     arbiter.Nonce
+	}
+
 	// flight is a request in progress; outcome is set before done is closed.
 	flight struct {
 		done    chan struct{}
@@ -201,14 +218,6 @@
 	return len(c.flights)
 }
 
-// Remembered counts the tokens held in memory.
-type Remembered struct {
-	Out     int
-	Owned   int
-	Intents int
-	Seals   int
-}
-
 // Remembered returns how many tokens are out, owned and witnessed.
 func (c *Conductor) Remembered() Remembered {
 	c.mu.Lock()
@@ -311,11 +320,6 @@
 	c.witness.Sweep(now)
 }
 
-type gate struct {
-	conductor *Conductor
-	nonce     arbiter.Nonce
-}
-
 // Send implements Gate.
 func (g gate) Send() bool {
 	g.conductor.mu.Lock()
@@ -329,6 +333,3 @@
 	defer g.conductor.mu.Unlock()
 	g.conductor.owner.Proven(g.nonce)
 }
-
-// errNoVerdict is returned for a peer that answers with another message.
-var errNoVerdict = errors.New("the peer's reply is no verdict")
--- a/internal/route/dispatcher/dispatcher.go
+++ b/internal/route/dispatcher/dispatcher.go
@@ -69,6 +69,12 @@
 		Body    io.ReadCloser
 	}
 
+	// ServiceUse is what a service has in flight on this VM.
+	ServiceUse struct {
+		Service namer.Service
+		admitter.Use
+	}
+
 	// Dispatcher sends requests to upstreams.
 	Dispatcher struct {
 		self    Self
@@ -132,12 +138,6 @@
 	return rooms
 }
 
-// ServiceUse is what a service has in flight on this VM.
-type ServiceUse struct {
-	Service namer.Service
-	admitter.Use
-}
-
 // Uses returns what each service has in flight.
 func (d *Dispatcher) Uses() []ServiceUse {
 	d.mu.Lock()
--- a/internal/stand/driver/driver.go
+++ b/internal/stand/driver/driver.go
@@ -5,7 +5,7 @@
 //
 // # Usage
 //
-//	report, err := driver.Run(ctx, plan, clock)
+//	report, err := driver.Run(ctx, plan)
 package driver
 
 import (
--- a/internal/stand/launcher/launcher_test.go
+++ b/internal/stand/launcher/launcher_test.go
@@ -92,7 +92,8 @@
 	return fleet, ctx
 }
 
-// load runs callers until stop is closed, or for the plan's longest.
+// load begins to send reads and orders for a time, and returns what waits for
+// the callers' report.
 func load(ctx context.Context, t *testing.T, f *launcher.Fleet, d time.Duration) func() driver.Report {
 	done := make(chan driver.Report, 1)
 	go func() {
--- a/internal/stand/worker/worker.go
+++ b/internal/stand/worker/worker.go
@@ -101,6 +101,12 @@
 		Fill     string `json:"fill"`
 	}
 
+	// load is what the load endpoint tells, true or not.
+	load struct {
+		Used  int64 `json:"used"`
+		Slots int64 `json:"slots"`
+	}
+
 	// Worker is the stand-in.
 	Worker struct {
 		name   string
@@ -301,11 +307,6 @@
 	return c.JSON(http.StatusOK, load{Used: used, Slots: w.limits.Slots})
 }
 
-type load struct {
-	Used  int64 `json:"used"`
-	Slots int64 `json:"slots"`
-}
-
 func (w *Worker) setFaults(c echo.Context) error {
 	var f Faults
 	if err := c.Bind(&f); err != nil {
