--- a/internal/once/conductor/conductor_test.go
+++ b/internal/once/conductor/conductor_test.go
@@ -200,3 +200,17 @@
 	assert.Equal(t, p.witness.Run(ctx, p.token, p.request).Told, arbiter.Unknown)
 	assert.Equal(t, p.owner.Run(context.Background(), p.token, p.request).Told, arbiter.Ran)
 }
+
+// TestByteEqualOrders sends two orders that are alike to the byte, each under
+// a token of its own. Both run, and each is told of its own.
+func TestByteEqualOrders(t *testing.T) {
+	t.Parallel()
+	p := newPair(t)
+	tokens, err := p.owner.Mint(1, time.Minute, "desk", []arbiter.Witness{{Incarnation: namer.Incarnation{2}}})
+	assert.NilError(t, err)
+	close(p.upstream.goOn)
+	for _, token := range []arbiter.Token{p.token, tokens[0]} {
+		assert.Equal(t, p.owner.Run(context.Background(), token, p.request).Told, arbiter.Ran)
+	}
+	assert.Equal(t, p.upstream.runs, 2)
+}
--- a/internal/stand/worker/worker.go
+++ b/internal/stand/worker/worker.go
@@ -31,6 +31,9 @@
 	OrderHeader  = "X-Order"
 )
 
+// samplesMost is how many changes of the load are kept at the least.
+const samplesMost = 1000
+
 // The lies of a health or load endpoint.
 const (
 	Honest = ""
@@ -67,6 +70,8 @@
 		// middle of it, until the faults are set again.
 		HoldRun  string
 		HoldHalf string
+		// Lag is how old the load is that the load endpoint tells.
+		Lag time.Duration
 		// Lie is what the load endpoint tells.
 		Lie string
 		// Drain refuses everything.
@@ -120,6 +125,13 @@
 		journal []Run
 		seen    int
 		changed chan struct{}
+		loads   []sample
+	}
+
+	// sample is the weight in flight from a time on.
+	sample struct {
+		at   time.Time
+		used int64
 	}
 )
 
@@ -244,6 +256,7 @@
 	w.faults.CloseAfterRead = max(0, w.faults.CloseAfterRead-1)
 	w.faults.Cut = max(0, w.faults.Cut-1)
 	w.stats.InFlight += weight
+	w.sample()
 	w.stats.MostUsed = max(w.stats.MostUsed, w.stats.InFlight)
 	if w.stats.InFlight > w.limits.Slots {
 		w.stats.OverSlots++
@@ -274,6 +287,27 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.stats.InFlight -= weight
+	w.sample()
+}
+
+// sample notes the weight in flight, for a load endpoint that lags.
+func (w *Worker) sample() {
+	w.loads = append(w.loads, sample{at: w.clock.Now(), used: w.stats.InFlight})
+	if len(w.loads) > 2*samplesMost {
+		w.loads = append([]sample{}, w.loads[samplesMost:]...)
+	}
+}
+
+// usedAt returns the weight that was in flight at a time.
+func (w *Worker) usedAt(at time.Time) int64 {
+	used := int64(0)
+	for _, s := range w.loads {
+		if s.at.After(at) {
+			break
+		}
+		used = s.used
+	}
+	return used
 }
 
 func (w *Worker) health(c echo.Context) error {
@@ -292,7 +326,7 @@
 
 func (w *Worker) load(c echo.Context) error {
 	w.mu.Lock()
-	used := w.stats.InFlight
+	used := w.usedAt(w.clock.Now().Add(-w.faults.Lag))
 	lie := w.faults.Lie
 	w.mu.Unlock()
 	switch lie {
