--- a/Makefile
+++ b/Makefile
@@ -49,7 +49,7 @@
 	./bin/waxwingstand capacity | tee docs/reports/capacity.txt
 
 latency: build
-	{ ./bin/waxwingstand measure && ./bin/waxwingstand measure -once && ./bin/waxwingstand measure -kill; } | tee docs/reports/latency.txt
+	{ ./bin/waxwingstand measure && ./bin/waxwingstand measure -once && ./bin/waxwingstand measure -kill && ./bin/waxwingstand measure -spread; } | tee docs/reports/latency.txt
 
 $(LINT):
 	GOBIN=$(abspath $(TOOLS)) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
--- a/cmd/waxwingstand/main.go
+++ b/cmd/waxwingstand/main.go
@@ -115,9 +115,13 @@
 		Flags: []cli.Flag{
 			&cli.StringFlag{Name: "programs", Usage: "the `FOLDER` of the built programs", Value: "bin"},
 			&cli.BoolFlag{Name: "once", Usage: "of a once-only request, rather than of an idempotent read"},
+			&cli.BoolFlag{Name: "spread", Usage: "how long an edit takes to be in force everywhere"},
 			&cli.BoolFlag{Name: "kill", Usage: "how many orders end as unknown when a daemon is killed"},
 		},
 		Action: func(ctx context.Context, c *cli.Command) error {
+			if c.Bool("spread") {
+				return gauger.Spread(ctx, c.String("programs"), "examples/lonestar", os.Stdout)
+			}
 			if c.Bool("kill") {
 				return gauger.Kill(ctx, c.String("programs"), os.Stdout)
 			}
