A caller of the load tool looks up once at a time

TestZoneCutOff failed once in make test: 20 of 80 orders were told unknown (owner-unreached), one whole batch of tokens. Likely cause, from the code: two loads of one caller look up at once, ask VMs on both sides of the cut, and the second answer replaces the first, so that tokens of one zone go to the other. Not reproduced on purpose. Assertions are as they were.

--- a/internal/stand/driver/source.go
+++ b/internal/stand/driver/source.go
@@ -35,6 +35,10 @@
 		plan   Plan
 		client *http.Client
 
+		// looking lets one look-up go on at a time, so that a caller has one
+		// answer and its tokens come from the VMs that it sends them to.
+		looking sync.Mutex
+
 		mu      sync.Mutex
 		lookups map[string]cachedLookup
 		tokens  map[string][]token
@@ -229,9 +233,13 @@
 // lookup returns the cached answer, or asks for a new one once its TTL has
 // passed. With nobody answering it goes on with the old one.
 func (s *source) lookup(ctx context.Context, service string) (responder.LookupAnswer, error) {
-	s.mu.Lock()
-	cached, ok := s.lookups[service]
-	s.mu.Unlock()
+	cached, ok := s.cached(service)
+	if ok && time.Now().Before(cached.expires) {
+		return cached.answer, nil
+	}
+	s.looking.Lock()
+	defer s.looking.Unlock()
+	cached, ok = s.cached(service)
 	if ok && time.Now().Before(cached.expires) {
 		return cached.answer, nil
 	}
@@ -252,6 +260,13 @@
 	return responder.LookupAnswer{}, errNoEntry
 }
 
+func (s *source) cached(service string) (cachedLookup, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	cached, ok := s.lookups[service]
+	return cached, ok
+}
+
 // known returns the addresses to ask for a look-up: those of the last answer,
 // then the plan's from a place that moves on.
 func (s *source) known(last responder.LookupAnswer) []string {
