Clean-up after reading the whole change; behaviour as it was

One look-up of service and class where three stood, one place that builds a spilled call, one bound on a whole answer, the library's Contains in place of two loops of our own. Out: an accessor, an interface's method and an error that nobody used.

--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -61,7 +61,6 @@
 	// Members tells which entry VMs are there.
 	Members interface {
 		Members() []tracker.Member
-		Self() tracker.Member
 	}
 
 	// Documents tells what is in force.
--- a/internal/front/responder/responder_test.go
+++ b/internal/front/responder/responder_test.go
@@ -107,8 +107,6 @@
 
 func (f *fakes) Members() []tracker.Member { return nil }
 
-func (f *fakes) Self() tracker.Member { return tracker.Member{} }
-
 func newServer(t testing.TB, f *fakes) (*responder.Responder, *httptest.Server) {
 	if f.force == nil {
 		f.force = newForce(t)
--- a/internal/once/conductor/peers.go
+++ b/internal/once/conductor/peers.go
@@ -14,9 +14,9 @@
 	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
 )
 
-// maxAnswerBytes bounds the answer to a once-only request, which is held whole
+// MaxAnswerBytes bounds the answer to a once-only request, which is held whole
 // before it is told.
-const maxAnswerBytes = 8 << 20
+const MaxAnswerBytes = 8 << 20
 
 // ErrCut is returned for an answer whose stream ended before its end.
 var ErrCut = errors.New("the answer was cut short")
@@ -165,7 +165,7 @@
 			return converter.Outcome(answer, body.Bytes()), nil
 		}
 		body.Write(part.GetChunk().GetData())
-		if body.Len() > maxAnswerBytes {
+		if body.Len() > MaxAnswerBytes {
 			return arbiter.Outcome{}, ErrCut
 		}
 	}
--- a/internal/route/dispatcher/dispatcher.go
+++ b/internal/route/dispatcher/dispatcher.go
@@ -91,6 +91,13 @@
 		shift    *capper.Capper
 	}
 
+	// found is what is in force for one request.
+	found struct {
+		state    *serviceState
+		class    parser.Class
+		document *parser.Document
+	}
+
 	serviceState struct {
 		service parser.Service
 		pool    *admitter.Pool
@@ -247,18 +254,22 @@
 	d.shift.Limit(d.clock.Now(), share, shift.Window)
 }
 
-func (d *Dispatcher) find(name namer.Service) (*serviceState, *parser.Document) {
+// find returns what is in force for a request, or why nothing is.
+func (d *Dispatcher) find(req forwarder.Request) (*found, arbiter.Outcome) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.force == nil {
-		return nil, nil
-	}
 	for _, s := range d.services {
-		if s.service.Name == name {
-			return s, d.force.Document
+		if s.service.Name != req.Service {
+			continue
 		}
+		for _, c := range s.service.Classes {
+			if c.Name == req.Class {
+				return &found{state: s, class: c, document: d.force.Document}, arbiter.Outcome{}
+			}
+		}
+		return nil, refuse(CodeNoClass, "no such class is in force")
 	}
-	return nil, d.force.Document
+	return nil, refuse(CodeNoService, "no such service is in force")
 }
 
 // draw is called by pools under their own lock, so it must not take d.mu.
@@ -270,15 +281,6 @@
 	return forwarder.Target{Upstream: name, Address: address, Conns: conns}
 }
 
-func classOf(s parser.Service, name namer.Class) (parser.Class, bool) {
-	for _, c := range s.Classes {
-		if c.Name == name {
-			return c, true
-		}
-	}
-	return parser.Class{}, false
-}
-
 func refuse(code arbiter.Code, reason string) arbiter.Outcome {
 	return arbiter.Outcome{Told: arbiter.NotRun, Code: code, Reason: reason}
 }
--- a/internal/route/dispatcher/once.go
+++ b/internal/route/dispatcher/once.go
@@ -13,10 +13,6 @@
 	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
 )
 
-// maxOnceBytes bounds the answer to a once-only request, which is held whole
-// before it is told.
-const maxOnceBytes = 8 << 20
-
 // openGate lets every try pass. It serves a request that another VM's gate
 // already let through once, on a stream that can't repeat it.
 type openGate struct{}
@@ -30,22 +26,18 @@
 // Dispatch takes a once-only request to its outcome. It tries a second
 // upstream only after a proof that the first ran nothing.
 func (d *Dispatcher) Dispatch(ctx context.Context, req forwarder.Request, g conductor.Gate) arbiter.Outcome {
-	s, doc := d.find(req.Service)
-	if s == nil {
-		return refuse(CodeNoService, "no such service is in force")
-	}
-	class, ok := classOf(s.service, req.Class)
-	if !ok {
-		return refuse(CodeNoClass, "no such class is in force")
+	f, refusal := d.find(req)
+	if f == nil {
+		return refusal
 	}
 	local := capped()
-	if d.admitShift(req, class.Weight) {
-		local = d.onceLocal(ctx, s, class, req, g)
+	if d.admitShift(req, f.class.Weight) {
+		local = d.onceLocal(ctx, f.state, f.class, req, g)
 	}
 	if local.Told != arbiter.NotRun {
 		return local
 	}
-	return d.onceElsewhere(ctx, doc, req, g, local)
+	return d.onceElsewhere(ctx, f.document, req, g, local)
 }
 
 // onceLocal tries the upstreams of this zone for as long as each try proves
@@ -102,14 +94,14 @@
 		grant.Done(false)
 		return refuse(CodeUpstream, "the upstream refused")
 	}
-	body, err := io.ReadAll(io.LimitReader(answer.Body, maxOnceBytes+1))
+	body, err := io.ReadAll(io.LimitReader(answer.Body, conductor.MaxAnswerBytes+1))
 	grant.Done(err != nil || failed(answer.Status))
 	if err != nil {
 		return d.broken(grant, err)
 	}
 	out := d.outcome(answer, grant)
 	out.Answer.Body = body
-	if len(body) > maxOnceBytes {
+	if len(body) > conductor.MaxAnswerBytes {
 		out.Answer.Body = nil
 		out.Answer.Cut = true
 	}
--- a/internal/route/dispatcher/read.go
+++ b/internal/route/dispatcher/read.go
@@ -17,23 +17,19 @@
 // Read takes an idempotent request to its answer. It tries other upstreams
 // and other zones within the retry budget.
 func (d *Dispatcher) Read(ctx context.Context, req forwarder.Request) Result {
-	s, doc := d.find(req.Service)
-	if s == nil {
-		return Result{Outcome: refuse(CodeNoService, "no such service is in force")}
+	f, refusal := d.find(req)
+	if f == nil {
+		return Result{Outcome: refusal}
 	}
-	class, ok := classOf(s.service, req.Class)
-	if !ok {
-		return Result{Outcome: refuse(CodeNoClass, "no such class is in force")}
-	}
-	s.budget.first()
+	f.state.budget.first()
 	local := Result{Outcome: capped()}
-	if d.admitShift(req, class.Weight) {
-		local = d.readLocal(ctx, s, class, req)
+	if d.admitShift(req, f.class.Weight) {
+		local = d.readLocal(ctx, f.state, f.class, req)
 	}
 	if local.Body != nil || ctx.Err() != nil {
 		return local
 	}
-	return d.readElsewhere(ctx, doc, req, local)
+	return d.readElsewhere(ctx, f.document, req, local)
 }
 
 // readLocal tries the upstreams of this zone.
--- a/internal/route/dispatcher/spill.go
+++ b/internal/route/dispatcher/spill.go
@@ -24,21 +24,17 @@
 // Spilled answers a request that another zone had no room for. It is admitted
 // or refused here and travels no further.
 func (d *Dispatcher) Spilled(ctx context.Context, req forwarder.Request) Result {
-	s, _ := d.find(req.Service)
-	if s == nil {
-		return Result{Outcome: refuse(CodeNoService, "no such service is in force")}
+	f, refusal := d.find(req)
+	if f == nil {
+		return Result{Outcome: refusal}
 	}
-	class, ok := classOf(s.service, req.Class)
-	if !ok {
-		return Result{Outcome: refuse(CodeNoClass, "no such class is in force")}
-	}
-	if !d.admitShift(req, class.Weight) {
+	if !d.admitShift(req, f.class.Weight) {
 		return Result{Outcome: capped()}
 	}
-	if class.Once {
-		return Result{Outcome: d.onceLocal(ctx, s, class, req, openGate{})}
+	if f.class.Once {
+		return Result{Outcome: d.onceLocal(ctx, f.state, f.class, req, openGate{})}
 	}
-	return d.readLocal(ctx, s, class, req)
+	return d.readLocal(ctx, f.state, f.class, req)
 }
 
 // readElsewhere asks entry VMs of other zones. It returns the local refusal
@@ -109,8 +105,7 @@
 
 func (d *Dispatcher) spillOnce(s *messenger.Stream, m tracker.Member, req forwarder.Request) arbiter.Outcome {
 	defer s.Close()
-	call := converter.Call(encoder.CallKind_CALL_KIND_SPILL, req, d.clock.Now())
-	err := s.Send(&encoder.Request{Kind: &encoder.Request_Call{Call: call}})
+	err := s.Send(d.spillRequest(req))
 	if err == nil {
 		var out arbiter.Outcome
 		if out, err = conductor.ReadOutcome(s); err == nil {
@@ -125,14 +120,18 @@
 	if err != nil {
 		return nil, err
 	}
-	call := converter.Call(encoder.CallKind_CALL_KIND_SPILL, req, d.clock.Now())
-	if err := s.Send(&encoder.Request{Kind: &encoder.Request_Call{Call: call}}); err != nil {
+	if err := s.Send(d.spillRequest(req)); err != nil {
 		s.Close()
 		return nil, err
 	}
 	return s, nil
 }
 
+func (d *Dispatcher) spillRequest(req forwarder.Request) *encoder.Request {
+	call := converter.Call(encoder.CallKind_CALL_KIND_SPILL, req, d.clock.Now())
+	return &encoder.Request{Kind: &encoder.Request_Call{Call: call}}
+}
+
 // spillTargets returns the entry VMs of other zones that say they have room,
 // those of this region first. Equals are drawn at random, so that the VMs of a
 // zone don't all spill to the same one.
--- a/internal/route/forwarder/header.go
+++ b/internal/route/forwarder/header.go
@@ -3,6 +3,7 @@
 import (
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 
 	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
@@ -26,7 +27,7 @@
 	}
 	out := make([]arbiter.Header, 0, len(h))
 	for name, values := range h {
-		if dropped(name) || contains(named, name) {
+		if dropped(name) || slices.Contains(named, name) {
 			continue
 		}
 		for _, v := range values {
@@ -47,12 +48,3 @@
 	}
 	return strings.HasPrefix(name, ownPrefix)
 }
-
-func contains(names []string, name string) bool {
-	for _, n := range names {
-		if n == name {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/share/claimer/claimer.go
+++ b/internal/share/claimer/claimer.go
@@ -10,6 +10,7 @@
 
 import (
 	"encoding/json"
+	"slices"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -84,7 +85,7 @@
 	for o := namer.Ordinal(1); int(o) <= w.Count; o++ {
 		h, held := t.holder(o)
 		clean := !held || h.Released
-		if !clean && h.VM != w.VM && contains(w.Listed, h.VM) {
+		if !clean && h.VM != w.VM && slices.Contains(w.Listed, h.VM) {
 			continue
 		}
 		from := now
@@ -130,12 +131,3 @@
 	}
 	return next
 }
-
-func contains(vms []namer.VM, vm namer.VM) bool {
-	for _, v := range vms {
-		if v == vm {
-			return true
-		}
-	}
-	return false
-}
--- a/internal/share/claimer/service.go
+++ b/internal/share/claimer/service.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
 	"sync"
 	"time"
 
@@ -85,13 +86,6 @@
 	}
 }
 
-// Claimed returns the ordinal that may be used now.
-func (c *Claimer) Claimed() Claimed {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.claimed
-}
-
 // Release gives the ordinal back, so that a successor may use it at once. It
 // is called when nothing is in flight any more.
 func (c *Claimer) Release(ctx context.Context) error {
@@ -102,8 +96,8 @@
 	if held == 0 {
 		return nil
 	}
-	return c.update(ctx, func(t Table) (Table, error) {
-		return Release(t, c.self.Incarnation.Text()), nil
+	return c.update(ctx, func(t Table) Table {
+		return Release(t, c.self.Incarnation.Text())
 	})
 }
 
@@ -132,25 +126,25 @@
 	for _, vm := range listed {
 		want.Listed = append(want.Listed, vm.VM)
 	}
-	if !contains(want.Listed, c.self.VM) {
+	if !slices.Contains(want.Listed, c.self.VM) {
 		// Others would take a holder that the list lacks for one that is gone.
 		return Claimed{}, errors.New("the platform's list does not have this VM yet")
 	}
 	var claimed Claimed
-	err = c.update(ctx, func(t Table) (Table, error) {
+	err = c.update(ctx, func(t Table) Table {
 		if o, ok := t.Held(want.Incarnation); ok {
 			// An earlier write took effect although its answer was lost.
 			claimed = Claimed{Ordinal: o, From: c.clock.Now().Add(force.Document.LongestDeadline())}
-			return t, nil
+			return t
 		}
 		var next Table
 		next, claimed = Claim(t, want, c.clock.Now(), force.Document.LongestDeadline())
-		return next, nil
+		return next
 	})
 	return claimed, err
 }
 
-func (c *Claimer) update(ctx context.Context, change func(Table) (Table, error)) error {
+func (c *Claimer) update(ctx context.Context, change func(Table) Table) error {
 	key := Key(c.self.Zone)
 	obj, err := c.platform.Get(ctx, key)
 	table := Table{}
@@ -163,11 +157,7 @@
 			return err
 		}
 	}
-	next, err := change(table)
-	if err != nil {
-		return err
-	}
-	raw, err := next.Encode()
+	raw, err := change(table).Encode()
 	if err != nil {
 		return err
 	}
