--- a/internal/config/checker/checker.go
+++ b/internal/config/checker/checker.go
@@ -92,6 +92,12 @@
 	return n
 }
 
+// Ratio returns the key's ratio.
+func (e Entry) Ratio(key string) float64 {
+	f, _ := strconv.ParseFloat(e.Text(key), 64)
+	return f
+}
+
 // Duration returns the key's duration.
 func (e Entry) Duration(key string) time.Duration {
 	d, _ := time.ParseDuration(e.Text(key))
@@ -238,6 +244,8 @@
 		return checkChoice(k.Choices, text)
 	case Prefix:
 		return checkPrefix(text)
+	case Ratio:
+		return checkRatio(text)
 	case Text:
 		if text == "" {
 			return "empty value"
@@ -300,6 +308,13 @@
 	return ""
 }
 
+func checkRatio(text string) string {
+	if f, err := strconv.ParseFloat(text, 64); err != nil || !(f >= 0 && f <= 1) {
+		return fmt.Sprintf("%q is not a ratio from 0 to 1", text)
+	}
+	return ""
+}
+
 func checkChoice(choices []string, text string) string {
 	if slices.Contains(choices, text) {
 		return ""
--- a/internal/config/checker/schema.go
+++ b/internal/config/checker/schema.go
@@ -27,13 +27,14 @@
 	Switch
 	Choice
 	Prefix
+	Ratio
 )
 
 type (
 	// Kind is the type of a key's value.
 	Kind int
 
-	// Key describes one key of a group. Min and Max bound numbers in the
+	// Key describes one key of a group. A ratio is from 0 to 1. Min and Max bound numbers in the
 	// key's unit and durations in nanoseconds; both zero means unbounded.
 	Key struct {
 		Name     string
@@ -77,7 +78,7 @@
 
 // String names the kind as the pages do.
 func (k Kind) String() string {
-	return [...]string{"text", "number", "duration", "address", "switch", "choice", "prefix"}[k]
+	return [...]string{"text", "number", "duration", "address", "switch", "choice", "prefix", "ratio"}[k]
 }
 
 // Error returns the problem on one line.
--- a/internal/config/documenter/documenter.go
+++ b/internal/config/documenter/documenter.go
@@ -76,6 +76,8 @@
 		return "IP:PORT"
 	case checker.Prefix:
 		return "IP/BITS"
+	case checker.Ratio:
+		return "0 to 1"
 	case checker.Text:
 	}
 	return ""
--- a/internal/document/parser/nodes.go
+++ b/internal/document/parser/nodes.go
@@ -27,6 +27,8 @@
 		Drains     []Drain
 		Shifts     []Shift
 		Exceptions []Exception
+		Routes     []Route
+		Ingress    Ingress
 
 		entries []checker.Entry
 	}
@@ -41,9 +43,43 @@
 		Reserve      int
 		Retry        int
 		Eject        int
+		Conns        int
+		Warmup       time.Duration
+		ColdRate     int
 		Classes      []Class
 	}
 
+	// Route says where requests of one host below one path go. Target is the
+	// latency that answers should keep, Timeout the longest wait. Rank 0 is the
+	// most urgent. No regions means that every region may serve.
+	Route struct {
+		Name     namer.Route
+		Host     string
+		Path     string
+		Parts    []Part
+		Once     bool
+		Timeout  time.Duration
+		Target   time.Duration
+		Attempts int
+		Rank     int
+		Regions  []namer.Region
+		Affinity bool
+	}
+
+	// Part is one service of a route and its weight among the others.
+	Part struct {
+		Service namer.Service
+		Weight  int
+	}
+
+	// Ingress bounds what callers of routes may send.
+	Ingress struct {
+		HeadBytes int
+		BodyBytes int64
+		ReadTime  time.Duration
+		IdleTime  time.Duration
+	}
+
 	// Class is a class of requests.
 	Class struct {
 		Name     namer.Class
--- a/internal/document/parser/parser.go
+++ b/internal/document/parser/parser.go
@@ -92,6 +92,10 @@
 		d.Services = append(d.Services, newService(e))
 	case "class":
 		d.addClass(e)
+	case "route":
+		d.Routes = append(d.Routes, newRoute(e))
+	case "ingress":
+		d.Ingress = newIngress(e)
 	case "zone":
 		d.Zones = append(d.Zones, Zone{
 			Name:   namer.Zone(e.Name),
@@ -130,6 +134,9 @@
 		Reserve:      int(e.Number("reserve")),
 		Retry:        int(e.Number("retry")),
 		Eject:        int(e.Number("eject")),
+		Conns:        int(e.Number("conns")),
+		Warmup:       e.Duration("warmup"),
+		ColdRate:     int(e.Number("coldrate")),
 	}
 }
 
--- a/internal/document/parser/relater.go
+++ b/internal/document/parser/relater.go
@@ -21,6 +21,8 @@
 	switch e.Kind {
 	case "class":
 		return d.relateClass(e)
+	case "route":
+		return d.relateRoute(e)
 	case "upstream":
 		return append(d.needService(e), d.needZone(e, e.Text("zone"))...)
 	case "block":
--- a/internal/document/parser/schema.go
+++ b/internal/document/parser/schema.go
@@ -41,7 +41,7 @@
 func schemaOf(s Section) (checker.Schema, bool) {
 	switch s {
 	case Services:
-		return checker.Schema{Groups: []checker.Group{serviceGroup(), classGroup()}}, true
+		return checker.Schema{Groups: []checker.Group{serviceGroup(), classGroup(), routeGroup(), ingressGroup()}}, true
 	case Places:
 		return checker.Schema{Groups: []checker.Group{zoneGroup(), upstreamGroup(), blockGroup()}}, true
 	case Drains:
@@ -84,6 +84,18 @@
 			Name: "eject", Kind: checker.Number, Default: "50", Min: 0, Max: 90, Unit: "percent",
 			Doc: "the largest part of a zone's upstreams that may be ejected for failing",
 		},
+		{
+			Name: "conns", Kind: checker.Number, Default: "330", Min: 1, Max: 1000000, Unit: "connections",
+			Doc: "how many connections a discovered upstream accepts from all entry VMs together",
+		},
+		{
+			Name: "warmup", Kind: checker.Duration, Default: "3s", Min: 0, Max: int64(time.Hour),
+			Doc: "how long a discovered upstream stays cold after a start",
+		},
+		{
+			Name: "coldrate", Kind: checker.Number, Default: "0", Min: 0, Max: 1000000, Unit: "requests/s",
+			Doc: "what a cold upstream takes from all entry VMs together; 0 means no limit",
+		},
 	}}
 }
 
@@ -100,6 +112,36 @@
 	}}
 }
 
+func routeGroup() checker.Group {
+	return checker.Group{Kind: "route", Named: true, Doc: "requests of one host below one path, which go to a service or are split over several", Keys: []checker.Key{
+		{Name: "host", Kind: checker.Text, Required: true, Doc: "the host that callers name"},
+		{Name: "path", Kind: checker.Text, Required: true, Doc: "the prefix of the path, which begins and ends with /; the longest that fits wins"},
+		{Name: "split", Kind: checker.Text, Required: true, Doc: "the services with their weights, as SERVICE:WEIGHT separated by spaces"},
+		{Name: "once", Kind: checker.Switch, Default: "no", Doc: "whether a request may run at most once"},
+		{
+			Name: "timeout", Kind: checker.Duration, Default: "5s", Min: int64(time.Millisecond), Max: int64(time.Hour),
+			Doc: "the longest time that a caller is kept waiting",
+		},
+		{
+			Name: "target", Kind: checker.Duration, Default: "500ms", Min: int64(time.Millisecond), Max: int64(time.Hour),
+			Doc: "the latency that answers should keep",
+		},
+		{Name: "attempts", Kind: checker.Number, Default: "1", Min: 1, Max: 100, Unit: "upstreams", Doc: "the most upstreams that one request may be sent to"},
+		{Name: "rank", Kind: checker.Number, Default: "0", Min: 0, Max: 1000, Unit: "", Doc: "the urgency; 0 is the most urgent"},
+		{Name: "regions", Kind: checker.Text, Doc: "the regions that may serve the route, separated by spaces; none means all"},
+		{Name: "affinity", Kind: checker.Switch, Default: "no", Doc: "whether requests for one object should keep to the same upstreams"},
+	}}
+}
+
+func ingressGroup() checker.Group {
+	return checker.Group{Kind: "ingress", Doc: "what callers of routes may send, and how long they may take", Keys: []checker.Key{
+		{Name: "head", Kind: checker.Number, Default: "16384", Min: 256, Max: 16 << 20, Unit: "bytes", Doc: "the largest request head; above it 431"},
+		{Name: "body", Kind: checker.Number, Default: "1048576", Min: 0, Max: 1 << 40, Unit: "bytes", Doc: "the largest request body; above it 413"},
+		{Name: "read", Kind: checker.Duration, Default: "5s", Min: int64(time.Millisecond), Max: int64(time.Hour), Doc: "the time within which a request must have been read; above it 408"},
+		{Name: "idle", Kind: checker.Duration, Default: "15s", Min: int64(time.Millisecond), Max: int64(time.Hour), Doc: "how long a kept connection may stay idle"},
+	}}
+}
+
 func zoneGroup() checker.Group {
 	return checker.Group{Kind: "zone", Named: true, Doc: "an availability zone", Keys: []checker.Key{
 		{Name: "region", Kind: checker.Text, Required: true, Doc: "the zone's region"},
--- a/internal/kernel/namer/namer.go
+++ b/internal/kernel/namer/namer.go
@@ -31,6 +31,8 @@
 	Service string
 	// Class names a class of requests within a service.
 	Class string
+	// Route names a route of the steering document.
+	Route string
 	// Upstream names an upstream.
 	Upstream string
 	// Author names the operator who made an edit.
--- /dev/null
+++ b/internal/kernel/runner/routed.go
@@ -0,0 +1,259 @@
+package runner
+
+import (
+	"context"
+	"expvar"
+	"log/slog"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/follower"
+	"github.com/waxwingloom/waxwingloom/internal/document/importer"
+	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/front/locator"
+	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
+	"github.com/waxwingloom/waxwingloom/internal/member/enroller"
+	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
+	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+	"github.com/waxwingloom/waxwingloom/internal/peer/answerer"
+	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+	"github.com/waxwingloom/waxwingloom/internal/route/selector"
+	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
+	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/discoverer"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
+	"github.com/waxwingloom/waxwingloom/platform"
+)
+
+// The names of the services that steer by routes.
+const (
+	enrollName    registrar.Name = "enroll"
+	discoverName  registrar.Name = "discover"
+	configName    registrar.Name = "config"
+	upstreamsName registrar.Name = "upstreams"
+	drainsName    registrar.Name = "drains"
+	steerName     registrar.Name = "steer"
+	directoryName registrar.Name = "directory"
+	readyName     registrar.Name = "ready"
+)
+
+const (
+	// adminHeaderTime bounds the reading of a request's head on the listeners
+	// that only the platform and callers' look-ups use.
+	adminHeaderTime = 5 * time.Second
+	// headMost is the largest head that the HTTP library reads; the document's
+	// own limit is checked afterwards and is answered.
+	headMost = 1 << 20
+)
+
+// routedPorts are the listeners that only steering by routes has.
+type routedPorts struct {
+	ready  net.Listener
+	lookup net.Listener
+}
+
+// registerRouted registers the services that steer by routes.
+func registerRouted(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
+	registerBase(r, s, log)
+	r.Register(platformName, nil, func(registrar.Finder) (any, func(), error) {
+		client, cleanup := platform.NewClient(s.Platform)
+		return client, cleanup, nil
+	})
+	registerRoutedMembers(r, s, log)
+	registerDiscovery(r, log)
+	registerSteering(r, s, log)
+	registerRoutedFront(r, s, log)
+}
+
+func registerRoutedMembers(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
+	needs := []registrar.Name{portsName, clockName, platformName}
+	r.Register(enrollName, needs, func(f registrar.Finder) (any, func(), error) {
+		self := storer.ListedVM{VM: s.VM, Zone: s.Zone, Peers: f.Find(portsName).(*ports).advertised(s)}
+		return enroller.New(f.Find(platformName).(*platform.Client), self, f.Find(clockName).(clockwork.Clock), log), nil, nil
+	})
+	needs = []registrar.Name{portsName, clockName, peersName, enrollName, documentsName}
+	r.Register(membersName, needs, func(f registrar.Finder) (any, func(), error) {
+		return newMembers(f, s, log, f.Find(enrollName).(*enroller.Enroller)), nil, nil
+	})
+	needs = []registrar.Name{clockName, peersName, membersName, documentsName}
+	r.Register(answersName, needs, func(f registrar.Finder) (any, func(), error) {
+		services := answerer.Services{
+			Members:   f.Find(membersName).(*heartbeater.Heartbeater),
+			Documents: f.Find(documentsName).(*keeper.Keeper),
+		}
+		return &peerServer{
+			messenger: f.Find(peersName).(*messenger.Messenger),
+			answerer:  answerer.New(services, f.Find(clockName).(clockwork.Clock), log),
+		}, nil, nil
+	})
+}
+
+// registerDiscovery registers what follows the store.
+func registerDiscovery(r *registrar.Registrar, log *slog.Logger) {
+	r.Register(discoverName, []registrar.Name{clockName}, func(f registrar.Finder) (any, func(), error) {
+		return discoverer.New(platform.Upstream, f.Find(clockName).(clockwork.Clock), log), nil, nil
+	})
+	follow := func(name registrar.Name, kind storer.Kind, need registrar.Name, handler func(registrar.Finder) follower.Handler) {
+		needs := []registrar.Name{platformName, clockName, need}
+		r.Register(name, needs, func(f registrar.Finder) (any, func(), error) {
+			clock := f.Find(clockName).(clockwork.Clock)
+			return follower.New(f.Find(platformName).(*platform.Client), kind, handler(f), clock, log), nil, nil
+		})
+	}
+	follow(configName, platform.ConfigKind, documentsName, func(f registrar.Finder) follower.Handler {
+		return importer.New(platform.Document, platform.ConfigName, f.Find(documentsName).(*keeper.Keeper), log)
+	})
+	follow(upstreamsName, platform.UpstreamKind, discoverName, func(f registrar.Finder) follower.Handler {
+		return f.Find(discoverName).(*discoverer.Discoverer).Upstreams()
+	})
+	follow(drainsName, platform.DrainKind, discoverName, func(f registrar.Finder) follower.Handler {
+		return f.Find(discoverName).(*discoverer.Discoverer).Drains()
+	})
+}
+
+func registerSteering(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
+	needs := []registrar.Name{clockName, documentsName, discoverName, membersName}
+	r.Register(steerName, needs, func(f registrar.Finder) (any, func(), error) {
+		clock := f.Find(clockName).(clockwork.Clock)
+		links, cleanup := exchanger.New(clock)
+		self := selector.Self{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
+		budget := steerer.Budget{Ratio: s.Routing.Resend, Window: s.Routing.Window}
+		st := steerer.New(self, platform.Headers(), budget, links, clock, log)
+		members := f.Find(membersName).(*heartbeater.Heartbeater)
+		members.OnChange(func() { countMembers(st, members, s) })
+		countMembers(st, members, s)
+		f.Find(documentsName).(*keeper.Keeper).Subscribe(func(force *keeper.Force) {
+			st.SetDocument(force.Document)
+			members.Kick()
+		})
+		f.Find(discoverName).(*discoverer.Discoverer).OnChange(st.SetUpstreams)
+		return st, cleanup, nil
+	})
+}
+
+// countMembers tells the steerer how many VMs there are. A VM that knows few
+// others takes it that each zone has at least one.
+func countMembers(st *steerer.Steerer, members *heartbeater.Heartbeater, s loader.Settings) {
+	others := members.Members()
+	names := make([]namer.VM, 0, len(others))
+	for _, m := range others {
+		if m.State != tracker.Dead {
+			names = append(names, m.VM)
+		}
+	}
+	st.SetMembers(max(len(names)+1, len(s.Regions)), func(u namer.Upstream) int {
+		own := xxhash.Sum64String(string(s.VM) + "/" + string(u))
+		place := 0
+		for _, name := range names {
+			if xxhash.Sum64String(string(name)+"/"+string(u)) < own {
+				place++
+			}
+		}
+		return place
+	})
+}
+
+func registerRoutedFront(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
+	r.Register(callersName, []registrar.Name{clockName, steerName}, func(f registrar.Finder) (any, func(), error) {
+		limits := receiver.Limits{Requests: int64(s.Limits.Requests), Bytes: s.Limits.Bodies}
+		return receiver.New(f.Find(steerName).(*steerer.Steerer), platform.Headers(), limits,
+			f.Find(clockName).(clockwork.Clock), log), nil, nil
+	})
+	r.Register(frontName, []registrar.Name{portsName, callersName}, func(f registrar.Finder) (any, func(), error) {
+		server := &http.Server{
+			Handler:           f.Find(callersName).(*receiver.Receiver),
+			ReadHeaderTimeout: s.Limits.ReadTime,
+			IdleTimeout:       idleTime,
+			MaxHeaderBytes:    headMost,
+			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+		}
+		return &webServer{server: server, listener: f.Find(portsName).(*ports).callers}, nil, nil
+	})
+	r.Register(directoryName, []registrar.Name{membersName, steerName, callersName}, func(f registrar.Finder) (any, func(), error) {
+		members := f.Find(membersName).(*heartbeater.Heartbeater)
+		st := f.Find(steerName).(*steerer.Steerer)
+		locate := func(host string, p locator.Place) []string {
+			return locator.Choose(p, withSelf(members), st.Regions(host))
+		}
+		return openAdmin(s.Routing.Lookup, platform.Directory(locate, s.Routing.TTL))
+	})
+	r.Register(readyName, []registrar.Name{steerName, callersName}, func(f registrar.Finder) (any, func(), error) {
+		st := f.Find(steerName).(*steerer.Steerer)
+		front := f.Find(callersName).(*receiver.Receiver)
+		return openAdmin(s.Routing.Ready, platform.Ready(func() bool { return st.Ready() && !front.Leaving() }))
+	})
+	r.Register(operatorsName, []registrar.Name{portsName, steerName, documentsName}, func(f registrar.Finder) (any, func(), error) {
+		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeaderTime}
+		return &webServer{server: server, listener: f.Find(portsName).(*ports).operators}, nil, nil
+	})
+}
+
+// withSelf returns the members in view and this VM.
+func withSelf(h *heartbeater.Heartbeater) []tracker.Member {
+	self := h.Self()
+	if self.Leaving {
+		self.State = tracker.Leaving
+	}
+	return append(h.Members(), self)
+}
+
+func openAdmin(address string, handler http.Handler) (any, func(), error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, nil, errors.Wrap(err, "opening a listener")
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminHeaderTime}
+	return &webServer{server: server, listener: listener}, func() { _ = listener.Close() }, nil
+}
+
+func routedMetrics(f registrar.Finder) http.Handler {
+	st := f.Find(steerName).(*steerer.Steerer)
+	documents := f.Find(documentsName).(*keeper.Keeper)
+	m := new(expvar.Map).Init()
+	m.Set("requests", expvar.Func(func() any { return st.Counts() }))
+	m.Set("generation", expvar.Func(func() any { return documents.Generation() }))
+	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		_, _ = w.Write([]byte(m.String()))
+	})
+}
+
+const (
+	// stopMost is the part of the grace after which the process ends whatever
+	// is still in progress.
+	stopMost = 0.85
+	// quietTime is how long no request must have come before the process ends.
+	quietTime = 300 * time.Millisecond
+)
+
+// leaveRouted takes the daemon through its planned stop. Callers hear of it by
+// readiness, look-ups and the end of their kept connections; what they still
+// send is served.
+func leaveRouted(k *registrar.Kernel, s loader.Settings, log *slog.Logger) {
+	clock := k.Find(clockName).(clockwork.Clock)
+	front := k.Find(callersName).(*receiver.Receiver)
+	begun := clock.Now()
+	log.Info("leaving", "busy", front.Busy())
+	front.Leave()
+	k.Find(membersName).(*heartbeater.Heartbeater).Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+	defer cancel()
+	if err := k.Find(enrollName).(*enroller.Enroller).Withdraw(ctx); err != nil {
+		log.Warn("not withdrawn", "reason", err.Error())
+	}
+	// Callers may use an answer for as long as it holds.
+	if wait := s.Routing.TTL - clock.Since(begun); wait > 0 {
+		clock.Sleep(wait)
+	}
+	most := time.Duration(stopMost*float64(s.Routing.Grace)) - clock.Since(begun)
+	idle := waitIdle(clock, most, func() bool { return front.Busy() == 0 && front.Quiet() >= quietTime })
+	log.Info("left", "idle", idle, "busy", front.Busy(), "took", clock.Since(begun))
+}
--- a/internal/kernel/runner/runner.go
+++ b/internal/kernel/runner/runner.go
@@ -47,7 +47,13 @@
 	defer flush()
 	log = log.With("vm", string(s.VM))
 	r := registrar.New()
-	register(r, s, log)
+	leave := leave
+	if s.Routed() {
+		registerRouted(r, s, log)
+		leave = leaveRouted
+	} else {
+		register(r, s, log)
+	}
 	kernel, err := r.Build()
 	if err != nil {
 		log.Error("not started", "reason", err.Error())
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -105,14 +105,22 @@
 }
 
 func register(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
-	r.Register(clockName, nil, func(registrar.Finder) (any, func(), error) {
-		return clockwork.NewRealClock(), nil, nil
-	})
-	r.Register(portsName, nil, func(registrar.Finder) (any, func(), error) { return openPorts(s, log) })
+	registerBase(r, s, log)
 	r.Register(platformName, nil, func(registrar.Finder) (any, func(), error) {
 		p, cleanup := storer.New(s.Platform)
 		return p, cleanup, nil
 	})
+	registerMembers(r, s, log)
+	registerTokens(r, s, log)
+	registerFront(r, s, log)
+}
+
+// registerBase registers what every daemon has.
+func registerBase(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
+	r.Register(clockName, nil, func(registrar.Finder) (any, func(), error) {
+		return clockwork.NewRealClock(), nil, nil
+	})
+	r.Register(portsName, nil, func(registrar.Finder) (any, func(), error) { return openPorts(s, log) })
 	r.Register(documentsName, nil, func(registrar.Finder) (any, func(), error) {
 		return keeper.New(log), nil, nil
 	})
@@ -121,24 +129,22 @@
 		self := messenger.Identity{VM: s.VM, Incarnation: p.incarnation}
 		return wrap(messenger.New(p.peers, self, s.Keys, messenger.WithLogger(log)))
 	})
-	registerMembers(r, s, log)
-	registerTokens(r, s, log)
-	registerFront(r, s, log)
+}
+
+func newMembers(f registrar.Finder, s loader.Settings, log *slog.Logger, lister heartbeater.Lister) *heartbeater.Heartbeater {
+	p := f.Find(portsName).(*ports)
+	clock := f.Find(clockName).(clockwork.Clock)
+	peers := f.Find(peersName).(*messenger.Messenger)
+	services := heartbeater.Services{Peers: peers, Lister: lister, Documents: f.Find(documentsName).(*keeper.Keeper)}
+	h := heartbeater.New(p.member(s, clock.Now()), services, s.Seeds, timing(s), clock, log)
+	peers.OnDown(func(id messenger.Identity) { h.Doubt(id.Incarnation) })
+	return h
 }
 
 func registerMembers(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
 	needs := []registrar.Name{portsName, clockName, peersName, platformName, documentsName}
 	r.Register(membersName, needs, func(f registrar.Finder) (any, func(), error) {
-		p := f.Find(portsName).(*ports)
-		clock := f.Find(clockName).(clockwork.Clock)
-		services := heartbeater.Services{
-			Peers:     f.Find(peersName).(*messenger.Messenger),
-			Lister:    f.Find(platformName).(*storer.Storer),
-			Documents: f.Find(documentsName).(*keeper.Keeper),
-		}
-		h := heartbeater.New(p.member(s, clock.Now()), services, s.Seeds, timing(s), clock, log)
-		f.Find(peersName).(*messenger.Messenger).OnDown(func(id messenger.Identity) { h.Doubt(id.Incarnation) })
-		return h, nil, nil
+		return newMembers(f, s, log, f.Find(platformName).(*storer.Storer)), nil, nil
 	})
 	needs = []registrar.Name{clockName, platformName, documentsName, membersName}
 	r.Register(watchName, needs, func(f registrar.Finder) (any, func(), error) {
--- a/internal/peer/answerer/answerer.go
+++ b/internal/peer/answerer/answerer.go
@@ -49,7 +49,8 @@
 		Current() *keeper.Force
 	}
 
-	// Services is what an answerer works with.
+	// Services is what an answerer works with. Without Tokens and Router it
+	// answers only members.
 	Services struct {
 		Members   Members
 		Tokens    Tokens
@@ -79,27 +80,33 @@
 
 // Handle implements messenger.Handler.
 func (a *Answerer) Handle(ctx context.Context, from messenger.Identity, req *encoder.Request, s *messenger.Stream) {
-	var err error
+	if err := a.handle(ctx, req, s); err != nil {
+		a.log.Debug("peer not answered", "from", string(from.VM), "reason", err.Error())
+	}
+}
+
+func (a *Answerer) handle(ctx context.Context, req *encoder.Request, s *messenger.Stream) error {
 	switch kind := req.GetKind().(type) {
 	case *encoder.Request_Heartbeat:
 		hb := a.services.Members.Answer(ctx, kind.Heartbeat)
-		err = s.Reply(&encoder.Reply{Kind: &encoder.Reply_Heartbeat{Heartbeat: hb}})
+		return s.Reply(&encoder.Reply{Kind: &encoder.Reply_Heartbeat{Heartbeat: hb}})
+	case *encoder.Request_Pull:
+		return a.document(s)
+	}
+	if a.services.Tokens == nil {
+		return errors.New("this VM serves no once-only requests")
+	}
+	switch kind := req.GetKind().(type) {
 	case *encoder.Request_Intent:
-		err = a.verdict(s, kind.Intent.GetToken(), a.services.Tokens.Intend)
+		return a.verdict(s, kind.Intent.GetToken(), a.services.Tokens.Intend)
 	case *encoder.Request_Seal:
-		err = a.verdict(s, kind.Seal.GetToken(), a.services.Tokens.Seal)
+		return a.verdict(s, kind.Seal.GetToken(), a.services.Tokens.Seal)
 	case *encoder.Request_Outcome:
-		err = a.settle(s, kind.Outcome)
+		return a.settle(s, kind.Outcome)
 	case *encoder.Request_Call:
-		err = a.call(ctx, s, kind.Call)
-	case *encoder.Request_Pull:
-		err = a.document(s)
-	default:
-		err = errors.New("unknown request")
-	}
-	if err != nil {
-		a.log.Debug("peer not answered", "from", string(from.VM), "reason", err.Error())
+		return a.call(ctx, s, kind.Call)
 	}
+	return errors.New("unknown request")
 }
 
 func (a *Answerer) verdict(s *messenger.Stream, raw *encoder.Token, judge func(arbiter.Token) arbiter.Verdict) error {
--- /dev/null
+++ b/internal/platform/storer/records.go
@@ -0,0 +1,60 @@
+package storer
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/cockroachdb/errors"
+)
+
+// The errors of the platform's calls beside those of single objects.
+var (
+	ErrHistory = errors.New("the platform no longer has the changes since then")
+	ErrBusy    = errors.New("the platform did nothing and asks to come back later")
+)
+
+type (
+	// Kind names a collection of records.
+	Kind string
+
+	// Record is one object of a kind, with what its owner wrote in Spec and
+	// what others report of it in Status.
+	Record struct {
+		Name    string
+		Version Version
+		Spec    json.RawMessage
+		Status  json.RawMessage
+	}
+
+	// Page is a part of a kind's records, in the order of their names, as of a
+	// version of the whole platform.
+	Page struct {
+		Records []Record
+		More    bool
+		At      Version
+	}
+
+	// Change is one step in a kind's history.
+	Change struct {
+		Record  Record
+		Removed bool
+	}
+
+	// Changes is what happened up to a version of the whole platform.
+	Changes struct {
+		List []Change
+		At   Version
+	}
+
+	// Calls is the platform's object API. Every call ends by itself; a write
+	// that got no answer returns ErrLost.
+	Calls interface {
+		Read(ctx context.Context, kind Kind, name string) (Record, error)
+		List(ctx context.Context, kind Kind, after string) (Page, error)
+		Changes(ctx context.Context, kind Kind, since Version, wait time.Duration) (Changes, error)
+		Create(ctx context.Context, kind Kind, name string, spec json.RawMessage) (Version, error)
+		Replace(ctx context.Context, kind Kind, name string, spec json.RawMessage, version Version) (Version, error)
+		Delete(ctx context.Context, kind Kind, name string) error
+	}
+)
--- /dev/null
+++ b/internal/route/selector/selector.go
@@ -0,0 +1,229 @@
+// Package selector decides which upstream a request goes to. Each object has
+// its upstreams in an order that every VM computes alike, so that an object
+// stays warm on a few of them. Among these and the others the one with the
+// lowest expected latency is taken: its queue, its speed, the way there, and
+// the work of an object that it has not handled lately.
+//
+// It answers the pattern in which load rises beyond what the upstreams of a
+// region can do: a cold second choice costs several times the work of a warm
+// one, so requests wait a little for a warm slot before they are sent to
+// another upstream.
+//
+// The package is pure and not safe for concurrent use.
+//
+// # Usage
+//
+//	s := selector.New(self)
+//	s.Update(now, view, doc)
+//	d := s.Decide(now, ask)
+//	if d.Kind == selector.Send {
+//		s.Begin(now, d)
+//		s.End(now, d, report)
+//	}
+package selector
+
+import (
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+// What a decision says.
+const (
+	Send Kind = iota
+	Wait
+	Refuse
+)
+
+// Why it says so.
+const (
+	ByPrimary  Reason = "primary"
+	BySecond   Reason = "second"
+	ByOverflow Reason = "overflow"
+	ByFull     Reason = "full"
+	ByLate     Reason = "late"
+	ByNone     Reason = "no-upstream"
+)
+
+type (
+	// Kind says what is to be done with a request now.
+	Kind int
+
+	// Reason says why.
+	Reason string
+
+	// Self says where this VM is.
+	Self struct {
+		VM     namer.VM
+		Zone   namer.Zone
+		Region namer.Region
+		// Regions tells the region of each zone.
+		Regions map[namer.Zone]namer.Region
+	}
+
+	// Ask is a request that needs an upstream. Object is what it is about, and
+	// empty when it is about none that upstreams remember. Due is when its
+	// answer must be there, Ideal when it should be.
+	Ask struct {
+		Route   *parser.Route
+		Service namer.Service
+		Object  string
+		Ideal   time.Time
+		Due     time.Time
+		// Tried are upstreams that it was sent to before.
+		Tried []namer.Upstream
+	}
+
+	// Decision is what to do with a request. Expected is the latency that is
+	// expected, RetryAfter when a refused caller should come back.
+	Decision struct {
+		Kind       Kind
+		Reason     Reason
+		Expected   time.Duration
+		RetryAfter time.Duration
+		// Load is the requests that the upstream is thought to have.
+		Load float64
+
+		node  *node
+		route namer.Route
+		warm  bool
+		idle  bool
+	}
+
+	// Selector holds what is known of the upstreams.
+	Selector struct {
+		self     Self
+		services map[namer.Service]*service
+		nodes    map[namer.Upstream]*node
+		latency  map[namer.Route]time.Duration
+		drained  map[namer.Zone]bool
+		vms      int
+		rank     func(namer.Upstream) int
+	}
+
+	service struct {
+		parser.Service
+		nodes []*node
+	}
+)
+
+// New returns a selector that knows no upstream.
+func New(self Self) *Selector {
+	return &Selector{
+		self:     self,
+		services: make(map[namer.Service]*service),
+		nodes:    make(map[namer.Upstream]*node),
+		latency:  make(map[namer.Route]time.Duration),
+		vms:      1,
+		rank:     func(namer.Upstream) int { return 0 },
+	}
+}
+
+// SetMembers takes over how many VMs there are, and a function that gives this
+// VM's place among them for an upstream.
+func (s *Selector) SetMembers(vms int, rank func(namer.Upstream) int) {
+	s.vms = max(vms, 1)
+	s.rank = rank
+}
+
+// Decide returns what to do with a request now.
+func (s *Selector) Decide(now time.Time, a Ask) Decision {
+	svc := s.services[a.Service]
+	if svc == nil {
+		return Decision{Kind: Refuse, Reason: ByNone, RetryAfter: retryUnknown}
+	}
+	work := s.work(a.Route)
+	best := Decision{Kind: Refuse, Reason: ByNone, RetryAfter: retryUnknown}
+	var bestCost time.Duration
+	for i, c := range s.candidates(now, svc, a) {
+		d := s.weigh(now, c, i, work)
+		cost := d.Expected + preference(i, work, a.Object != "")
+		if d.node == nil || (best.node != nil && cost >= bestCost) {
+			continue
+		}
+		best = d
+		bestCost = cost
+	}
+	if best.node == nil {
+		return best
+	}
+	best.route = a.Route.Name
+	return settle(now, a, best)
+}
+
+// settle says whether the best upstream is to be used now.
+func settle(now time.Time, a Ask, d Decision) Decision {
+	left := a.Due.Sub(now)
+	switch {
+	case d.Expected > left:
+		d.Kind = Refuse
+		d.Reason = ByLate
+		d.RetryAfter = d.Expected - left
+	case d.Load >= d.node.capacity():
+		d.Kind = Wait
+		d.Reason = ByFull
+	default:
+		d.Kind = Send
+	}
+	return d
+}
+
+// weigh returns what a request at a candidate would mean. Place is the
+// candidate's place in the object's order.
+func (s *Selector) weigh(now time.Time, n *node, place int, work time.Duration) Decision {
+	load := n.load(now)
+	d := Decision{node: n, Load: load, Reason: ByPrimary, warm: place < copies}
+	effort := n.effort(now, work)
+	switch {
+	case place == 1:
+		d.Reason = BySecond
+	case place >= copies:
+		d.Reason = ByOverflow
+		effort = time.Duration(float64(effort) * coldWork)
+	}
+	slots := float64(n.Slots)
+	d.idle = load < slots
+	queued := max(0, load+1-slots)
+	d.Expected = time.Duration(queued/slots*float64(n.effort(now, work))) + effort + s.way(n)
+	return d
+}
+
+// preference is added to an upstream's cost to keep an object where it is
+// while that costs little.
+func preference(place int, work time.Duration, affinity bool) time.Duration {
+	if !affinity || place == 0 {
+		return 0
+	}
+	if place < copies {
+		return time.Duration(secondCost * float64(work))
+	}
+	return time.Duration(overflowCost * float64(work))
+}
+
+// work returns the latency of a warm request of a route on an idle upstream.
+func (s *Selector) work(r *parser.Route) time.Duration {
+	if w, ok := s.latency[r.Name]; ok {
+		return w
+	}
+	return r.Target / 2
+}
+
+// way is the time to an upstream and back beyond that within the zone.
+func (s *Selector) way(n *node) time.Duration {
+	return n.way
+}
+
+// Begin counts a request as sent.
+func (s *Selector) Begin(now time.Time, d Decision) {
+	d.node.own++
+	if d.node.cold(now) {
+		d.node.pace.Take(now)
+	}
+}
+
+// Upstream returns the upstream of a decision.
+func (d Decision) Upstream() (name namer.Upstream, born int64, address string, conns int) {
+	n := d.node
+	return n.Upstream.Upstream, n.Born, n.Address, n.conns
+}
--- /dev/null
+++ b/internal/route/steerer/attempt.go
@@ -0,0 +1,304 @@
+package steerer
+
+import (
+	"bytes"
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/route/selector"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
+)
+
+const (
+	// startingRetry is when a caller should come back to a VM that has no
+	// document yet; reading it takes a few round trips to the store.
+	startingRetry = 200 * time.Millisecond
+	// leastLeft is the time below which a request is not sent any more; the way
+	// to an upstream and back takes as long.
+	leastLeft = 20 * time.Millisecond
+	// unreachedTries bounds the upstreams that could not be reached before a
+	// request is refused.
+	unreachedTries = 4
+)
+
+// What an attempt at one upstream showed.
+const (
+	finished verdict = iota
+	// unreached and refused prove that the request did not run.
+	unreached
+	refused
+	// unknown says that it may have run.
+	unknown
+	canceled
+)
+
+type (
+	verdict int
+
+	// attempts is the state of one request on its way.
+	attempts struct {
+		request Request
+		route   *parser.Route
+		service namer.Service
+		due     time.Time
+		tried   []namer.Upstream
+		sent    int
+		misses  int
+		// ran says that an upstream may have run the request.
+		ran  bool
+		last Result
+	}
+)
+
+// Steer takes a request to an upstream and returns the result. The end of ctx
+// says that the caller has gone.
+func (s *Steerer) Steer(ctx context.Context, r Request) Result {
+	route, service, failed := s.match(r)
+	if route == nil {
+		return failed
+	}
+	limit := route.Timeout
+	if r.Remaining > 0 {
+		limit = min(limit, r.Remaining)
+	}
+	a := &attempts{request: r, route: route, service: service, due: r.Arrived.Add(limit)}
+	result := s.run(ctx, a)
+	s.note(a, result)
+	return result
+}
+
+func (s *Steerer) run(ctx context.Context, a *attempts) Result {
+	for {
+		d := s.acquire(ctx, a)
+		if ctx.Err() != nil {
+			if d.Kind == selector.Send {
+				s.release(a, d, selector.Report{Load: -1, Unknown: true})
+			}
+			return failure(http.StatusServiceUnavailable, CodeGone, "the caller has gone", 0)
+		}
+		if d.Kind != selector.Send {
+			return s.refuse(a, d)
+		}
+		result, v := s.attempt(ctx, a, d)
+		switch v {
+		case finished:
+			return result
+		case canceled:
+			return failure(http.StatusBadGateway, CodeGone, "the caller has gone", 0)
+		case unreached:
+			a.misses++
+		case refused:
+			a.last = result
+		case unknown:
+			a.ran = true
+			a.last = result
+		}
+		if !s.again(a, v) {
+			return s.giveUp(a)
+		}
+	}
+}
+
+// again reports whether the request may be sent to another upstream.
+func (s *Steerer) again(a *attempts, v verdict) bool {
+	now := s.clock.Now()
+	if a.due.Sub(now) < leastLeft || a.misses > unreachedTries {
+		return false
+	}
+	if v == unreached {
+		return true
+	}
+	if v == unknown && a.route.Once || a.sent >= a.route.Attempts {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.budgetOf(a.service).Spend(now) {
+		return false
+	}
+	s.counts.Resent++
+	return true
+}
+
+// giveUp is the result of a request that no further upstream may get.
+func (s *Steerer) giveUp(a *attempts) Result {
+	if !a.ran {
+		return failure(http.StatusServiceUnavailable, CodeRefused, "no upstream took the request", s.retryAfter(a))
+	}
+	if a.last.Code == "" {
+		return a.last
+	}
+	if !s.clock.Now().Before(a.due) {
+		return failure(http.StatusGatewayTimeout, CodeLate, a.last.Reason, 0)
+	}
+	return failure(http.StatusBadGateway, CodeUnknown, a.last.Reason, 0)
+}
+
+// refuse is the result of a request for which no upstream can be had in time.
+func (s *Steerer) refuse(a *attempts, d selector.Decision) Result {
+	if a.ran {
+		return s.giveUp(a)
+	}
+	return failure(http.StatusServiceUnavailable, CodeRefused, string(d.Reason), d.RetryAfter)
+}
+
+func (s *Steerer) retryAfter(a *attempts) time.Duration {
+	return max(a.route.Target/2, startingRetry)
+}
+
+// attempt sends a request to one upstream.
+func (s *Steerer) attempt(ctx context.Context, a *attempts, d selector.Decision) (Result, verdict) {
+	name, born, address, conns := d.Upstream()
+	begun := s.clock.Now()
+	left := a.due.Sub(begun)
+	if left < leastLeft {
+		s.release(a, d, selector.Report{Load: -1, Unknown: true})
+		return failure(http.StatusServiceUnavailable, CodeLate, "no time is left", s.retryAfter(a)), unreached
+	}
+	if a.route.Once {
+		// What may run only once goes on when its caller leaves.
+		ctx = context.WithoutCancel(ctx)
+	}
+	answer, err := s.upstreams.Exchange(ctx,
+		exchanger.Target{Upstream: name, Born: born, Address: address, Conns: conns},
+		exchanger.Request{
+			Method:        a.request.Method,
+			Head:          s.head(a, name, left),
+			Body:          a.request.Body,
+			AttemptHeader: s.headers.Attempt,
+			Attempt:       a.request.Attempt,
+			Deadline:      a.due,
+		})
+	a.tried = append(a.tried, name)
+	took := s.clock.Since(begun)
+	if errors.Is(err, exchanger.ErrUnsent) {
+		s.release(a, d, selector.Report{Unreached: ctx.Err() == nil, Unknown: ctx.Err() != nil, Load: -1})
+		s.logAttempt(a, name, 0, "unreached", took, err)
+		return failure(http.StatusServiceUnavailable, CodeRefused, err.Error(), 0), unreached
+	}
+	a.sent++
+	if err != nil {
+		return s.broken(ctx, a, d, name, took, err)
+	}
+	return s.answered(a, d, name, took, answer)
+}
+
+// broken judges a send that got no whole answer.
+func (s *Steerer) broken(
+	ctx context.Context, a *attempts, d selector.Decision, name namer.Upstream, took time.Duration, err error,
+) (Result, verdict) {
+	gone := ctx.Err() != nil
+	s.release(a, d, selector.Report{Failed: !gone, Unknown: gone, Load: -1})
+	s.logAttempt(a, name, 0, "broken", took, err)
+	if gone {
+		return Result{}, canceled
+	}
+	return failure(http.StatusBadGateway, CodeUnknown, err.Error(), 0), unknown
+}
+
+// answered judges an upstream's answer.
+func (s *Steerer) answered(
+	a *attempts, d selector.Decision, name namer.Upstream, took time.Duration, answer exchanger.Answer,
+) (Result, verdict) {
+	report := selector.Report{Latency: took, Load: loadOf(answer.Header.Get(s.headers.Load))}
+	result := Result{
+		Status: answer.Status, Header: answer.Header, Body: answer.Body, Rest: answer.Rest, Length: answer.Length,
+	}
+	switch {
+	case answer.Header.Get(s.headers.Refused) != "" || answer.Status == http.StatusMisdirectedRequest:
+		report.Refused = true
+		report.Latency = 0
+		s.release(a, d, report)
+		s.logAttempt(a, name, answer.Status, "refused", took, nil)
+		closeRest(answer)
+		return failure(http.StatusServiceUnavailable, CodeRefused, "the upstream refused the request", 0), refused
+	case answer.Header.Get("Content-Encoding") != "" || answer.Status < 300 && answer.Header.Get(s.headers.Signature) == "":
+		report.Failed = true
+		s.release(a, d, report)
+		s.logAttempt(a, name, answer.Status, "spoiled", took, nil)
+		closeRest(answer)
+		return failure(http.StatusBadGateway, CodeUnknown, "the answer is not the upstream's own", 0), unknown
+	case answer.Status >= http.StatusInternalServerError:
+		report.Failed = true
+		s.release(a, d, report)
+		s.logAttempt(a, name, answer.Status, "failed", took, nil)
+		if a.route.Once || answer.Rest != nil {
+			return result, finished
+		}
+		return result, unknown
+	}
+	s.release(a, d, report)
+	s.logAttempt(a, name, answer.Status, "answered", took, nil)
+	return result, finished
+}
+
+func closeRest(answer exchanger.Answer) {
+	if answer.Rest != nil {
+		_ = answer.Rest.Close()
+	}
+}
+
+// head is the request's head as it is sent to one upstream.
+func (s *Steerer) head(a *attempts, name namer.Upstream, left time.Duration) []byte {
+	r := a.request
+	var b bytes.Buffer
+	b.WriteString(r.Method + " " + r.Target + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
+	// A bytes.Buffer returns no error.
+	_ = r.Header.Write(&b)
+	b.WriteString(s.headers.Remaining + ": " + strconv.FormatInt(left.Milliseconds(), 10) + "\r\n")
+	b.WriteString(s.headers.Expect + ": " + string(name) + "\r\n")
+	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	}
+	b.WriteString("\r\n")
+	return b.Bytes()
+}
+
+// loadOf reads running and waiting requests, and returns -1 when there are none.
+func loadOf(text string) int {
+	fields := strings.Split(text, ",")
+	if len(fields) < 2 {
+		return -1
+	}
+	running, err := strconv.Atoi(strings.TrimSpace(fields[0]))
+	if err != nil {
+		return -1
+	}
+	queued, err := strconv.Atoi(strings.TrimSpace(fields[1]))
+	if err != nil {
+		return -1
+	}
+	return running + queued
+}
+
+func (s *Steerer) note(a *attempts, r Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case r.Code == "":
+		s.counts.Answered++
+	case r.Status == http.StatusServiceUnavailable:
+		s.counts.Refused++
+	default:
+		s.counts.Failed++
+	}
+	if a.misses > 0 || a.sent > 1 {
+		s.log.Debug("several upstreams", "attempt", a.request.Attempt, "sent", a.sent, "unreached", a.misses)
+	}
+}
+
+func (s *Steerer) logAttempt(a *attempts, name namer.Upstream, status int, what string, took time.Duration, err error) {
+	reason := ""
+	if err != nil {
+		reason = err.Error()
+	}
+	s.log.Info("sent", "attempt", a.request.Attempt, "route", string(a.route.Name), "service", string(a.service),
+		"upstream", string(name), "outcome", what, "status", status, "took", took, "reason", reason)
+}
--- /dev/null
+++ b/internal/route/steerer/steerer.go
@@ -0,0 +1,260 @@
+// Package steerer takes a request of a route to an upstream and returns its
+// answer, or says why there is none. A request that may run at most once is
+// sent a second time only with proof that the first send did not run; any other
+// only out of the retry budget.
+//
+// It answers the pattern in which more work comes than the upstreams can do:
+// requests wait in the order of urgency and time left, and one that can no
+// longer be answered in time is refused at once.
+//
+// # Usage
+//
+//	s, cleanup := steerer.New(self, headers, budget, clock, log)
+//	defer cleanup()
+//	s.SetDocument(doc)
+//	s.SetUpstreams(view)
+//	result := s.Steer(ctx, request)
+package steerer
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/route/matcher"
+	"github.com/waxwingloom/waxwingloom/internal/route/selector"
+	"github.com/waxwingloom/waxwingloom/internal/share/budgeter"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
+)
+
+// Why a request was not answered by an upstream.
+const (
+	CodeStarting  Code = "starting"
+	CodeNoRoute   Code = "no-route"
+	CodeRefused   Code = "refused"
+	CodeLate      Code = "late"
+	CodeGone      Code = "caller-gone"
+	CodeUnknown   Code = "unknown"
+	CodeBusy      Code = "busy"
+	CodeMalformed Code = "malformed"
+)
+
+type (
+	// Code names a reason for programs.
+	Code string
+
+	// Request is a caller's request, read whole.
+	Request struct {
+		Method  string
+		Host    string
+		Target  string
+		Path    string
+		Header  http.Header
+		Body    []byte
+		Attempt string
+		Object  string
+		Arrived time.Time
+		// Remaining is how long the caller waits, 0 when it did not say.
+		Remaining time.Duration
+	}
+
+	// Result is an upstream's answer, or a failure when Code is set. Rest is
+	// what is left of a long answer and must be closed.
+	Result struct {
+		Status     int
+		Header     http.Header
+		Body       []byte
+		Rest       io.ReadCloser
+		Length     int64
+		Code       Code
+		Reason     string
+		RetryAfter time.Duration
+	}
+
+	// Budget is the bound on second sends.
+	Budget struct {
+		Ratio  float64
+		Window time.Duration
+	}
+
+	// Upstreams sends one request to one upstream.
+	Upstreams interface {
+		Exchange(ctx context.Context, t exchanger.Target, r exchanger.Request) (exchanger.Answer, error)
+		Keep(targets []exchanger.Target)
+	}
+
+	// Steerer steers requests.
+	Steerer struct {
+		headers   namer.Headers
+		upstreams Upstreams
+		budget    Budget
+		clock     clockwork.Clock
+		log       *slog.Logger
+
+		mu       sync.Mutex
+		selector *selector.Selector
+		document *parser.Document
+		table    *matcher.Table
+		view     *cataloger.View
+		budgets  map[namer.Service]*budgeter.Budgeter
+		waiting  map[namer.Service]*queue
+		ticking  bool
+		counts   Counts
+	}
+
+	// Counts is what became of requests so far.
+	Counts struct {
+		Answered int64
+		Refused  int64
+		Failed   int64
+		Resent   int64
+		Waited   int64
+	}
+)
+
+// New returns a steerer without a document, which refuses everything.
+func New(
+	self selector.Self, headers namer.Headers, b Budget, up Upstreams, clock clockwork.Clock, log *slog.Logger,
+) *Steerer {
+	return &Steerer{
+		headers:   headers,
+		upstreams: up,
+		budget:    b,
+		clock:     clock,
+		log:       log,
+		selector:  selector.New(self),
+		view:      &cataloger.View{},
+		budgets:   make(map[namer.Service]*budgeter.Budgeter),
+		waiting:   make(map[namer.Service]*queue),
+	}
+}
+
+// SetDocument takes over the steering document in force.
+func (s *Steerer) SetDocument(d *parser.Document) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.document = d
+	s.table = matcher.New(d)
+	s.update()
+}
+
+// SetUpstreams takes over the upstreams in force.
+func (s *Steerer) SetUpstreams(v *cataloger.View) {
+	s.mu.Lock()
+	s.view = v
+	s.update()
+	s.mu.Unlock()
+	targets := make([]exchanger.Target, 0, len(v.Upstreams))
+	for _, u := range v.Upstreams {
+		targets = append(targets, exchanger.Target{Upstream: u.Upstream, Born: u.Born, Address: u.Address})
+	}
+	s.upstreams.Keep(targets)
+}
+
+// SetMembers takes over how many VMs there are, and this VM's place among them
+// for an upstream.
+func (s *Steerer) SetMembers(vms int, rank func(namer.Upstream) int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.selector.SetMembers(vms, rank)
+	s.update()
+}
+
+// Ready reports whether requests can be steered.
+func (s *Steerer) Ready() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.document != nil
+}
+
+// Regions returns the regions that may serve a host's routes, or nil for all.
+func (s *Steerer) Regions(host string) []namer.Region {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil {
+		return nil
+	}
+	return s.table.Regions(host)
+}
+
+// Ingress returns the limits of callers' requests in force.
+func (s *Steerer) Ingress() (parser.Ingress, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.document == nil {
+		return parser.Ingress{}, false
+	}
+	return s.document.Ingress, true
+}
+
+// Counts returns what became of requests so far.
+func (s *Steerer) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
+}
+
+func (s *Steerer) update() {
+	if s.document == nil {
+		return
+	}
+	s.selector.Update(s.clock.Now(), s.view, s.document)
+	s.pump()
+}
+
+// match finds a request's route and the part of it that the request goes to.
+func (s *Steerer) match(r Request) (*parser.Route, namer.Service, Result) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.table == nil {
+		return nil, "", failure(http.StatusServiceUnavailable, CodeStarting, "no document is in force yet", startingRetry)
+	}
+	route, ok := s.table.Match(r.Host, r.Path)
+	if !ok {
+		return nil, "", failure(http.StatusNotFound, CodeNoRoute, "no route fits host and path", 0)
+	}
+	service := pick(route.Parts)
+	s.budgetOf(service).Request(s.clock.Now())
+	return route, service, Result{}
+}
+
+func (s *Steerer) budgetOf(service namer.Service) *budgeter.Budgeter {
+	b := s.budgets[service]
+	if b == nil {
+		b = budgeter.New(s.budget.Ratio, s.budget.Window)
+		s.budgets[service] = b
+	}
+	return b
+}
+
+// pick draws a part of a split by weight.
+func pick(parts []parser.Part) namer.Service {
+	if len(parts) == 1 {
+		return parts[0].Service
+	}
+	total := 0
+	for _, p := range parts {
+		total += p.Weight
+	}
+	draw := rand.IntN(max(total, 1))
+	for _, p := range parts {
+		draw -= p.Weight
+		if draw < 0 {
+			return p.Service
+		}
+	}
+	return parts[len(parts)-1].Service
+}
+
+func failure(status int, code Code, reason string, retry time.Duration) Result {
+	return Result{Status: status, Code: code, Reason: reason, RetryAfter: retry}
+}
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -42,6 +42,19 @@
 		Limits    Limits
 		Timing    Timing
 		Owners    []Owner
+		Routing   Routing
+		Regions   map[namer.Zone]namer.Region
+	}
+
+	// Routing is what steering by routes needs. It is on when Ready and Lookup
+	// are set.
+	Routing struct {
+		Ready  string
+		Lookup string
+		TTL    time.Duration
+		Grace  time.Duration
+		Resend float64
+		Window time.Duration
 	}
 
 	// Limits bounds what callers may use of a daemon.
@@ -51,6 +64,7 @@
 		AnswerBytes int
 		ReadTime    time.Duration
 		Requests    int
+		Bodies      int64
 		Tokens      int
 	}
 
@@ -79,7 +93,7 @@
 		return Settings{}, errors.Wrap(err, "reading settings")
 	}
 	entries, problems := checker.Check(Schema(), path, text)
-	s := Settings{}
+	s := Settings{Regions: make(map[namer.Zone]namer.Region)}
 	for _, e := range entries {
 		problems = append(problems, s.add(e)...)
 	}
@@ -87,6 +101,11 @@
 	return s, problems.AsError()
 }
 
+// Routed reports whether the daemon steers by routes.
+func (s *Settings) Routed() bool {
+	return s.Routing.Ready != "" && s.Routing.Lookup != ""
+}
+
 func (s *Settings) add(e checker.Entry) checker.Problems {
 	switch e.Kind {
 	case "vm":
@@ -108,6 +127,10 @@
 		s.Limits = newLimits(e)
 	case "timing":
 		s.Timing = newTiming(e)
+	case "routing":
+		s.Routing = newRouting(e)
+	case "zone":
+		s.Regions[namer.Zone(e.Name)] = namer.Region(e.Text("region"))
 	case "owner":
 		s.Owners = append(s.Owners, Owner{
 			Name:     namer.Author(e.Name),
@@ -165,10 +188,22 @@
 		AnswerBytes: int(e.Number("answer")),
 		ReadTime:    e.Duration("read"),
 		Requests:    int(e.Number("requests")),
+		Bodies:      e.Number("bodies"),
 		Tokens:      int(e.Number("tokens")),
 	}
 }
 
+func newRouting(e checker.Entry) Routing {
+	return Routing{
+		Ready:  e.Text("ready"),
+		Lookup: e.Text("lookup"),
+		TTL:    e.Duration("ttl"),
+		Grace:  e.Duration("grace"),
+		Resend: e.Ratio("resend"),
+		Window: e.Duration("window"),
+	}
+}
+
 func newTiming(e checker.Entry) Timing {
 	return Timing{
 		Heartbeat: e.Duration("heartbeat"),
--- a/internal/settings/loader/schema.go
+++ b/internal/settings/loader/schema.go
@@ -9,7 +9,7 @@
 // Schema returns the table of the settings' keys.
 func Schema() checker.Schema {
 	return checker.Schema{Groups: []checker.Group{
-		vmGroup(), listenGroup(), platformGroup(), peersGroup(), logGroup(), limitsGroup(), timingGroup(), ownerGroup(),
+		vmGroup(), listenGroup(), platformGroup(), peersGroup(), logGroup(), limitsGroup(), timingGroup(), ownerGroup(), routingGroup(), zoneGroup(),
 	}}
 }
 
@@ -56,11 +56,29 @@
 		{Name: "body", Kind: checker.Number, Default: "262144", Min: 1024, Max: 64 << 20, Unit: "bytes", Doc: "the largest request body; above it 413"},
 		{Name: "answer", Kind: checker.Number, Default: "65536", Min: 0, Max: 1 << 20, Unit: "bytes", Doc: "the largest answer to a once-only request that is kept for a retry"},
 		{Name: "read", Kind: checker.Duration, Default: "5s", Min: int64(10 * time.Millisecond), Max: int64(time.Minute), Doc: "the time within which a request must have been read; above it 408"},
+		{Name: "bodies", Kind: checker.Number, Default: "67108864", Min: 1024, Max: 1 << 40, Unit: "bytes", Doc: "the request bodies held at once for routes; above it 503"},
 		{Name: "requests", Kind: checker.Number, Default: "1024", Min: 1, Max: 1 << 20, Unit: "requests", Doc: "the requests in progress; above it 503"},
 		{Name: "tokens", Kind: checker.Number, Default: "100000", Min: 1, Max: 1 << 24, Unit: "tokens", Doc: "the once-only tokens remembered as owner, and as many as witness"},
 	}}
 }
 
+func routingGroup() checker.Group {
+	return checker.Group{Kind: "routing", Doc: "steering by routes with discovered upstreams; a daemon with addresses here serves routes in place of the once-only interface", Keys: []checker.Key{
+		{Name: "ready", Kind: checker.Address, Doc: "the listener for checks of readiness"},
+		{Name: "lookup", Kind: checker.Address, Doc: "the listener for callers' look-ups"},
+		{Name: "ttl", Kind: checker.Duration, Default: "2s", Min: int64(100 * time.Millisecond), Max: int64(time.Hour), Doc: "how long callers may keep a look-up's answer"},
+		{Name: "grace", Kind: checker.Duration, Default: "6s", Min: int64(100 * time.Millisecond), Max: int64(time.Hour), Doc: "the time between the signal to stop and a kill"},
+		{Name: "resend", Kind: checker.Ratio, Default: "0.1", Doc: "second sends as a part of callers' requests"},
+		{Name: "window", Kind: checker.Duration, Default: "10s", Min: int64(time.Second), Max: int64(time.Hour), Doc: "the time over which second sends are counted"},
+	}}
+}
+
+func zoneGroup() checker.Group {
+	return checker.Group{Kind: "zone", Named: true, Doc: "an availability zone of the deployment, for steering by routes", Keys: []checker.Key{
+		{Name: "region", Kind: checker.Text, Required: true, Doc: "the zone's region"},
+	}}
+}
+
 func timingGroup() checker.Group {
 	return checker.Group{Kind: "timing", Doc: "the daemon's intervals", Keys: []checker.Key{
 		{Name: "heartbeat", Kind: checker.Duration, Default: "500ms", Min: int64(10 * time.Millisecond), Max: int64(time.Minute), Doc: "the interval between heartbeats to a peer"},
--- /dev/null
+++ b/internal/upstream/cataloger/cataloger.go
@@ -0,0 +1,167 @@
+// Package cataloger holds the upstreams that were discovered and the zones that
+// get no new work. It is pure: the time is an argument, and every change
+// returns a new view that is never changed afterwards.
+//
+// It answers the pattern in which the source of the entries is away for some
+// seconds: entries lapse meanwhile although their upstreams live, and come back
+// shortly after the source does.
+//
+// # Usage
+//
+//	c := cataloger.New()
+//	c.Put(now, version, entry)
+//	c.Lost(now)
+//	c.Regained(later)
+//	view := c.View()
+package cataloger
+
+import (
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+)
+
+const (
+	// returnTime is how long an entry may be missing after an outage of the
+	// source before its upstream is taken as gone. The platform promises that
+	// living upstreams are back about two seconds after an outage.
+	returnTime = 2 * time.Second
+	// outageTime is the least loss of contact that counts as an outage; entries
+	// lapse only after several heartbeats, and heartbeats take over a second.
+	outageTime = 500 * time.Millisecond
+)
+
+type (
+	// Entry is what is known of one discovered upstream. Born tells one process
+	// from the next under the same name.
+	Entry struct {
+		Upstream namer.Upstream
+		Born     int64
+		Service  namer.Service
+		Zone     namer.Zone
+		Address  string
+		Slots    int
+		Draining bool
+		ColdLeft time.Duration
+	}
+
+	// Upstream is an entry in force. Cold is when it stops being cold.
+	Upstream struct {
+		Entry
+		Cold time.Time
+	}
+
+	// View is the upstreams and drained zones at one moment.
+	View struct {
+		Upstreams []Upstream
+		Drained   map[namer.Zone]bool
+	}
+
+	// Cataloger collects entries.
+	Cataloger struct {
+		entries  map[namer.Upstream]held
+		drained  map[namer.Zone]bool
+		lost     time.Time
+		holdTill time.Time
+	}
+
+	held struct {
+		upstream Upstream
+		version  storer.Version
+		// gone is when a missing entry's upstream is taken as gone.
+		gone time.Time
+	}
+)
+
+// New returns an empty catalog.
+func New() *Cataloger {
+	return &Cataloger{entries: make(map[namer.Upstream]held), drained: make(map[namer.Zone]bool)}
+}
+
+// Put takes over an entry, unless a later version of it is known.
+func (c *Cataloger) Put(now time.Time, version storer.Version, e Entry) bool {
+	known, ok := c.entries[e.Upstream]
+	if ok && version < known.version {
+		return false
+	}
+	u := Upstream{Entry: e, Cold: now.Add(e.ColdLeft)}
+	if ok && known.upstream.Born == e.Born && known.upstream.ColdLeft == e.ColdLeft {
+		u.Cold = known.upstream.Cold
+	}
+	c.entries[e.Upstream] = held{upstream: u, version: version}
+	return true
+}
+
+// Remove notes that an entry is missing. Its upstream stays in use for a short
+// time when the source has just been away.
+func (c *Cataloger) Remove(now time.Time, name namer.Upstream) {
+	known, ok := c.entries[name]
+	if !ok {
+		return
+	}
+	if !now.Before(c.holdTill) {
+		delete(c.entries, name)
+		return
+	}
+	if known.gone.IsZero() {
+		known.gone = c.holdTill
+		c.entries[name] = known
+	}
+}
+
+// Keep removes every entry whose name is not among those listed.
+func (c *Cataloger) Keep(now time.Time, listed map[namer.Upstream]bool) {
+	for name := range c.entries {
+		if !listed[name] {
+			c.Remove(now, name)
+		}
+	}
+}
+
+// Lost notes that the source stopped answering.
+func (c *Cataloger) Lost(now time.Time) {
+	if c.lost.IsZero() {
+		c.lost = now
+	}
+}
+
+// Regained notes that the source answers again.
+func (c *Cataloger) Regained(now time.Time) {
+	if !c.lost.IsZero() && now.Sub(c.lost) >= outageTime {
+		c.holdTill = now.Add(returnTime)
+	}
+	c.lost = time.Time{}
+}
+
+// Expire drops upstreams whose entries stayed missing, and reports whether any
+// was dropped.
+func (c *Cataloger) Expire(now time.Time) bool {
+	dropped := false
+	for name, h := range c.entries {
+		if !h.gone.IsZero() && !now.Before(h.gone) {
+			delete(c.entries, name)
+			dropped = true
+		}
+	}
+	return dropped
+}
+
+// Drain replaces the zones that get no new work.
+func (c *Cataloger) Drain(zones map[namer.Zone]bool) {
+	c.drained = zones
+}
+
+// View returns the upstreams in the order of their names.
+func (c *Cataloger) View() *View {
+	v := &View{Drained: c.drained}
+	for _, h := range c.entries {
+		v.Upstreams = append(v.Upstreams, h.upstream)
+	}
+	slices.SortFunc(v.Upstreams, func(a, b Upstream) int {
+		return strings.Compare(string(a.Upstream), string(b.Upstream))
+	})
+	return v
+}
--- /dev/null
+++ b/internal/upstream/discoverer/discoverer.go
@@ -0,0 +1,194 @@
+// Package discoverer keeps the catalog of upstreams up to date from the records
+// that upstreams and operators write, and tells of every change.
+//
+// # Usage
+//
+//	d := discoverer.New(decode, clock, log)
+//	d.OnChange(steerer.SetUpstreams)
+//	f := follower.New(calls, kind, d.Upstreams(), clock, log)
+//	g := follower.New(calls, drains, d.Drains(), clock, log)
+package discoverer
+
+import (
+	"context"
+	"log/slog"
+	"maps"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
+)
+
+// expireEvery is how often upstreams whose entries stayed missing are dropped.
+const expireEvery = 100 * time.Millisecond
+
+type (
+	// Decode reads an upstream's record.
+	Decode func(r storer.Record) (cataloger.Entry, error)
+
+	// Discoverer owns the catalog.
+	Discoverer struct {
+		decode Decode
+		clock  clockwork.Clock
+		log    *slog.Logger
+
+		mu      sync.Mutex
+		catalog *cataloger.Cataloger
+		drained map[namer.Zone]bool
+		changed func(*cataloger.View)
+	}
+
+	upstreams struct{ *Discoverer }
+	drains    struct{ *Discoverer }
+)
+
+// New returns a discoverer that knows no upstream.
+func New(decode Decode, clock clockwork.Clock, log *slog.Logger) *Discoverer {
+	return &Discoverer{
+		decode:  decode,
+		clock:   clock,
+		log:     log,
+		catalog: cataloger.New(),
+		drained: make(map[namer.Zone]bool),
+		changed: func(*cataloger.View) {},
+	}
+}
+
+// OnChange sets what is called with each new view, one call at a time.
+func (d *Discoverer) OnChange(f func(*cataloger.View)) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.changed = f
+	f(d.catalog.View())
+}
+
+// Serve drops upstreams whose entries stayed missing, until ctx ends.
+func (d *Discoverer) Serve(ctx context.Context) error {
+	ticker := d.clock.NewTicker(expireEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+		}
+		d.mu.Lock()
+		if d.catalog.Expire(d.clock.Now()) {
+			d.log.Info("upstreams gone", "reason", "their entries did not come back after an outage")
+			d.changed(d.catalog.View())
+		}
+		d.mu.Unlock()
+	}
+}
+
+// Upstreams returns the handler of upstreams' records.
+func (d *Discoverer) Upstreams() *upstreams { //nolint:revive // only a follower uses it
+	return &upstreams{d}
+}
+
+// Drains returns the handler of the records that name zones to drain.
+func (d *Discoverer) Drains() *drains { //nolint:revive // only a follower uses it
+	return &drains{d}
+}
+
+// Reset implements follower.Handler.
+func (u *upstreams) Reset(records []storer.Record) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.clock.Now()
+	listed := make(map[namer.Upstream]bool, len(records))
+	for _, r := range records {
+		if u.put(now, r) {
+			listed[namer.Upstream(r.Name)] = true
+		}
+	}
+	u.catalog.Keep(now, listed)
+	u.log.Info("upstreams listed", "count", len(listed))
+	u.changed(u.catalog.View())
+}
+
+// Apply implements follower.Handler.
+func (u *upstreams) Apply(c storer.Change) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	now := u.clock.Now()
+	if c.Removed {
+		u.log.Info("upstream removed", "upstream", c.Record.Name, "version", uint64(c.Record.Version))
+		u.catalog.Remove(now, namer.Upstream(c.Record.Name))
+	} else if !u.put(now, c.Record) {
+		u.catalog.Remove(now, namer.Upstream(c.Record.Name))
+	}
+	u.changed(u.catalog.View())
+}
+
+// put takes over a record, and reports whether it names an upstream.
+func (d *Discoverer) put(now time.Time, r storer.Record) bool {
+	e, err := d.decode(r)
+	if err != nil {
+		d.log.Warn("entry unreadable", "entry", r.Name, "version", uint64(r.Version), "reason", err.Error())
+		return false
+	}
+	d.catalog.Put(now, r.Version, e)
+	d.log.Info("upstream", "upstream", r.Name, "version", uint64(r.Version), "service", string(e.Service), "zone", string(e.Zone),
+		"address", e.Address, "born", e.Born, "draining", e.Draining, "cold", e.ColdLeft)
+	return true
+}
+
+// Lost implements follower.Handler.
+func (u *upstreams) Lost() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.catalog.Lost(u.clock.Now())
+}
+
+// Regained implements follower.Handler.
+func (u *upstreams) Regained() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.catalog.Regained(u.clock.Now())
+}
+
+// Reset implements follower.Handler.
+func (d *drains) Reset(records []storer.Record) {
+	zones := make(map[namer.Zone]bool, len(records))
+	for _, r := range records {
+		zones[namer.Zone(r.Name)] = true
+	}
+	d.set(zones)
+}
+
+// Apply implements follower.Handler.
+func (d *drains) Apply(c storer.Change) {
+	d.mu.Lock()
+	zones := maps.Clone(d.drained)
+	d.mu.Unlock()
+	if c.Removed {
+		delete(zones, namer.Zone(c.Record.Name))
+	} else {
+		zones[namer.Zone(c.Record.Name)] = true
+	}
+	d.set(zones)
+}
+
+func (d *drains) set(zones map[namer.Zone]bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if maps.Equal(zones, d.drained) {
+		return
+	}
+	d.drained = zones
+	d.log.Info("zones drained", "zones", len(zones), "names", slices.Sorted(maps.Keys(zones)))
+	d.catalog.Drain(zones)
+	d.changed(d.catalog.View())
+}
+
+// Lost implements follower.Handler.
+func (d *drains) Lost() {}
+
+// Regained implements follower.Handler.
+func (d *drains) Regained() {}
--- /dev/null
+++ b/internal/upstream/exchanger/exchanger.go
@@ -0,0 +1,232 @@
+// Package exchanger sends one request to one upstream and returns its whole
+// answer. It never sends a request twice. An answer that belongs to another
+// request is thrown away, and so is the connection on which anything
+// unexpected came.
+//
+// # Usage
+//
+//	x, cleanup := exchanger.New(clock)
+//	defer cleanup()
+//	answer, err := x.Exchange(ctx, target, request)
+//	if errors.Is(err, exchanger.ErrUnsent) {
+//		// Nothing was sent, so nothing ran.
+//	}
+package exchanger
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+const (
+	// answerBytes is how much of an answer is held back until it is whole; a
+	// longer one is passed on as it comes.
+	answerBytes = 256 << 10
+	// foreignAnswers bounds the late answers to earlier requests that are read
+	// over on one connection.
+	foreignAnswers = 3
+	// closeSlack is added to a request's deadline, so that an upstream's own
+	// answer at the deadline is read and its connection kept.
+	closeSlack = 30 * time.Millisecond
+)
+
+// The errors of an exchange. Any other error means that the request may have
+// run.
+var (
+	ErrUnsent  = errors.New("nothing was sent to the upstream")
+	ErrForeign = errors.New("the answer belongs to another request")
+)
+
+type (
+	// Target is where a request goes. Born tells one process from the next at
+	// the same address.
+	Target struct {
+		Upstream namer.Upstream
+		Born     int64
+		Address  string
+		// Conns bounds the idle connections that are kept.
+		Conns int
+	}
+
+	// Request is one request as it is written. Attempt must come back in the
+	// header that is named AttemptHeader.
+	Request struct {
+		Method        string
+		Head          []byte
+		Body          []byte
+		AttemptHeader string
+		Attempt       string
+		Deadline      time.Time
+	}
+
+	// Answer is an upstream's answer. Rest is nil when Body is whole, and must
+	// be closed otherwise.
+	Answer struct {
+		Status int
+		Header http.Header
+		Body   []byte
+		Rest   io.ReadCloser
+		Length int64
+	}
+
+	// Exchanger keeps connections to upstreams.
+	Exchanger struct {
+		clock clockwork.Clock
+
+		mu    sync.Mutex
+		pools map[poolKey]*pool
+	}
+)
+
+// New returns an exchanger without connections.
+func New(clock clockwork.Clock) (*Exchanger, func()) {
+	x := &Exchanger{clock: clock, pools: make(map[poolKey]*pool)}
+	return x, func() { x.Keep(nil) }
+}
+
+// Keep closes the idle connections to all but these targets.
+func (x *Exchanger) Keep(targets []Target) {
+	kept := make(map[poolKey]bool, len(targets))
+	for _, t := range targets {
+		kept[t.key()] = true
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	for key, p := range x.pools {
+		if !kept[key] {
+			p.close()
+			delete(x.pools, key)
+		}
+	}
+}
+
+// Exchange sends a request and returns the answer. The end of ctx closes the
+// connection, which tells the upstream to stop.
+func (x *Exchanger) Exchange(ctx context.Context, t Target, r Request) (Answer, error) {
+	link, err := x.link(ctx, t)
+	if err != nil {
+		return Answer{}, errors.Mark(err, ErrUnsent)
+	}
+	stop := context.AfterFunc(ctx, link.close)
+	defer stop()
+	if err := link.conn.SetDeadline(r.Deadline.Add(closeSlack)); err != nil {
+		link.close()
+		return Answer{}, errors.Mark(errors.Wrap(err, "setting a deadline"), ErrUnsent)
+	}
+	written := link.write(r)
+	answer, err := link.answer(r)
+	if err != nil {
+		link.close()
+		return Answer{}, err
+	}
+	if answer.Rest != nil {
+		return answer, nil
+	}
+	select {
+	case err := <-written:
+		if err == nil && link.reusable(x.clock.Now(), answer) {
+			x.put(t, link)
+			return answer, nil
+		}
+	default:
+		// The upstream answered before it had read the whole request.
+	}
+	link.close()
+	return answer, nil
+}
+
+// write sends the request beside the reading of its answer, which may come
+// first. A small one fits the socket's buffer and is written at once.
+func (l *link) write(r Request) <-chan error {
+	written := make(chan error, 1)
+	if len(r.Body) <= smallBody {
+		_, err := l.conn.Write(append(r.Head, r.Body...))
+		written <- err
+		return written
+	}
+	go func() {
+		_, err := l.conn.Write(r.Head)
+		if err == nil {
+			_, err = l.conn.Write(r.Body)
+		}
+		written <- err
+	}()
+	return written
+}
+
+// answer reads until the answer to this request.
+func (l *link) answer(r Request) (Answer, error) {
+	for range foreignAnswers {
+		resp, err := http.ReadResponse(l.reader, &http.Request{Method: r.Method})
+		if err != nil {
+			return Answer{}, errors.Wrap(err, "reading an answer")
+		}
+		if resp.StatusCode < http.StatusOK {
+			continue
+		}
+		body, whole, err := readBody(resp)
+		if err != nil {
+			return Answer{}, err
+		}
+		if resp.Header.Get(r.AttemptHeader) != r.Attempt {
+			if !whole {
+				return Answer{}, ErrForeign
+			}
+			continue
+		}
+		answer := Answer{Status: resp.StatusCode, Header: resp.Header, Body: body, Length: resp.ContentLength}
+		l.closing = resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+		if !whole {
+			answer.Rest = &rest{link: l, body: resp.Body}
+		}
+		return answer, nil
+	}
+	return Answer{}, ErrForeign
+}
+
+// readBody reads an answer's body, and reports whether that was all of it.
+func readBody(resp *http.Response) ([]byte, bool, error) {
+	var buf bytes.Buffer
+	if n := resp.ContentLength; n > 0 && n <= answerBytes {
+		buf.Grow(int(n) + bytes.MinRead)
+	}
+	n, err := buf.ReadFrom(io.LimitReader(resp.Body, answerBytes+1))
+	if err != nil {
+		return nil, false, errors.Wrap(err, "reading an answer's body")
+	}
+	if n <= answerBytes {
+		return buf.Bytes(), true, nil
+	}
+	return buf.Bytes(), false, nil
+}
+
+// rest is what is left of a long answer.
+type rest struct {
+	link *link
+	body io.ReadCloser
+}
+
+// Read implements io.Reader.
+func (r *rest) Read(p []byte) (int, error) {
+	return r.body.Read(p)
+}
+
+// Close ends the connection, since a long answer may not have been read whole.
+func (r *rest) Close() error {
+	r.link.close()
+	return nil
+}
+
+func newReader(r io.Reader) *bufio.Reader {
+	return bufio.NewReaderSize(r, readerBytes)
+}
--- /dev/null
+++ b/internal/upstream/exchanger/pool.go
@@ -0,0 +1,179 @@
+package exchanger
+
+import (
+	"bufio"
+	"context"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/dialer"
+)
+
+const (
+	// openTime bounds the opening of a connection to an upstream; it is three
+	// round trips of the slowest link between regions that the brief names.
+	openTime = 400 * time.Millisecond
+	// idleTime is how long a connection is kept when the upstream names no time.
+	idleTime = 4 * time.Second
+	// idleMargin is taken off the time that the upstream names, so that a
+	// request does not cross the upstream's close.
+	idleMargin = 1500 * time.Millisecond
+	// smallBody is the largest body that is written together with its head.
+	smallBody   = 4 << 10
+	readerBytes = 4 << 10
+)
+
+type (
+	poolKey struct {
+		address string
+		born    int64
+		name    string
+	}
+
+	// pool is the idle connections to one upstream, the last used last.
+	pool struct {
+		links []*link
+	}
+
+	// link is one connection, which serves one request at a time.
+	link struct {
+		conn    net.Conn
+		reader  *bufio.Reader
+		until   time.Time
+		closing bool
+		once    sync.Once
+	}
+)
+
+func (t Target) key() poolKey {
+	return poolKey{address: t.Address, born: t.Born, name: string(t.Upstream)}
+}
+
+// link returns an idle connection that is still open, or a new one.
+func (x *Exchanger) link(ctx context.Context, t Target) (*link, error) {
+	for {
+		l := x.take(t)
+		if l == nil {
+			break
+		}
+		if l.quiet() {
+			return l, nil
+		}
+		l.close()
+	}
+	conn, err := dialer.DialWithin(ctx, t.Address, openTime)
+	if err != nil {
+		return nil, err
+	}
+	return &link{conn: conn, reader: newReader(conn)}, nil
+}
+
+func (x *Exchanger) take(t Target) *link {
+	now := x.clock.Now()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.pools[t.key()]
+	for p != nil && len(p.links) > 0 {
+		l := p.links[len(p.links)-1]
+		p.links = p.links[:len(p.links)-1]
+		if now.Before(l.until) {
+			return l
+		}
+		l.close()
+	}
+	return nil
+}
+
+func (x *Exchanger) put(t Target, l *link) {
+	if err := l.conn.SetDeadline(time.Time{}); err != nil {
+		l.close()
+		return
+	}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	p := x.pools[t.key()]
+	if p == nil {
+		p = &pool{}
+		x.pools[t.key()] = p
+	}
+	if len(p.links) >= max(t.Conns, 1) {
+		l.close()
+		return
+	}
+	p.links = append(p.links, l)
+	p.trim(x.clock)
+}
+
+// trim closes connections whose time has passed, which are the first ones.
+func (p *pool) trim(clock clockwork.Clock) {
+	now := clock.Now()
+	for len(p.links) > 0 && !now.Before(p.links[0].until) {
+		p.links[0].close()
+		p.links = p.links[1:]
+	}
+}
+
+func (p *pool) close() {
+	for _, l := range p.links {
+		l.close()
+	}
+	p.links = nil
+}
+
+func (l *link) close() {
+	l.once.Do(func() { _ = l.conn.Close() })
+}
+
+// reusable reports whether another request may be sent, and notes until when.
+func (l *link) reusable(now time.Time, a Answer) bool {
+	if l.closing || l.reader.Buffered() > 0 {
+		return false
+	}
+	idle := idleTime
+	if stated, ok := keepAlive(a.Header.Get("Keep-Alive")); ok {
+		idle = stated - idleMargin
+	}
+	l.until = now.Add(idle)
+	return idle > 0
+}
+
+// keepAlive reads the timeout of a Keep-Alive header.
+func keepAlive(text string) (time.Duration, bool) {
+	for _, field := range strings.Split(text, ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(field), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		seconds, err := strconv.Atoi(value)
+		return time.Duration(seconds) * time.Second, err == nil
+	}
+	return 0, false
+}
+
+// quiet reports whether an idle connection is open and has nothing to read.
+// Bytes that come on an idle connection belong to no request.
+func (l *link) quiet() bool {
+	raw, ok := l.conn.(syscall.Conn)
+	if !ok {
+		return true
+	}
+	rc, err := raw.SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = rc.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, err := syscall.Read(int(fd), one[:])
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
