Watches last 1.2 s, so that one which hears nothing is replaced in time

Ruled out: lost events in the decoding; the next list showed the change at once. Test: TestDeafWatch, TestHistoryGone fail with watches of 20 s.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -21,8 +21,10 @@
 )
 
 const (
-	// watchTime is how long one watch waits; each costs one call.
-	watchTime = 20 * time.Second
+	// watchTime is how long one watch waits; each costs one call. A watch may
+	// miss changes without ending, so the next one must come soon enough to keep
+	// the shortest bound that the platform sets on a change, 2 s.
+	watchTime = 1200 * time.Millisecond
 	// The pause before a failed call is tried again doubles up to the most, so
 	// that a source that comes back is found within half a second.
 	retryFirst = 50 * time.Millisecond
--- /dev/null
+++ b/internal/document/follower/follower_test.go
@@ -0,0 +1,272 @@
+package follower_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/follower"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+)
+
+const kind storer.Kind = "things"
+
+// tightest is the shortest bound that the platform sets on a change.
+const tightest = 2 * time.Second
+
+// source is a store of one kind. A deaf watch hears nothing until its wait ends.
+type source struct {
+	clock clockwork.Clock
+
+	mu      sync.Mutex
+	records map[string]storer.Record
+	changes []storer.Change
+	at      storer.Version
+	first   storer.Version
+	page    int
+	deaf    bool
+	failing error
+	lists   int
+	kick    chan struct{}
+}
+
+func newSource(clock clockwork.Clock) *source {
+	return &source{clock: clock, records: make(map[string]storer.Record), page: 500, kick: make(chan struct{})}
+}
+
+func (s *source) put(name string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.at++
+	r := storer.Record{Name: name, Version: s.at}
+	s.records[name] = r
+	s.changes = append(s.changes, storer.Change{Record: r})
+	if !s.deaf {
+		close(s.kick)
+		s.kick = make(chan struct{})
+	}
+}
+
+func (s *source) fail(err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.failing = err
+	close(s.kick)
+	s.kick = make(chan struct{})
+}
+
+func (s *source) List(_ context.Context, _ storer.Kind, after string) (storer.Page, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failing != nil {
+		return storer.Page{}, s.failing
+	}
+	s.lists++
+	page := storer.Page{At: s.at}
+	for v := storer.Version(1); v <= s.at; v++ {
+		for _, r := range s.records {
+			if r.Version != v || r.Name <= after {
+				continue
+			}
+			if len(page.Records) == s.page {
+				page.More = true
+				continue
+			}
+			page.Records = append(page.Records, r)
+		}
+	}
+	return page, nil
+}
+
+func (s *source) Changes(ctx context.Context, _ storer.Kind, since storer.Version, wait time.Duration) (storer.Changes, error) {
+	end := s.clock.After(wait)
+	for {
+		s.mu.Lock()
+		if s.failing != nil {
+			defer s.mu.Unlock()
+			return storer.Changes{}, s.failing
+		}
+		if since < s.first {
+			s.mu.Unlock()
+			return storer.Changes{}, storer.ErrHistory
+		}
+		out := storer.Changes{At: s.at}
+		for _, c := range s.changes {
+			if c.Record.Version > since {
+				out.List = append(out.List, c)
+			}
+		}
+		kick := s.kick
+		s.mu.Unlock()
+		if len(out.List) > 0 {
+			return out, nil
+		}
+		select {
+		case <-end:
+			return out, nil
+		case <-kick:
+		case <-ctx.Done():
+			return out, ctx.Err()
+		}
+	}
+}
+
+// copied is a handler that keeps what it is told.
+type copied struct {
+	mu    sync.Mutex
+	names map[string]bool
+	lost  int
+	back  int
+}
+
+func (c *copied) Reset(records []storer.Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.names = make(map[string]bool)
+	for _, r := range records {
+		c.names[r.Name] = true
+	}
+}
+
+func (c *copied) Apply(ch storer.Change) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.names[ch.Record.Name] = !ch.Removed
+}
+
+func (c *copied) Lost() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.lost++
+}
+
+func (c *copied) Regained() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.back++
+}
+
+func (c *copied) has(name string) poll.Check {
+	return func(poll.LogT) poll.Result {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if c.names[name] {
+			return poll.Success()
+		}
+		return poll.Continue("no %s in %v", name, c.names)
+	}
+}
+
+func start(t *testing.T) (*source, *copied, *clockwork.FakeClock) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	src := newSource(clock)
+	src.put("first")
+	kept := &copied{}
+	f := follower.New(src, kind, kept, clock, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	poll.WaitOn(t, kept.has("first"))
+	return src, kept, clock
+}
+
+// wait gives the follower time to open its next watch, and lets time pass.
+func wait(t *testing.T, clock *clockwork.FakeClock, d time.Duration) {
+	t.Helper()
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(d)
+}
+
+func TestChangeIsApplied(t *testing.T) {
+	t.Parallel()
+	src, kept, _ := start(t)
+	src.put("second")
+	poll.WaitOn(t, kept.has("second"))
+}
+
+// TestDeafWatch has a watch that stays open and hears nothing of a change, as
+// when a store drops the history under it.
+func TestDeafWatch(t *testing.T) {
+	t.Parallel()
+	src, kept, clock := start(t)
+	wait(t, clock, 0)
+	src.mu.Lock()
+	src.deaf = true
+	src.mu.Unlock()
+	src.put("missed")
+	wait(t, clock, tightest-time.Millisecond)
+	poll.WaitOn(t, kept.has("missed"))
+}
+
+func TestHistoryGone(t *testing.T) {
+	t.Parallel()
+	src, kept, clock := start(t)
+	wait(t, clock, 0)
+	src.mu.Lock()
+	src.deaf = true
+	src.mu.Unlock()
+	src.put("missed")
+	src.mu.Lock()
+	src.first = src.at + 1
+	src.changes = nil
+	src.at++
+	src.mu.Unlock()
+	wait(t, clock, tightest-time.Millisecond)
+	poll.WaitOn(t, kept.has("missed"))
+}
+
+func TestOutage(t *testing.T) {
+	t.Parallel()
+	src, kept, clock := start(t)
+	wait(t, clock, 0)
+	src.fail(storer.ErrBusy)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		kept.mu.Lock()
+		defer kept.mu.Unlock()
+		if kept.lost == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("lost %d times", kept.lost)
+	})
+	kept.mu.Lock()
+	assert.Assert(t, kept.names["first"], "an outage changes nothing that is known")
+	kept.mu.Unlock()
+	src.fail(nil)
+	src.put("later")
+	wait(t, clock, time.Second)
+	poll.WaitOn(t, kept.has("later"))
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	assert.Equal(t, kept.back, 1)
+}
+
+func TestPages(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	src := newSource(clock)
+	src.page = 2
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		src.put(name)
+	}
+	kept := &copied{}
+	f := follower.New(src, kind, kept, clock, slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx) }()
+	for _, name := range []string{"a", "b", "c", "d", "e"} {
+		poll.WaitOn(t, kept.has(name))
+	}
+	cancel()
+	assert.NilError(t, <-done)
+}
