Spread each zone's objects over upstreams by what its callers need

An object has one copy in its zone and one in the next. The way to a zone is learned from the opening of connections and taken into the expected latency.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -41,6 +41,7 @@
 	upstreamsName registrar.Name = "upstreams"
 	drainsName    registrar.Name = "drains"
 	steerName     registrar.Name = "steer"
+	spreadName    registrar.Name = "spread"
 	directoryName registrar.Name = "directory"
 	readyName     registrar.Name = "ready"
 )
@@ -49,6 +50,8 @@
 	// adminHeaderTime bounds the reading of a request's head on the listeners
 	// that only the platform and callers' look-ups use.
 	adminHeaderTime = 5 * time.Second
+	// spreadEvery is how often the parts of zones are worked out anew.
+	spreadEvery = time.Second
 	// headMost is the largest head that the HTTP library reads; the document's
 	// own limit is checked afterwards and is answered.
 	headMost = 1 << 20
@@ -135,8 +138,61 @@
 			members.Kick()
 		})
 		f.Find(discoverName).(*discoverer.Discoverer).OnChange(st.SetUpstreams)
+		members.OnNeeds(func() []tracker.Need { return needsOf(st) })
 		return st, cleanup, nil
 	})
+	r.Register(spreadName, []registrar.Name{clockName, steerName, membersName}, func(f registrar.Finder) (any, func(), error) {
+		return &spread{
+			steerer: f.Find(steerName).(*steerer.Steerer),
+			members: f.Find(membersName).(*heartbeater.Heartbeater),
+			clock:   f.Find(clockName).(clockwork.Clock),
+		}, nil, nil
+	})
+}
+
+// spread tells the steerer at intervals what each zone's callers need.
+type spread struct {
+	steerer *steerer.Steerer
+	members *heartbeater.Heartbeater
+	clock   clockwork.Clock
+}
+
+// Serve implements registrar.Server.
+func (s *spread) Serve(ctx context.Context) error {
+	ticker := s.clock.NewTicker(spreadEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-ticker.Chan():
+			s.steerer.Spread(s.needs())
+		}
+	}
+}
+
+func (s *spread) needs() map[namer.Service]map[namer.Zone]float64 {
+	needs := make(map[namer.Service]map[namer.Zone]float64)
+	for _, m := range withSelf(s.members) {
+		if m.State == tracker.Dead {
+			continue
+		}
+		for _, n := range m.Needs {
+			if needs[n.Service] == nil {
+				needs[n.Service] = make(map[namer.Zone]float64)
+			}
+			needs[n.Service][m.Zone] += n.Slots
+		}
+	}
+	return needs
+}
+
+func needsOf(st *steerer.Steerer) []tracker.Need {
+	var out []tracker.Need
+	for service, slots := range st.Needs() {
+		out = append(out, tracker.Need{Service: service, Slots: slots})
+	}
+	return out
 }
 
 // countMembers tells the steerer how many VMs there are. A VM that knows few
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -83,6 +83,7 @@
 		inFlight map[string]bool
 		changed  func()
 		rooms    func() []tracker.Room
+		needs    func() []tracker.Need
 	}
 )
 
@@ -101,6 +102,7 @@
 		inFlight: make(map[string]bool),
 		changed:  func() {},
 		rooms:    func() []tracker.Room { return nil },
+		needs:    func() []tracker.Need { return nil },
 	}
 }
 
@@ -118,6 +120,13 @@
 	h.rooms = f
 }
 
+// OnNeeds sets what tells the slots that this VM's callers need.
+func (h *Heartbeater) OnNeeds(f func() []tracker.Need) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.needs = f
+}
+
 // Kick sends the next heartbeats at once, to spread news.
 func (h *Heartbeater) Kick() {
 	select {
@@ -268,6 +277,7 @@
 	self.Heard = h.clock.Now()
 	self.Generation = h.services.Documents.Generation()
 	self.Rooms = h.rooms()
+	self.Needs = h.needs()
 	return self
 }
 
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -44,6 +44,12 @@
 		Weight  namer.Weight
 	}
 
+	// Need is the slots that a member's callers need of a service.
+	Need struct {
+		Service namer.Service
+		Slots   float64
+	}
+
 	// Member is an entry VM as it described itself. Heard is when it was last
 	// known to run; State is judged from it when the view is read.
 	Member struct {
@@ -59,6 +65,7 @@
 		Leaving     bool
 		Generation  namer.Generation
 		Rooms       []Room
+		Needs       []Need
 		Heard       time.Time
 		State       State
 
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -159,6 +159,9 @@
 		Generation:  uint64(m.Generation),
 		Age:         now.Sub(m.Heard).Milliseconds(),
 	}
+	for _, n := range m.Needs {
+		out.Need = append(out.Need, &encoder.Need{Service: string(n.Service), Slots: n.Slots})
+	}
 	for _, r := range m.Rooms {
 		out.Room = append(out.Room, &encoder.Room{Service: string(r.Service), Weight: int64(r.Weight)})
 	}
@@ -186,6 +189,9 @@
 		Generation:  namer.Generation(m.GetGeneration()),
 		Heard:       now.Add(-time.Duration(max(m.GetAge(), 0)) * time.Millisecond),
 	}
+	for _, n := range m.GetNeed() {
+		out.Needs = append(out.Needs, tracker.Need{Service: namer.Service(n.GetService()), Slots: n.GetSlots()})
+	}
 	for _, r := range m.GetRoom() {
 		out.Rooms = append(out.Rooms, tracker.Room{
 			Service: namer.Service(r.GetService()),
--- /dev/null
+++ b/internal/route/selector/need.go
@@ -0,0 +1,83 @@
+package selector
+
+import (
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
+)
+
+// rateAge is the half-life of a rate. It is long against a burst, which should
+// not move objects, and short against a day's rise and fall.
+const rateAge = 4 * time.Second
+
+type (
+	rateKey struct {
+		route   namer.Route
+		service namer.Service
+	}
+
+	// rate counts requests, fading.
+	rate struct {
+		count float64
+		at    time.Time
+		begun time.Time
+		work  time.Duration
+	}
+)
+
+// Arrive counts a caller's request.
+func (s *Selector) Arrive(now time.Time, r *parser.Route, service namer.Service) {
+	key := rateKey{route: r.Name, service: service}
+	known := s.rates[key]
+	if known == nil {
+		known = &rate{at: now, begun: now}
+		s.rates[key] = known
+	}
+	known.fade(now)
+	known.count++
+	known.work = s.work(r)
+}
+
+// Needs returns the slots that this VM's callers need, as far as objects are
+// warm.
+func (s *Selector) Needs(now time.Time) map[namer.Service]float64 {
+	needs := make(map[namer.Service]float64)
+	for key, r := range s.rates {
+		r.fade(now)
+		if r.count < 0.01 {
+			delete(s.rates, key)
+			continue
+		}
+		needs[key.service] += r.perSecond(now) * r.work.Seconds()
+	}
+	return needs
+}
+
+// Spread takes over what each zone's callers need of each service.
+func (s *Selector) Spread(now time.Time, needs map[namer.Service]map[namer.Zone]float64) {
+	for name, svc := range s.services {
+		loads := make([]spreader.Load, 0, len(s.self.Regions))
+		for zone, region := range s.self.Regions {
+			loads = append(loads, spreader.Load{Zone: zone, Region: region, Slots: svc.slots[zone], Need: needs[name][zone]})
+		}
+		if s.spreads[name] == nil {
+			s.spreads[name] = spreader.New()
+		}
+		s.spreads[name].Update(now, loads)
+	}
+}
+
+func (r *rate) fade(now time.Time) {
+	r.count *= halved(now.Sub(r.at), rateAge)
+	r.at = now
+}
+
+// perSecond corrects for the time before the first request.
+func (r *rate) perSecond(now time.Time) float64 {
+	// A steady rate of one a second adds up to this count in the long run.
+	const full = 1.4427 * float64(rateAge) / float64(time.Second)
+	seen := 1 - halved(now.Sub(r.begun), rateAge)
+	return r.count / (full * max(seen, 0.1))
+}
--- a/internal/route/selector/node.go
+++ b/internal/route/selector/node.go
@@ -28,6 +28,7 @@
 	// latencyGain and failureGain are the weights of a new sample.
 	latencyGain = 0.1
 	speedGain   = 0.2
+	wayGain     = 0.02
 	failureGain = 0.2
 	// speedAge is the half-life of the belief that an upstream is slow or
 	// fails, while nothing is sent there.
@@ -53,7 +54,6 @@
 	hash   uint64
 	conns  int
 	rate   int
-	way    time.Duration
 
 	own      int
 	said     load
@@ -84,8 +84,10 @@
 	Refused bool
 	// Failed says that the upstream failed the request or broke off.
 	Failed bool
-	// Latency is the time until the answer, 0 when there was none.
+	// Latency is the time until the answer, 0 when there was none, and Opening
+	// the part of it that it took to open a connection.
 	Latency time.Duration
+	Opening time.Duration
 	// Load is the upstream's own count of running and waiting requests, and
 	// negative when it told none.
 	Load int
@@ -106,16 +108,30 @@
 		return
 	case r.Refused:
 		n.said = load{requests: max(n.said.requests, 2*float64(n.Slots)), own: n.own, at: now}
-		n.judge(now, 0, false)
+		n.judge(now, false)
 		return
 	case r.Failed:
-		n.judge(now, 0, false)
+		n.judge(now, false)
 		return
 	}
 	n.failures = 0
 	n.until = time.Time{}
-	n.judge(now, 0, true)
-	s.learn(now, d, r.Latency)
+	n.judge(now, true)
+	if r.Opening > 0 {
+		s.learnWay(n.Zone, r.Opening)
+	}
+	s.learn(now, d, r.Latency-r.Opening-s.way(n))
+}
+
+// learnWay keeps the shortest time that opening a connection to a zone took,
+// which is one round trip. It rises slowly, so that a longer way is learned too.
+func (s *Selector) learnWay(zone namer.Zone, opening time.Duration) {
+	known, ok := s.ways[zone]
+	if !ok || opening < known {
+		s.ways[zone] = opening
+		return
+	}
+	s.ways[zone] = known + time.Duration(wayGain*float64(opening-known))
 }
 
 // learn takes a latency into the route's expectation and the upstream's speed.
@@ -144,7 +160,7 @@
 }
 
 // judge fades what was believed and takes one outcome into it.
-func (n *node) judge(now time.Time, _ time.Duration, ok bool) {
+func (n *node) judge(now time.Time, ok bool) {
 	n.fade(now)
 	sample := 0.0
 	if ok {
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -14,9 +15,6 @@
 )
 
 const (
-	// ownRegion is how much more weight an upstream of the own region has in an
-	// object's order.
-	ownRegion = 50.0
 	// scatter spreads a hash over all bits.
 	scatter = 0x9e3779b97f4a7c15
 	// coldPart is the part of a cold upstream's rate that is used, so that VMs
@@ -35,7 +33,7 @@
 	s.drained = v.Drained
 	s.services = make(map[namer.Service]*service, len(doc.Services))
 	for _, svc := range doc.Services {
-		s.services[svc.Name] = &service{Service: svc}
+		s.services[svc.Name] = &service{Service: svc, slots: make(map[namer.Zone]float64)}
 	}
 	nodes := make(map[namer.Upstream]*node, len(v.Upstreams))
 	for _, u := range v.Upstreams {
@@ -52,6 +50,9 @@
 		}
 		nodes[u.Upstream] = n
 		svc.nodes = append(svc.nodes, n)
+		if !u.Draining && !v.Drained[u.Zone] {
+			svc.slots[u.Zone] += float64(u.Slots)
+		}
 	}
 	s.nodes = nodes
 }
@@ -71,32 +72,87 @@
 }
 
 // candidates returns the upstreams that a request may be sent to now, in its
-// object's order.
+// object's order: the first of the zone that the object belongs to, the first
+// of the next zone, which keeps the object for its own callers, then the rest.
 func (s *Selector) candidates(now time.Time, svc *service, a Ask) []*node {
 	key := xxhash.Sum64String(a.Object)
-	type scored struct {
-		n     *node
-		score float64
-	}
-	list := make([]scored, 0, len(svc.nodes))
+	zones := s.zoneOrder(svc, key)
+	list := make([]placed, 0, len(svc.nodes))
 	for _, n := range svc.nodes {
 		if s.usable(now, n, a) {
-			list = append(list, scored{n: n, score: s.score(n, key)})
+			list = append(list, placed{n: n, zone: zones[n.Zone], score: draw(n.hash, key, float64(n.Slots))})
 		}
 	}
-	slices.SortFunc(list, func(x, y scored) int {
-		if x.score < y.score {
-			return -1
-		}
-		return 1
+	slices.SortFunc(list, func(x, y placed) int {
+		return cmp.Or(cmp.Compare(x.zone, y.zone), cmp.Compare(x.score, y.score))
 	})
-	out := make([]*node, len(list))
-	for i, x := range list {
-		out[i] = x.n
+	out := make([]*node, 0, len(list))
+	for i := range list {
+		if i == 0 || list[i].zone != list[i-1].zone {
+			out = append(out, list[i].n)
+		}
+	}
+	for i := range list {
+		if i > 0 && list[i].zone == list[i-1].zone {
+			out = append(out, list[i].n)
+		}
 	}
 	return out
 }
 
+// placed is an upstream with the place of its zone for an object.
+type placed struct {
+	n     *node
+	zone  int
+	score float64
+}
+
+// zoneOrder returns each zone's place for an object: zones that hold a part of
+// this zone's objects by that part, then those of the own region, then others.
+func (s *Selector) zoneOrder(svc *service, key uint64) map[namer.Zone]int {
+	parts := make(map[namer.Zone]float64)
+	if sp := s.spreads[svc.Name]; sp != nil {
+		for _, p := range sp.Parts(s.self.Zone) {
+			parts[p.Zone] = p.Part
+		}
+	}
+	zones := make([]zoned, 0, len(svc.slots))
+	for name, slots := range svc.slots {
+		z := zoned{name: name, tier: farTier, score: draw(xxhash.Sum64String(string(name)), key, slots)}
+		switch {
+		case parts[name] > 0:
+			z.tier = partTier
+			z.score = draw(xxhash.Sum64String(string(name)), key, parts[name])
+		case len(parts) == 0 && name == s.self.Zone:
+			z.tier = partTier
+		case s.self.Regions[name] == s.self.Region:
+			z.tier = nearTier
+		}
+		zones = append(zones, z)
+	}
+	slices.SortFunc(zones, func(a, b zoned) int {
+		return cmp.Or(cmp.Compare(a.tier, b.tier), cmp.Compare(a.score, b.score))
+	})
+	order := make(map[namer.Zone]int, len(zones))
+	for i, z := range zones {
+		order[z.name] = i
+	}
+	return order
+}
+
+// The tiers of zones in an object's order.
+const (
+	partTier = iota
+	nearTier
+	farTier
+)
+
+type zoned struct {
+	name  namer.Zone
+	tier  int
+	score float64
+}
+
 func (s *Selector) usable(now time.Time, n *node, a Ask) bool {
 	if n.Draining || s.drained[n.Zone] || now.Before(n.until) || !a.Route.Allows(n.region) {
 		return false
@@ -111,16 +167,12 @@
 	return n.pace.Room(now, part)
 }
 
-// score orders upstreams for an object: rendezvous hashing by weight, the
-// lowest first. An upstream's own coming and going moves only its objects.
-func (s *Selector) score(n *node, key uint64) float64 {
-	h := mix(n.hash ^ key)
+// draw scores one of several by rendezvous hashing with a weight; the lowest
+// score is first. One's coming and going moves only what was its own.
+func draw(hash, key uint64, weight float64) float64 {
+	h := mix(hash ^ key)
 	unit := (float64(h>>11) + 0.5) / (1 << 53)
-	weight := float64(n.Slots)
-	if n.region == s.self.Region {
-		weight *= ownRegion
-	}
-	return -math.Log(unit) / weight
+	return -math.Log(unit) / max(weight, 1e-9)
 }
 
 // mix spreads every bit of x over all bits.
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -27,6 +27,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
 )
 
 // What a decision says.
@@ -97,7 +98,10 @@
 		services map[namer.Service]*service
 		nodes    map[namer.Upstream]*node
 		latency  map[namer.Route]time.Duration
+		ways     map[namer.Zone]time.Duration
+		rates    map[rateKey]*rate
 		drained  map[namer.Zone]bool
+		spreads  map[namer.Service]*spreader.Spreader
 		vms      int
 		rank     func(namer.Upstream) int
 	}
@@ -105,6 +109,8 @@
 	service struct {
 		parser.Service
 		nodes []*node
+		// slots are those of each zone that gets work.
+		slots map[namer.Zone]float64
 	}
 )
 
@@ -115,6 +121,9 @@
 		services: make(map[namer.Service]*service),
 		nodes:    make(map[namer.Upstream]*node),
 		latency:  make(map[namer.Route]time.Duration),
+		ways:     make(map[namer.Zone]time.Duration),
+		rates:    make(map[rateKey]*rate),
+		spreads:  make(map[namer.Service]*spreader.Spreader),
 		vms:      1,
 		rank:     func(namer.Upstream) int { return 0 },
 	}
@@ -209,9 +218,9 @@
 	return r.Target / 2
 }
 
-// way is the time to an upstream and back beyond that within the zone.
+// way is the time to an upstream's zone and back.
 func (s *Selector) way(n *node) time.Duration {
-	return n.way
+	return s.ways[n.Zone]
 }
 
 // Begin counts a request as sent.
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -207,7 +207,7 @@
 func (s *Steerer) answered(
 	a *attempts, d selector.Decision, name namer.Upstream, took time.Duration, answer exchanger.Answer,
 ) (Result, verdict) {
-	report := selector.Report{Latency: took, Load: loadOf(answer.Header.Get(s.headers.Load))}
+	report := selector.Report{Latency: took, Opening: answer.Opening, Load: loadOf(answer.Header.Get(s.headers.Load))}
 	result := Result{
 		Status: answer.Status, Header: answer.Header, Body: answer.Body, Rest: answer.Rest, Length: answer.Length,
 	}
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -169,6 +169,20 @@
 	s.update()
 }
 
+// Needs returns the slots that this VM's callers need of each service.
+func (s *Steerer) Needs() map[namer.Service]float64 {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.Needs(s.clock.Now())
+}
+
+// Spread takes over what each zone's callers need of each service.
+func (s *Steerer) Spread(needs map[namer.Service]map[namer.Zone]float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.selector.Spread(s.clock.Now(), needs)
+}
+
 // Ready reports whether requests can be steered.
 func (s *Steerer) Ready() bool {
 	s.mu.Lock()
@@ -223,7 +237,9 @@
 		return nil, "", failure(http.StatusNotFound, CodeNoRoute, "no route fits host and path", 0)
 	}
 	service := pick(route.Parts)
-	s.budgetOf(service).Request(s.clock.Now())
+	now := s.clock.Now()
+	s.budgetOf(service).Request(now)
+	s.selector.Arrive(now, route, service)
 	return route, service, Result{}
 }
 
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -77,6 +77,8 @@
 		Body   []byte
 		Rest   io.ReadCloser
 		Length int64
+		// Opening is the time that opening a connection took, 0 on a kept one.
+		Opening time.Duration
 	}
 
 	// Exchanger keeps connections to upstreams.
@@ -113,7 +115,7 @@
 // Exchange sends a request and returns the answer. The end of ctx closes the
 // connection, which tells the upstream to stop.
 func (x *Exchanger) Exchange(ctx context.Context, t Target, r Request) (Answer, error) {
-	link, err := x.link(ctx, t)
+	link, opening, err := x.link(ctx, t)
 	if err != nil {
 		return Answer{}, errors.Mark(err, ErrUnsent)
 	}
@@ -129,6 +131,7 @@
 		link.close()
 		return Answer{}, err
 	}
+	answer.Opening = opening
 	if answer.Rest != nil {
 		return answer, nil
 	}
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -56,23 +56,25 @@
 	return poolKey{address: t.Address, born: t.Born, name: string(t.Upstream)}
 }
 
-// link returns an idle connection that is still open, or a new one.
-func (x *Exchanger) link(ctx context.Context, t Target) (*link, error) {
+// link returns an idle connection that is still open, or a new one and the
+// time that it took.
+func (x *Exchanger) link(ctx context.Context, t Target) (*link, time.Duration, error) {
 	for {
 		l := x.take(t)
 		if l == nil {
 			break
 		}
 		if l.quiet() {
-			return l, nil
+			return l, 0, nil
 		}
 		l.close()
 	}
+	begun := x.clock.Now()
 	conn, err := dialer.DialWithin(ctx, t.Address, openTime)
 	if err != nil {
-		return nil, err
+		return nil, 0, err
 	}
-	return &link{conn: conn, reader: newReader(conn)}, nil
+	return &link{conn: conn, reader: newReader(conn)}, x.clock.Since(begun), nil
 }
 
 func (x *Exchanger) take(t Target) *link {
