Read the settings again on a signal or a changed file; heartbeats once a pair

The reloader reads the file on the signal and each second, and keeps the last good settings. Test: internal/settings/reloader. Cause 2: of the bytes between zones about half were heartbeats: both VMs of a pair sent, each time with all members. Now the lower name sends, and members are told when something changed or every tenth time. Test: internal/member/heartbeater.

--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -70,7 +70,10 @@
 	if err != nil {
 		return err
 	}
-	return runner.Run(ctx, settings, os.Stderr)
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
+	return runner.Run(ctx, settings, os.Stdout, runner.WithReload(c.String("settings"), reload))
 }
 
 func load(c *cli.Command) (loader.Settings, error) {
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -28,6 +28,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
+	"github.com/waxwingloom/waxwingloom/internal/settings/reloader"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/discoverer"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
 	"github.com/waxwingloom/waxwingloom/platform"
@@ -35,6 +36,7 @@
 
 // The names of the services that steer by routes.
 const (
+	reloadName    registrar.Name = "reload"
 	enrollName    registrar.Name = "enroll"
 	discoverName  registrar.Name = "discover"
 	configName    registrar.Name = "config"
@@ -64,12 +66,15 @@
 }
 
 // registerRouted registers the services that steer by routes.
-func registerRouted(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
+func registerRouted(r *registrar.Registrar, s loader.Settings, o options, log *slog.Logger) {
 	registerBase(r, s, log)
 	r.Register(platformName, nil, func(registrar.Finder) (any, func(), error) {
 		client, cleanup := platform.NewClient(s.Platform)
 		return client, cleanup, nil
 	})
+	r.Register(reloadName, []registrar.Name{clockName}, func(f registrar.Finder) (any, func(), error) {
+		return reloader.New(o.path, s, o.reload, f.Find(clockName).(clockwork.Clock), log), nil, nil
+	})
 	registerRoutedMembers(r, s, log)
 	registerDiscovery(r, log)
 	registerSteering(r, s, log)
@@ -82,9 +87,11 @@
 		self := storer.ListedVM{VM: s.VM, Zone: s.Zone, Peers: f.Find(portsName).(*ports).advertised(s)}
 		return enroller.New(f.Find(platformName).(*platform.Client), self, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	needs = []registrar.Name{portsName, clockName, peersName, enrollName, documentsName}
+	needs = []registrar.Name{portsName, clockName, peersName, enrollName, documentsName, reloadName}
 	r.Register(membersName, needs, func(f registrar.Finder) (any, func(), error) {
-		return newMembers(f, s, log, f.Find(enrollName).(*enroller.Enroller)), nil, nil
+		h := newMembers(f, s, log, f.Find(enrollName).(*enroller.Enroller))
+		f.Find(reloadName).(*reloader.Reloader).OnChange(func(s loader.Settings) { h.SetSeeds(s.Seeds) })
+		return h, nil, nil
 	})
 	needs = []registrar.Name{clockName, peersName, membersName, documentsName}
 	r.Register(answersName, needs, func(f registrar.Finder) (any, func(), error) {
@@ -233,13 +240,15 @@
 		}
 		return &webServer{server: server, listener: f.Find(portsName).(*ports).callers}, nil, nil
 	})
-	r.Register(directoryName, []registrar.Name{membersName, steerName, callersName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(directoryName, []registrar.Name{membersName, steerName, reloadName}, func(f registrar.Finder) (any, func(), error) {
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		st := f.Find(steerName).(*steerer.Steerer)
 		locate := func(host string, p locator.Place) []string {
 			return locator.Choose(p, withSelf(members), st.Regions(host))
 		}
-		return openAdmin(s.Routing.Lookup, platform.Directory(locate, s.Routing.TTL))
+		settings := f.Find(reloadName).(*reloader.Reloader)
+		ttl := func() time.Duration { return settings.Current().Routing.TTL }
+		return openAdmin(s.Routing.Lookup, platform.Directory(locate, ttl))
 	})
 	r.Register(readyName, []registrar.Name{steerName, callersName}, func(f registrar.Finder) (any, func(), error) {
 		st := f.Find(steerName).(*steerer.Steerer)
@@ -297,6 +306,7 @@
 	clock := k.Find(clockName).(clockwork.Clock)
 	front := k.Find(callersName).(*receiver.Receiver)
 	begun := clock.Now()
+	s = k.Find(reloadName).(*reloader.Reloader).Current()
 	log.Info("leaving", "busy", front.Busy())
 	front.Leave()
 	k.Find(membersName).(*heartbeater.Heartbeater).Leave()
--- a/internal/kernel/runner/runner.go
+++ b/internal/kernel/runner/runner.go
@@ -14,6 +14,7 @@
 	"context"
 	"io"
 	"log/slog"
+	"os"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -40,16 +41,39 @@
 	stopMargin = 3 * time.Second
 )
 
+type (
+	// Option changes how a daemon runs.
+	Option func(*options)
+
+	options struct {
+		path   string
+		reload <-chan os.Signal
+	}
+)
+
+// WithReload has the settings read again from a path when they change, and on
+// each signal.
+func WithReload(path string, signals <-chan os.Signal) Option {
+	return func(o *options) {
+		o.path = path
+		o.reload = signals
+	}
+}
+
 // Run runs a daemon until ctx ends and its planned stop is done, or until one
 // of its services fails.
-func Run(ctx context.Context, s loader.Settings, logTo io.Writer) error {
+func Run(ctx context.Context, s loader.Settings, logTo io.Writer, opts ...Option) error {
+	var o options
+	for _, opt := range opts {
+		opt(&o)
+	}
 	log, flush := logger.New(logTo, s.LogLevel)
 	defer flush()
 	log = log.With("vm", string(s.VM))
 	r := registrar.New()
 	leave := leave
 	if s.Routed() {
-		registerRouted(r, s, log)
+		registerRouted(r, s, o, log)
 		leave = leaveRouted
 	} else {
 		register(r, s, log)
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -34,6 +34,17 @@
 // othersTold is how many members of each other zone a heartbeat tells of.
 const othersTold = 3
 
+const (
+	// digestEvery is how many heartbeats pass between two that tell of other
+	// members while nothing changes.
+	digestEvery = 10
+	// newsBeats is how many heartbeats after a change tell of other members.
+	newsBeats = 3
+	// quietBeats is how many heartbeats a VM waits for one from the peer whose
+	// turn it is to send.
+	quietBeats = 1.5
+)
+
 type (
 	// Peers sends a request to another entry VM.
 	Peers interface {
@@ -81,6 +92,8 @@
 		tracker  *tracker.Tracker
 		listed   []storer.ListedVM
 		inFlight map[string]bool
+		met      map[string]time.Time
+		news     time.Time
 		changed  func()
 		rooms    func() []tracker.Room
 		needs    func() []tracker.Need
@@ -100,6 +113,7 @@
 		self:     self,
 		tracker:  tracker.New(self.VM, timing.Tracker),
 		inFlight: make(map[string]bool),
+		met:      make(map[string]time.Time),
 		changed:  func() {},
 		rooms:    func() []tracker.Room { return nil },
 		needs:    func() []tracker.Need { return nil },
@@ -127,6 +141,13 @@
 	h.needs = f
 }
 
+// SetSeeds replaces the peers to ask while no other is known.
+func (h *Heartbeater) SetSeeds(seeds []string) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seeds = seeds
+}
+
 // Kick sends the next heartbeats at once, to spread news.
 func (h *Heartbeater) Kick() {
 	select {
@@ -183,18 +204,21 @@
 	defer beat.Stop()
 	var polled time.Time
 	states := ""
+	kicked := true
 	for {
 		if h.clock.Since(polled) >= h.timing.Poll {
 			polled = h.clock.Now()
 			h.beats.Go(func() { h.poll(ctx) })
 		}
-		h.beat(ctx)
+		h.beat(ctx, kicked)
 		states = h.compare(states)
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-beat.Chan():
+			kicked = false
 		case <-h.kick:
+			kicked = true
 		}
 	}
 }
@@ -211,6 +235,7 @@
 	if string(raw) != last {
 		h.mu.Lock()
 		changed := h.changed
+		h.news = h.clock.Now()
 		h.mu.Unlock()
 		changed()
 		h.log.Info("members", "view", string(raw))
@@ -226,20 +251,33 @@
 	return states
 }
 
-// beat sends one heartbeat to every target that has answered the last one.
-func (h *Heartbeater) beat(ctx context.Context) {
+// beat sends one heartbeat to every target that has answered the last one. Of
+// two VMs the one with the lower name sends, and the other only when it has not
+// heard it for a while, or has news.
+func (h *Heartbeater) beat(ctx context.Context, news bool) {
 	hb := h.compose()
-	for _, address := range h.addresses() {
+	for _, t := range h.targets() {
 		h.mu.Lock()
-		busy := h.inFlight[address]
-		h.inFlight[address] = true
+		skip := h.inFlight[t.address] || !news && h.waitsFor(t)
+		if !skip {
+			h.inFlight[t.address] = true
+		}
 		h.mu.Unlock()
-		if !busy {
-			h.beats.Go(func() { h.send(ctx, address, hb) })
+		if !skip {
+			h.beats.Go(func() { h.send(ctx, t.address, hb) })
 		}
 	}
 }
 
+// waitsFor reports whether a target is expected to send by itself.
+func (h *Heartbeater) waitsFor(t target) bool {
+	if t.vm == "" || h.self.VM < t.vm {
+		return false
+	}
+	quiet := h.clock.Since(h.met[t.address])
+	return quiet < time.Duration(quietBeats*float64(h.timing.Heartbeat))
+}
+
 func (h *Heartbeater) send(ctx context.Context, address string, hb *encoder.Heartbeat) {
 	defer func() {
 		h.mu.Lock()
@@ -266,6 +304,9 @@
 	h.self.Sequence++
 	self := h.describe()
 	hb := &encoder.Heartbeat{Sender: converter.Member(self, now)}
+	if h.self.Sequence%digestEvery != 0 && now.Sub(h.news) > newsBeats*h.timing.Heartbeat {
+		return hb
+	}
 	for _, m := range Digest(self, h.tracker.View(now), othersTold) {
 		hb.Members = append(hb.Members, converter.Member(m, now))
 	}
@@ -292,6 +333,7 @@
 	sender.Heard = now
 	h.mu.Lock()
 	h.tracker.Hear(now, sender)
+	h.met[sender.Peers] = now
 	for _, raw := range hb.GetMembers() {
 		if m, ok := converter.MemberFrom(raw, now); ok {
 			h.tracker.Hear(now, m)
@@ -350,9 +392,15 @@
 	h.listed = listed
 }
 
-// addresses returns where to send heartbeats: to the targets, and to listed
-// VMs that nobody has told of.
-func (h *Heartbeater) addresses() []string {
+// target is where a heartbeat goes. The VM is empty while it is not known.
+type target struct {
+	vm      namer.VM
+	address string
+}
+
+// targets returns where to send heartbeats: to the targets, and to listed VMs
+// that nobody has told of.
+func (h *Heartbeater) targets() []target {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	members := h.tracker.View(h.clock.Now())
@@ -361,17 +409,20 @@
 	for _, m := range members {
 		known[m.VM] = true
 	}
-	var out []string
+	var out []target
 	for _, m := range Targets(h.self, members) {
-		out = append(out, m.Peers)
+		out = append(out, target{vm: m.VM, address: m.Peers})
 	}
 	for _, l := range h.listed {
 		if !known[l.VM] {
-			out = append(out, l.Peers)
+			out = append(out, target{address: l.Peers})
 		}
 	}
-	if len(out) == 0 {
-		return h.seeds
+	if len(out) > 0 {
+		return out
+	}
+	for _, seed := range h.seeds {
+		out = append(out, target{address: seed})
 	}
 	return out
 }
--- a/internal/stand/launcher/process.go
+++ b/internal/stand/launcher/process.go
@@ -61,6 +61,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "opening a log")
 	}
+	p.cmd.Stdout = file
 	p.cmd.Stderr = file
 	if err := p.cmd.Start(); err != nil {
 		return nil, errors.Wrapf(err, "starting %s", name)
