--- a/internal/member/heartbeater/heartbeater_test.go
+++ b/internal/member/heartbeater/heartbeater_test.go
@@ -44,8 +44,8 @@
 func (nobody) VMs(context.Context) ([]storer.ListedVM, error) { return nil, nil }
 
 func (e end) Ask(ctx context.Context, address string, _ namer.Incarnation, req *encoder.Request) (*encoder.Reply, error) {
+	defer e.count()
 	e.mu.Lock()
-	e.sent[e.from]++
 	e.told += len(req.GetHeartbeat().GetMembers())
 	peer := e.members[address]
 	down := e.down[address] || e.down[e.from]
@@ -57,6 +57,13 @@
 	return &encoder.Reply{Kind: &encoder.Reply_Heartbeat{Heartbeat: hb}}, nil
 }
 
+// count counts a heartbeat once it has been answered.
+func (e end) count() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.sent[e.from]++
+}
+
 func (w *wire) counts() (a, b, told int) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
