--- a/cmd/waxwingctl/main_test.go
+++ b/cmd/waxwingctl/main_test.go
@@ -19,6 +19,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/route/placer"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
 	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
+	"github.com/waxwingloom/waxwingloom/platform"
 )
 
 func TestMain(m *testing.M) {
@@ -56,9 +57,9 @@
 	t.Parallel()
 	testscript.Run(t, testscript.Params{Dir: "testdata/script", Setup: func(env *testscript.Env) error {
 		clock := clockwork.NewRealClock()
-		platform := httptest.NewServer(storekeeper.New(clock).Handler())
-		env.Defer(platform.Close)
-		store, cleanup := storer.New(strings.TrimPrefix(platform.URL, "http://"))
+		stand := httptest.NewServer(storekeeper.New(clock).Handler())
+		env.Defer(stand.Close)
+		store, cleanup := platform.NewStore(strings.TrimPrefix(stand.URL, "http://"))
 		env.Defer(cleanup)
 		keep := keeper.New(slog.New(slog.DiscardHandler))
 		director := placer.NewDirector(func() []tracker.Member { return []tracker.Member{alone{}.Self()} })
--- a/internal/document/editor/editor_test.go
+++ b/internal/document/editor/editor_test.go
@@ -17,17 +17,18 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
+	"github.com/waxwingloom/waxwingloom/platform"
 )
 
 const services = "[service a]\n"
 
 func newPlatform(t *testing.T) (*storekeeper.Storekeeper, *storer.Storer) {
-	platform := storekeeper.New(clockwork.NewRealClock())
-	server := httptest.NewServer(platform.Handler())
+	stand := storekeeper.New(clockwork.NewRealClock())
+	server := httptest.NewServer(stand.Handler())
 	t.Cleanup(server.Close)
-	s, cleanup := storer.New(strings.TrimPrefix(server.URL, "http://"))
+	s, cleanup := platform.NewStore(strings.TrimPrefix(server.URL, "http://"))
 	t.Cleanup(cleanup)
-	return platform, s
+	return stand, s
 }
 
 func edit(id, text string) editor.Edit {
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -85,11 +85,11 @@
 	needs := []registrar.Name{portsName, clockName, platformName}
 	r.Register(enrollName, needs, func(f registrar.Finder) (any, func(), error) {
 		self := storer.ListedVM{VM: s.VM, Zone: s.Zone, Peers: f.Find(portsName).(*ports).advertised(s)}
-		return enroller.New(f.Find(platformName).(*platform.Client), self, f.Find(clockName).(clockwork.Clock), log), nil, nil
+		return enroller.New(storer.New(f.Find(platformName).(*platform.Client)), self, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	needs = []registrar.Name{portsName, clockName, peersName, enrollName, documentsName, reloadName}
+	needs = []registrar.Name{portsName, clockName, peersName, platformName, documentsName, reloadName}
 	r.Register(membersName, needs, func(f registrar.Finder) (any, func(), error) {
-		h := newMembers(f, s, log, f.Find(enrollName).(*enroller.Enroller))
+		h := newMembers(f, s, log, storer.New(f.Find(platformName).(*platform.Client)))
 		f.Find(reloadName).(*reloader.Reloader).OnChange(func(s loader.Settings) { h.SetSeeds(s.Seeds) })
 		return h, nil, nil
 	})
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -28,6 +28,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/route/placer"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
 	"github.com/waxwingloom/waxwingloom/internal/share/claimer"
+	"github.com/waxwingloom/waxwingloom/platform"
 )
 
 // The names of the daemon's services.
@@ -107,7 +108,7 @@
 func register(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
 	registerBase(r, s, log)
 	r.Register(platformName, nil, func(registrar.Finder) (any, func(), error) {
-		p, cleanup := storer.New(s.Platform)
+		p, cleanup := platform.NewStore(s.Platform)
 		return p, cleanup, nil
 	})
 	registerMembers(r, s, log)
--- a/internal/member/enroller/enroller.go
+++ b/internal/member/enroller/enroller.go
@@ -1,50 +1,52 @@
-// Package enroller writes this VM into the platform's store, so that VMs which
-// know nobody find the others there, and reads who else is written there.
+// Package enroller writes this VM into the platform's list, so that VMs which
+// know nobody find the others there.
 //
 // # Usage
 //
-//	e := enroller.New(calls, self, clock, log)
+//	e := enroller.New(store, self, clock, log)
 //	go e.Serve(ctx)
-//	vms, err := e.VMs(ctx)
+//	defer e.Withdraw(ctx)
 package enroller
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 )
 
-// Kind holds one record for each entry VM.
-const Kind storer.Kind = "entryvms"
-
 // retryTime is the pause before a write that failed is tried again.
 const retryTime = time.Second
 
 type (
-	// Enroller writes and reads the list of VMs.
+	// List is the platform's list of VMs.
+	List interface {
+		Enroll(ctx context.Context, vm storer.ListedVM) error
+		Withdraw(ctx context.Context, vm namer.VM) error
+	}
+
+	// Enroller writes one VM into the list.
 	Enroller struct {
-		calls storer.Calls
+		list  List
 		self  storer.ListedVM
 		clock clockwork.Clock
 		log   *slog.Logger
 	}
 )
 
-// New returns an enroller of this VM.
-func New(calls storer.Calls, self storer.ListedVM, clock clockwork.Clock, log *slog.Logger) *Enroller {
-	return &Enroller{calls: calls, self: self, clock: clock, log: log}
+// New returns an enroller of a VM.
+func New(list List, self storer.ListedVM, clock clockwork.Clock, log *slog.Logger) *Enroller {
+	return &Enroller{list: list, self: self, clock: clock, log: log}
 }
 
-// Serve writes this VM's record once, and again until that has worked.
+// Serve writes the VM once, and again until that has worked.
 func (e *Enroller) Serve(ctx context.Context) error {
 	for ctx.Err() == nil {
-		err := e.write(ctx)
+		err := e.list.Enroll(ctx, e.self)
 		if err == nil {
 			e.log.Info("enrolled", "peers", e.self.Peers)
 			<-ctx.Done()
@@ -59,55 +61,7 @@
 	return nil
 }
 
-// Withdraw removes this VM's record.
+// Withdraw removes the VM.
 func (e *Enroller) Withdraw(ctx context.Context) error {
-	err := e.calls.Delete(ctx, Kind, string(e.self.VM))
-	if errors.Is(err, storer.ErrMissing) {
-		return nil
-	}
-	return err
-}
-
-// VMs returns the VMs that are written in the store, this one left out.
-func (e *Enroller) VMs(ctx context.Context) ([]storer.ListedVM, error) {
-	var vms []storer.ListedVM
-	after := ""
-	for {
-		page, err := e.calls.List(ctx, Kind, after)
-		if err != nil {
-			return nil, err
-		}
-		for _, r := range page.Records {
-			after = r.Name
-			var vm storer.ListedVM
-			if err := json.Unmarshal(r.Spec, &vm); err != nil {
-				e.log.Warn("entry VM unreadable", "entry", r.Name, "reason", err.Error())
-				continue
-			}
-			if vm.VM != e.self.VM {
-				vms = append(vms, vm)
-			}
-		}
-		if !page.More || len(page.Records) == 0 {
-			return vms, nil
-		}
-	}
-}
-
-// write creates the record, or replaces that of an earlier process.
-func (e *Enroller) write(ctx context.Context) error {
-	spec, err := json.Marshal(e.self)
-	if err != nil {
-		return errors.Wrap(err, "encoding this VM's record")
-	}
-	_, err = e.calls.Create(ctx, Kind, string(e.self.VM), spec)
-	if !errors.Is(err, storer.ErrConflict) {
-		return err
-	}
-	old, err := e.calls.Read(ctx, Kind, string(e.self.VM))
-	if err != nil {
-		return err
-	}
-	_, err = e.calls.Replace(ctx, Kind, string(e.self.VM), spec, old.Version)
-	return err
+	return e.list.Withdraw(ctx, e.self.VM)
 }
--- a/internal/platform/storer/storer.go
+++ b/internal/platform/storer/storer.go
@@ -1,11 +1,11 @@
-// Package storer is the client of the platform's object API: values with
-// versions, conditional updates, watches, and the list of live and leaving
-// VMs. Every call is bounded in time. A write whose answer is lost may have
-// taken effect, and says so.
+// Package storer keeps the project's own values in the platform's store: named
+// values with versions and conditional updates, and the list of entry VMs. It
+// declares what it needs of the platform as Calls; the adapter in platform/ has
+// the one client.
 //
 // # Usage
 //
-//	s := storer.New("10.0.0.1:7000")
+//	s := storer.New(calls)
 //	obj, err := s.Get(ctx, "head")
 //	version, err := s.Put(ctx, "head", body, obj.Version)
 //	if errors.Is(err, storer.ErrLost) {
@@ -14,13 +14,8 @@
 package storer
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
-	"fmt"
-	"io"
-	"net/http"
-	"net/url"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,18 +23,18 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 )
 
-// VersionHeader carries an object's version in answers.
-const VersionHeader = "Version"
+// The kinds of the project's own records.
+const (
+	// DocumentKind holds the head of the steering document, its sections and
+	// the tables of ordinals.
+	DocumentKind Kind = "documents"
+	// VMKind holds one record for each entry VM.
+	VMKind Kind = "entryvms"
+)
 
 // Absent is the version of an object that does not exist.
 const Absent Version = 0
 
-const (
-	callTime     = 3 * time.Second
-	maxValue     = 1 << 20
-	maxListBytes = 8 << 20
-)
-
 // The errors of the object API.
 var (
 	ErrMissing  = errors.New("no such object")
@@ -48,7 +43,7 @@
 )
 
 type (
-	// Version counts an object's writes.
+	// Version counts the platform's writes; each object has that of its last.
 	Version uint64
 
 	// Object is a value with its version.
@@ -65,124 +60,122 @@
 		Leaving bool       `json:"leaving"`
 	}
 
-	// Storer calls the platform.
+	// Storer keeps values on the platform.
 	Storer struct {
-		base   string
-		client *http.Client
+		calls Calls
 	}
 )
 
-// New returns a client of the platform at an address.
-func New(address string) (*Storer, func()) {
-	transport := &http.Transport{MaxIdleConnsPerHost: 4}
-	s := &Storer{base: "http://" + address + "/v1/", client: &http.Client{Transport: transport}}
-	return s, transport.CloseIdleConnections
+// New returns a storer.
+func New(calls Calls) *Storer {
+	return &Storer{calls: calls}
 }
 
 // Get returns an object.
 func (s *Storer) Get(ctx context.Context, key string) (Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	return s.read(ctx, s.objectURL(key, ""))
+	r, err := s.calls.Read(ctx, DocumentKind, key)
+	if err != nil {
+		return Object{}, errors.Wrapf(err, "reading %s", key)
+	}
+	obj := Object{Version: r.Version}
+	err = json.Unmarshal(r.Spec, &obj.Body)
+	return obj, errors.Wrapf(err, "decoding %s", key)
 }
 
 // Watch returns the object once its version is above the one given, or as it
 // is when the wait ends.
 func (s *Storer) Watch(ctx context.Context, key string, above Version, wait time.Duration) (Object, error) {
-	ctx, cancel := context.WithTimeout(ctx, wait+callTime)
-	defer cancel()
-	query := fmt.Sprintf("?above=%d&wait=%s", above, wait)
-	return s.read(ctx, s.objectURL(key, query))
+	since := above
+	for above != Absent && since > 0 {
+		begun := time.Now()
+		changes, err := s.calls.Changes(ctx, DocumentKind, since, wait)
+		if errors.Is(err, ErrHistory) {
+			break
+		}
+		if err != nil {
+			return Object{}, errors.Wrapf(err, "watching %s", key)
+		}
+		wait -= time.Since(begun)
+		since = changes.At
+		if wait <= 0 || changes.names(key) {
+			break
+		}
+	}
+	return s.Get(ctx, key)
 }
 
 // Put writes an object if its version is still the one given, and returns the
 // new version. Absent writes it only if it does not exist.
 func (s *Storer) Put(ctx context.Context, key string, body []byte, version Version) (Version, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	target := s.objectURL(key, fmt.Sprintf("?version=%d", version))
-	req, err := http.NewRequestWithContext(ctx, http.MethodPut, target, bytes.NewReader(body))
+	spec, err := json.Marshal(body)
 	if err != nil {
-		return 0, errors.Wrap(err, "building a write")
+		return 0, errors.Wrapf(err, "encoding %s", key)
 	}
-	// Without GetBody the transport can't send the write a second time.
-	req.GetBody = nil
-	resp, err := s.client.Do(req)
-	if err != nil {
-		return 0, errors.Mark(errors.Wrapf(err, "writing %s", key), ErrLost)
+	if version == Absent {
+		version, err = s.calls.Create(ctx, DocumentKind, key, spec)
+	} else {
+		version, err = s.calls.Replace(ctx, DocumentKind, key, spec, version)
 	}
-	defer func() { _ = resp.Body.Close() }()
-	defer drain(resp.Body)
-	switch {
-	case resp.StatusCode == http.StatusOK:
-		return versionOf(resp)
-	case resp.StatusCode == http.StatusPreconditionFailed:
-		return 0, errors.Wrapf(ErrConflict, "writing %s", key)
-	case resp.StatusCode >= http.StatusInternalServerError:
-		return 0, errors.Mark(errors.Newf("writing %s: status %d", key, resp.StatusCode), ErrLost)
-	}
-	return 0, errors.Newf("writing %s: status %d", key, resp.StatusCode)
+	return version, errors.Wrapf(err, "writing %s", key)
 }
 
-// VMs returns the platform's list of live and leaving VMs.
+// VMs returns the platform's list of live and leaving VMs. A record that can't
+// be read names no VM.
 func (s *Storer) VMs(ctx context.Context) ([]ListedVM, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTime)
-	defer cancel()
-	resp, err := s.get(ctx, s.base+"vms")
-	if err != nil {
-		return nil, err
-	}
-	defer func() { _ = resp.Body.Close() }()
-	defer drain(resp.Body)
-	if resp.StatusCode != http.StatusOK {
-		return nil, errors.Newf("listing VMs: status %d", resp.StatusCode)
-	}
 	var vms []ListedVM
-	err = json.NewDecoder(io.LimitReader(resp.Body, maxListBytes)).Decode(&vms)
-	return vms, errors.Wrap(err, "listing VMs")
-}
-
-func (s *Storer) objectURL(key, query string) string {
-	return s.base + "objects/" + url.PathEscape(key) + query
+	after := ""
+	for {
+		page, err := s.calls.List(ctx, VMKind, after)
+		if err != nil {
+			return nil, errors.Wrap(err, "listing VMs")
+		}
+		for _, r := range page.Records {
+			after = r.Name
+			var vm ListedVM
+			if json.Unmarshal(r.Spec, &vm) == nil && vm.VM != "" {
+				vms = append(vms, vm)
+			}
+		}
+		if !page.More || len(page.Records) == 0 {
+			return vms, nil
+		}
+	}
 }
 
-func (s *Storer) read(ctx context.Context, target string) (Object, error) {
-	resp, err := s.get(ctx, target)
+// Enroll writes a VM into the list, in place of an earlier process of it.
+func (s *Storer) Enroll(ctx context.Context, vm ListedVM) error {
+	spec, err := json.Marshal(vm)
 	if err != nil {
-		return Object{}, err
+		return errors.Wrap(err, "encoding a VM")
 	}
-	defer func() { _ = resp.Body.Close() }()
-	defer drain(resp.Body)
-	if resp.StatusCode == http.StatusNotFound {
-		return Object{}, ErrMissing
+	name := string(vm.VM)
+	_, err = s.calls.Create(ctx, VMKind, name, spec)
+	if !errors.Is(err, ErrConflict) {
+		return err
 	}
-	if resp.StatusCode != http.StatusOK {
-		return Object{}, errors.Newf("reading: status %d", resp.StatusCode)
-	}
-	version, err := versionOf(resp)
+	old, err := s.calls.Read(ctx, VMKind, name)
 	if err != nil {
-		return Object{}, err
+		return err
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, maxValue+1))
-	return Object{Body: body, Version: version}, errors.Wrap(err, "reading")
+	_, err = s.calls.Replace(ctx, VMKind, name, spec, old.Version)
+	return err
 }
 
-func (s *Storer) get(ctx context.Context, target string) (*http.Response, error) {
-	req, err := http.NewRequestWithContext(ctx, http.MethodGet, target, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "building a read")
+// Withdraw removes a VM from the list.
+func (s *Storer) Withdraw(ctx context.Context, vm namer.VM) error {
+	err := s.calls.Delete(ctx, VMKind, string(vm))
+	if errors.Is(err, ErrMissing) {
+		return nil
 	}
-	resp, err := s.client.Do(req)
-	return resp, errors.Wrap(err, "reading")
+	return err
 }
 
-func versionOf(resp *http.Response) (Version, error) {
-	var v Version
-	_, err := fmt.Sscan(resp.Header.Get(VersionHeader), &v)
-	return v, errors.Wrap(err, "reading a version")
-}
-
-// drain reads what is left, so that the connection can be used again.
-func drain(body io.Reader) {
-	_, _ = io.Copy(io.Discard, io.LimitReader(body, maxValue))
+// names reports whether any change is of the object with a name.
+func (c Changes) names(name string) bool {
+	for _, change := range c.List {
+		if change.Record.Name == name {
+			return true
+		}
+	}
+	return false
 }
--- a/internal/stand/gauger/once.go
+++ b/internal/stand/gauger/once.go
@@ -21,6 +21,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/stand/launcher"
 	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
+	"github.com/waxwingloom/waxwingloom/platform"
 )
 
 const (
@@ -55,8 +56,8 @@
 	}
 	defer cleanup()
 	fleet.Link(fleet.Daemons[0], fleet.Daemons[1], rtt/2, false, false)
-	platform := fleet.Platform.Address("address")
-	if err := launcher.Put(ctx, platform, "/stand/faults", storekeeper.Faults{Delay: rtt}); err != nil {
+	address := fleet.Platform.Address("address")
+	if err := launcher.Put(ctx, address, "/stand/faults", storekeeper.Faults{Delay: rtt}); err != nil {
 		return err
 	}
 	client := newClient()
@@ -67,7 +68,7 @@
 	}
 	defer closeAsk()
 	tokens := &tokenPool{client: client, address: fleet.Daemons[0].Address("callers")}
-	store, closeStore := storer.New(platform)
+	store, closeStore := platform.NewStore(address)
 	defer closeStore()
 	b := &batcher{store: store}
 	ways := []way{
@@ -93,11 +94,11 @@
 		return err
 	}
 	var before, after storekeeper.Counts
-	if err := launcher.Get(ctx, platform, "/stand/counts", &before); err != nil {
+	if err := launcher.Get(ctx, address, "/stand/counts", &before); err != nil {
 		return err
 	}
 	results := alternate(ctx, ways, onceRate, onceTime)
-	if err := launcher.Get(ctx, platform, "/stand/counts", &after); err != nil {
+	if err := launcher.Get(ctx, address, "/stand/counts", &after); err != nil {
 		return err
 	}
 	fmt.Fprintf(out, "round trip %v\n", rtt)
