--- a/internal/share/spreader/spreader.go
+++ b/internal/share/spreader/spreader.go
@@ -173,13 +173,10 @@
 		return
 	}
 	for i, l := range loads {
-		if rest[i] <= 0 && len(out[i]) > 0 {
-			continue
-		}
-		need := max(l.Need, rest[i], 1)
-		left := rest[i]
-		if len(out[i]) == 0 {
-			left = need
+		need, left := l.Need, rest[i]
+		if len(out[i]) == 0 && left <= 0 {
+			// A zone without upstreams whose callers need nothing yet.
+			need, left = 1, 1
 		}
 		for _, o := range loads {
 			add(out[i], o.Zone, left*o.Slots/total, need)
--- /dev/null
+++ b/internal/share/spreader/spreader_test.go
@@ -0,0 +1,141 @@
+package spreader_test
+
+import (
+	"math"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"pgregory.net/rapid"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
+)
+
+// loads are three regions of two zones; the first region has a third of the
+// callers and a tenth of the upstreams.
+func loads(need float64) []spreader.Load {
+	return []spreader.Load{
+		{Zone: "a1", Region: "a", Slots: 6, Need: need},
+		{Zone: "a2", Region: "a", Slots: 6, Need: need},
+		{Zone: "b1", Region: "b", Slots: 24, Need: need},
+		{Zone: "b2", Region: "b", Slots: 24, Need: need},
+		{Zone: "c1", Region: "c", Slots: 30, Need: need},
+		{Zone: "c2", Region: "c", Slots: 30, Need: need},
+	}
+}
+
+func parts(s *spreader.Spreader, zone namer.Zone) map[namer.Zone]float64 {
+	out := make(map[namer.Zone]float64)
+	for _, p := range s.Parts(zone) {
+		out[p.Zone] = p.Part
+	}
+	return out
+}
+
+func TestEnoughAtHome(t *testing.T) {
+	t.Parallel()
+	s := spreader.New()
+	s.Update(time.Unix(1000, 0), loads(2))
+	for _, l := range loads(2) {
+		got := parts(s, l.Zone)
+		assert.Equal(t, len(got), 1)
+		assert.Equal(t, got[l.Zone], 1.0)
+	}
+}
+
+// TestRegionWithMoreCallers keeps what the region's upstreams carry and places
+// the rest where there is room.
+func TestRegionWithMoreCallers(t *testing.T) {
+	t.Parallel()
+	s := spreader.New()
+	s.Update(time.Unix(1000, 0), loads(9))
+	got := parts(s, "a1")
+	assert.Assert(t, got["a1"] > 0.3 && got["a1"] < 0.4, "%v", got)
+	assert.Equal(t, got["a2"], 0.0, "the other zone of the region has no room")
+	assert.Assert(t, got["c1"] > got["b1"], "the zone with more room gets more: %v", got)
+	assert.Equal(t, parts(s, "b1")["b1"], 1.0)
+}
+
+// TestLoadRises moves few objects in any two seconds, however fast callers
+// come.
+func TestLoadRises(t *testing.T) {
+	t.Parallel()
+	s := spreader.New()
+	now := time.Unix(1000, 0)
+	s.Update(now, loads(3))
+	before := parts(s, "a1")
+	for second := range 20 {
+		now = now.Add(time.Second)
+		s.Update(now, loads(20))
+		after := parts(s, "a1")
+		assert.Assert(t, moved(before, after) <= 0.035, "second %d moved %v", second, moved(before, after))
+		before = after
+	}
+	assert.Assert(t, before["a1"] < 0.7, "%v", before)
+}
+
+// TestZoneDrained loses its part at once.
+func TestZoneDrained(t *testing.T) {
+	t.Parallel()
+	s := spreader.New()
+	now := time.Unix(1000, 0)
+	s.Update(now, loads(9))
+	drained := loads(9)
+	drained[4].Slots = 0
+	s.Update(now.Add(time.Second), drained)
+	for _, l := range drained {
+		assert.Equal(t, parts(s, l.Zone)["c1"], 0.0)
+	}
+}
+
+func moved(before, after map[namer.Zone]float64) float64 {
+	sum := 0.0
+	for _, z := range []namer.Zone{"a1", "a2", "b1", "b2", "c1", "c2"} {
+		sum += math.Abs(before[z] - after[z])
+	}
+	return sum / 2
+}
+
+// TestPropertyParts has parts that add up to one and no zone filled beyond its
+// slots while another has room.
+func TestPropertyParts(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.IntRange(1, 8).Draw(t, "zones")
+		var list []spreader.Load
+		slots, need := 0.0, 0.0
+		for i := range n {
+			l := spreader.Load{
+				Zone:   namer.Zone(rune('a' + i)),
+				Region: namer.Region(rune('A' + i/2)),
+				Slots:  float64(rapid.IntRange(0, 60).Draw(t, "slots")),
+				Need:   rapid.Float64Range(0, 60).Draw(t, "need"),
+			}
+			slots += l.Slots
+			need += l.Need
+			list = append(list, l)
+		}
+		if slots == 0 {
+			return
+		}
+		s := spreader.New()
+		s.Update(time.Unix(1000, 0), list)
+		filled := make(map[namer.Zone]float64)
+		for _, l := range list {
+			sum := 0.0
+			for _, p := range s.Parts(l.Zone) {
+				sum += p.Part
+				filled[p.Zone] += p.Part * l.Need
+			}
+			if math.Abs(sum-1) > 1e-6 {
+				t.Fatalf("the parts of %s add up to %v", l.Zone, sum)
+			}
+		}
+		for _, l := range list {
+			if need < 0.4*slots && filled[l.Zone] > l.Slots+1e-6 {
+				t.Fatalf("%s has %v slots and gets %v, of %v in %v", l.Zone, l.Slots, filled[l.Zone], need, slots)
+			}
+		}
+	})
+}
