--- /dev/null
+++ b/internal/route/steerer/queue_test.go
@@ -0,0 +1,39 @@
+package steerer
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/route/selector"
+)
+
+// TestQueueOrder has the more urgent route first, and of one route the request
+// whose target is nearer.
+func TestQueueOrder(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	urgent := &parser.Route{Name: "urgent", Rank: 0}
+	usual := &parser.Route{Name: "usual", Rank: 2}
+	q := &queue{}
+	for _, w := range []*waiter{
+		{ask: selector.Ask{Route: usual, Service: "b", Ideal: now.Add(2 * time.Second)}},
+		{ask: selector.Ask{Route: urgent, Service: "d", Ideal: now.Add(9 * time.Second)}},
+		{ask: selector.Ask{Route: usual, Service: "a", Ideal: now.Add(time.Second)}},
+		{ask: selector.Ask{Route: urgent, Service: "c", Ideal: now.Add(3 * time.Second)}},
+	} {
+		q.add(w)
+	}
+	var order []namer.Service
+	for _, w := range q.waiters {
+		order = append(order, w.ask.Service)
+	}
+	assert.DeepEqual(t, order, []namer.Service{"c", "d", "a", "b"})
+	assert.Assert(t, q.passedBy(&waiter{ask: selector.Ask{Route: usual}}))
+	assert.Assert(t, !q.passedBy(&waiter{ask: selector.Ask{Route: urgent, Ideal: now}}))
+	assert.Assert(t, q.remove(q.waiters[1]))
+	assert.Equal(t, len(q.waiters), 3)
+}
--- /dev/null
+++ b/internal/route/steerer/steerer_test.go
@@ -0,0 +1,349 @@
+package steerer_test
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strconv"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+	"pgregory.net/rapid"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/route/selector"
+	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
+)
+
+const document = `
+[service desk]
+[route read]
+host = shop
+path = /read/
+split = desk:1
+timeout = 2s
+target = 100ms
+attempts = 3
+affinity = yes
+[route order]
+host = shop
+path = /order/
+split = desk:1
+once = yes
+timeout = 2s
+target = 100ms
+attempts = 3
+[route urgent]
+host = shop
+path = /urgent/
+split = desk:1
+once = yes
+timeout = 2s
+attempts = 1
+`
+
+// fate is what becomes of one send.
+type fate int
+
+const (
+	runs fate = iota
+	fails
+	refuses
+	breaks
+	unreachable
+	spoils
+	hangs
+)
+
+// mayRun reports whether the upstream may have run a request of this fate.
+func (f fate) mayRun() bool {
+	return f != refuses && f != unreachable
+}
+
+// upstreams is every upstream, with fates for the next sends.
+type upstreams struct {
+	mu    sync.Mutex
+	fates []fate
+	sent  []fate
+	to    []namer.Upstream
+	left  []time.Duration
+	free  chan struct{}
+	gone  int
+}
+
+func (u *upstreams) Keep([]exchanger.Target) {}
+
+func (u *upstreams) Exchange(ctx context.Context, t exchanger.Target, r exchanger.Request) (exchanger.Answer, error) {
+	u.mu.Lock()
+	f := runs
+	if len(u.fates) > 0 {
+		f = u.fates[0]
+		u.fates = u.fates[1:]
+	}
+	u.sent = append(u.sent, f)
+	u.to = append(u.to, t.Upstream)
+	req, err := http.ReadRequest(bufio.NewReader(bytes.NewReader(append(r.Head, r.Body...))))
+	if err == nil {
+		ms, _ := strconv.Atoi(req.Header.Get(namer.OwnHeaders().Remaining))
+		u.left = append(u.left, time.Duration(ms)*time.Millisecond)
+	}
+	u.mu.Unlock()
+	h := namer.OwnHeaders()
+	header := http.Header{}
+	header.Set(h.Signature, "s")
+	switch f {
+	case runs:
+		return exchanger.Answer{Status: http.StatusOK, Header: header, Body: []byte("ok")}, nil
+	case fails:
+		return exchanger.Answer{Status: http.StatusInternalServerError, Header: header}, nil
+	case refuses:
+		header.Set(h.Refused, "1")
+		return exchanger.Answer{Status: http.StatusServiceUnavailable, Header: header}, nil
+	case spoils:
+		return exchanger.Answer{Status: http.StatusOK, Header: http.Header{}}, nil
+	case unreachable:
+		return exchanger.Answer{}, errors.Mark(errors.New("refused"), exchanger.ErrUnsent)
+	case hangs:
+		select {
+		case <-u.free:
+			return exchanger.Answer{Status: http.StatusOK, Header: header}, nil
+		case <-ctx.Done():
+			u.mu.Lock()
+			defer u.mu.Unlock()
+			u.gone++
+		}
+	case breaks:
+	}
+	return exchanger.Answer{}, errors.New("broken")
+}
+
+func newSteerer(t interface{ Fatal(...any) }, up *upstreams, count, slots int) *steerer.Steerer {
+	self := selector.Self{VM: "v", Zone: "z", Region: "r", Regions: map[namer.Zone]namer.Region{"z": "r"}}
+	s := steerer.New(self, namer.OwnHeaders(), steerer.Budget{Ratio: 1, Window: 10 * time.Second}, up,
+		clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	doc, err := parser.Parse(parser.Sources{{Section: parser.Services, Text: []byte(document)}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.SetDocument(doc)
+	view := &cataloger.View{}
+	for i := range count {
+		name := fmt.Sprintf("u%d", i)
+		view.Upstreams = append(view.Upstreams, cataloger.Upstream{Entry: cataloger.Entry{
+			Upstream: namer.Upstream(name), Service: "desk", Zone: "z", Address: name, Slots: slots,
+		}})
+	}
+	s.SetUpstreams(view)
+	return s
+}
+
+func request(path string) steerer.Request {
+	return steerer.Request{
+		Method: http.MethodPost, Host: "shop", Target: path, Path: path, Header: http.Header{}, Attempt: "a", Object: "o", Arrived: time.Now(),
+	}
+}
+
+// TestFates holds how often a request is sent and what its caller is told.
+func TestFates(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name   string
+		path   string
+		fates  []fate
+		sends  int
+		status int
+		code   steerer.Code
+	}{
+		{"once, runs", "/order/", []fate{runs}, 1, 200, ""},
+		{"once, breaks", "/order/", []fate{breaks}, 1, 502, steerer.CodeUnknown},
+		{"once, spoils", "/order/", []fate{spoils}, 1, 502, steerer.CodeUnknown},
+		{"once, fails", "/order/", []fate{fails}, 1, 500, ""},
+		{"once, refused, runs", "/order/", []fate{refuses, runs}, 2, 200, ""},
+		{"once, refused, breaks", "/order/", []fate{refuses, breaks}, 2, 502, steerer.CodeUnknown},
+		{"once, refused by all", "/order/", []fate{refuses, refuses, refuses, refuses}, 3, 503, steerer.CodeRefused},
+		{"once, unreachable, runs", "/order/", []fate{unreachable, unreachable, runs}, 3, 200, ""},
+		{"once, one attempt", "/urgent/", []fate{refuses, runs}, 1, 503, steerer.CodeRefused},
+		{"once, one attempt, unreachable", "/urgent/", []fate{unreachable, runs}, 2, 200, ""},
+		{"read, breaks, runs", "/read/", []fate{breaks, runs}, 2, 200, ""},
+		{"read, fails, runs", "/read/", []fate{fails, runs}, 2, 200, ""},
+		{"read, fails thrice", "/read/", []fate{fails, fails, fails, runs}, 3, 500, ""},
+		{"read, spoils, refuses", "/read/", []fate{spoils, refuses, refuses}, 3, 502, steerer.CodeUnknown},
+		{"no route", "/none/", nil, 0, 404, steerer.CodeNoRoute},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			up := &upstreams{fates: tc.fates}
+			s := newSteerer(t, up, 5, 4)
+			// Earlier requests pay for second sends.
+			for range 4 {
+				s.Steer(t.Context(), request("/none/"))
+			}
+			for range 3 {
+				up.mu.Lock()
+				kept := up.fates
+				up.fates = nil
+				up.mu.Unlock()
+				s.Steer(t.Context(), request("/read/"))
+				up.mu.Lock()
+				up.fates, up.sent, up.to = kept, nil, nil
+				up.mu.Unlock()
+			}
+			result := s.Steer(t.Context(), request(tc.path))
+			assert.Equal(t, result.Status, tc.status, "%+v", result)
+			assert.Equal(t, result.Code, tc.code)
+			assert.Equal(t, len(up.sent), tc.sends)
+			if result.Status == http.StatusServiceUnavailable {
+				assert.Assert(t, result.RetryAfter > 0)
+			}
+		})
+	}
+}
+
+// TestPropertyPromises sends requests to upstreams of any fate: what may run
+// only once is never sent again after a send that may have run, and a refusal
+// is told only when nothing may have run.
+func TestPropertyPromises(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(t *rapid.T) {
+		up := &upstreams{}
+		s := newSteerer(t, up, rapid.IntRange(0, 5).Draw(t, "upstreams"), 4)
+		for range rapid.IntRange(1, 6).Draw(t, "requests") {
+			up.sent = nil
+			up.to = nil
+			up.fates = rapid.SliceOfN(rapid.SampledFrom([]fate{runs, fails, refuses, breaks, unreachable, spoils}), 0, 8).Draw(t, "fates")
+			path := rapid.SampledFrom([]string{"/read/", "/order/", "/urgent/"}).Draw(t, "path")
+			result := s.Steer(context.Background(), request(path))
+			ran := 0
+			for _, f := range up.sent {
+				if f.mayRun() {
+					ran++
+				}
+			}
+			if path != "/read/" && ran > 1 {
+				t.Fatalf("%s may have run %d times: %v", path, ran, up.sent)
+			}
+			if result.Status == http.StatusServiceUnavailable && ran > 0 {
+				t.Fatalf("%s was refused and may have run: %v", path, up.sent)
+			}
+			seen := make(map[namer.Upstream]bool)
+			for _, to := range up.to {
+				if seen[to] {
+					t.Fatalf("sent to %s twice", to)
+				}
+				seen[to] = true
+			}
+		}
+	})
+}
+
+func TestNoDocument(t *testing.T) {
+	t.Parallel()
+	self := selector.Self{VM: "v", Zone: "z", Region: "r"}
+	s := steerer.New(self, namer.OwnHeaders(), steerer.Budget{Ratio: 1, Window: time.Second}, &upstreams{},
+		clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	result := s.Steer(t.Context(), request("/read/"))
+	assert.Equal(t, result.Status, http.StatusServiceUnavailable, "an unknown configuration is no missing route")
+	assert.Equal(t, result.Code, steerer.CodeStarting)
+}
+
+// TestTimeLeft sends on what is left of the shorter of the two limits.
+func TestTimeLeft(t *testing.T) {
+	t.Parallel()
+	up := &upstreams{}
+	s := newSteerer(t, up, 2, 4)
+	r := request("/read/")
+	r.Remaining = time.Second
+	s.Steer(t.Context(), r)
+	r = request("/read/")
+	r.Remaining = time.Minute
+	s.Steer(t.Context(), r)
+	assert.Assert(t, up.left[0] <= time.Second && up.left[0] > 900*time.Millisecond, "%v", up.left)
+	assert.Assert(t, up.left[1] <= 2*time.Second && up.left[1] > 1900*time.Millisecond, "%v", up.left)
+}
+
+// TestCallerLeaves cancels what may be repeated, and lets run what may not.
+func TestCallerLeaves(t *testing.T) {
+	t.Parallel()
+	for path, canceled := range map[string]int{"/read/": 1, "/order/": 0} {
+		t.Run(path, func(t *testing.T) {
+			t.Parallel()
+			up := &upstreams{fates: []fate{hangs}, free: make(chan struct{})}
+			s := newSteerer(t, up, 2, 4)
+			ctx, cancel := context.WithCancel(t.Context())
+			done := make(chan steerer.Result, 1)
+			go func() { done <- s.Steer(ctx, request(path)) }()
+			poll.WaitOn(t, up.count(1))
+			cancel()
+			if canceled == 0 {
+				close(up.free)
+			}
+			<-done
+			up.mu.Lock()
+			defer up.mu.Unlock()
+			assert.Equal(t, up.gone, canceled)
+			assert.Equal(t, len(up.sent), 1)
+		})
+	}
+}
+
+func (u *upstreams) count(n int) poll.Check {
+	return func(poll.LogT) poll.Result {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		if len(u.sent) >= n {
+			return poll.Success()
+		}
+		return poll.Continue("%d sent", len(u.sent))
+	}
+}
+
+// TestWaiting fills the only upstream and has requests wait for it in their
+// order. The request of a caller that left is never sent.
+func TestWaiting(t *testing.T) {
+	t.Parallel()
+	up := &upstreams{fates: []fate{hangs, hangs, hangs}, free: make(chan struct{})}
+	s := newSteerer(t, up, 1, 2)
+	results := make(chan string, 8)
+	send := func(ctx context.Context, path string) {
+		go func() {
+			result := s.Steer(ctx, request(path))
+			results <- path + strconv.Itoa(result.Status)
+		}()
+	}
+	for range 3 {
+		send(t.Context(), "/order/")
+	}
+	poll.WaitOn(t, up.count(3))
+	ctx, cancel := context.WithCancel(t.Context())
+	send(ctx, "/read/")
+	poll.WaitOn(t, waiting(s, 1))
+	send(t.Context(), "/order/")
+	poll.WaitOn(t, waiting(s, 2))
+	cancel()
+	assert.Equal(t, <-results, "/read/503")
+	close(up.free)
+	for range 4 {
+		assert.Equal(t, <-results, "/order/200")
+	}
+	assert.Equal(t, len(up.sent), 4)
+}
+
+func waiting(s *steerer.Steerer, n int64) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if got := s.Counts().Waited; got < n {
+			return poll.Continue("%d waited", got)
+		}
+		return poll.Success()
+	}
+}
