--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -73,22 +73,18 @@
 	pause := retryFirst
 	for ctx.Err() == nil {
 		err := f.step(ctx)
-		if ctx.Err() != nil {
-			return nil
-		}
-		if err == nil {
+		switch {
+		case err == nil:
 			f.regained()
 			pause = retryFirst
-			continue
-		}
-		if errors.Is(err, storer.ErrHistory) {
+		case errors.Is(err, storer.ErrHistory):
 			f.log.Info("history gone", "since", uint64(f.since), "reason", "listing again")
 			f.listed = false
-			continue
+		case ctx.Err() == nil:
+			f.noteLost(err)
+			f.sleep(ctx, pause)
+			pause = min(2*pause, retryMost)
 		}
-		f.noteLost(err)
-		f.sleep(ctx, pause)
-		pause = min(2*pause, retryMost)
 	}
 	return nil
 }
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -59,12 +59,6 @@
 	headMost = 1 << 20
 )
 
-// routedPorts are the listeners that only steering by routes has.
-type routedPorts struct {
-	ready  net.Listener
-	lookup net.Listener
-}
-
 // registerRouted registers the services that steer by routes.
 func registerRouted(r *registrar.Registrar, s loader.Settings, o options, log *slog.Logger) {
 	registerBase(r, s, log)
--- a/internal/route/selector/selector_test.go
+++ b/internal/route/selector/selector_test.go
@@ -76,9 +76,9 @@
 	}
 }
 
-func (f *fixture) pick(t testing.TB, object string, tried ...namer.Upstream) namer.Upstream {
+func (f *fixture) pick(t testing.TB, object string) namer.Upstream {
 	t.Helper()
-	d := f.Decide(f.now, f.ask(object, tried...))
+	d := f.Decide(f.now, f.ask(object))
 	assert.Equal(t, d.Kind, selector.Send, "%v", d.Reason)
 	name, _, _, _ := d.Upstream()
 	return name
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -19,6 +19,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingloom/waxwingloom/internal/document/follower"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
@@ -87,12 +88,12 @@
 }
 
 // Upstreams returns the handler of upstreams' records.
-func (d *Discoverer) Upstreams() *upstreams { //nolint:revive // only a follower uses it
+func (d *Discoverer) Upstreams() follower.Handler {
 	return &upstreams{d}
 }
 
 // Drains returns the handler of the records that name zones to drain.
-func (d *Discoverer) Drains() *drains { //nolint:revive // only a follower uses it
+func (d *Discoverer) Drains() follower.Handler {
 	return &drains{d}
 }
 
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -170,7 +170,7 @@
 // answer reads until the answer to this request.
 func (l *link) answer(r Request) (Answer, error) {
 	for range foreignAnswers {
-		resp, err := http.ReadResponse(l.reader, &http.Request{Method: r.Method})
+		resp, err := http.ReadResponse(l.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // the connection is closed or kept as a whole
 		if err != nil {
 			return Answer{}, errors.Wrap(err, "reading an answer")
 		}
