Borrow upstreams and drained zones from a peer while the store can't be read

Cause: a VM that starts while the store is away learned the document from its peers, but no upstream, and answered 503 until the store was back. Also: a process whose clock was set back before its start counts once the one before it has been silent.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -81,17 +81,21 @@
 		self := storer.ListedVM{VM: s.VM, Zone: s.Zone, Peers: f.Find(portsName).(*ports).advertised(s)}
 		return enroller.New(storer.New(f.Find(platformName).(*platform.Client)), self, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	needs = []registrar.Name{portsName, clockName, peersName, platformName, documentsName, reloadName}
+	needs = []registrar.Name{portsName, clockName, peersName, platformName, documentsName, discoverName, reloadName}
 	r.Register(membersName, needs, func(f registrar.Finder) (any, func(), error) {
-		h := newMembers(f, s, log, storer.New(f.Find(platformName).(*platform.Client)))
+		h := newMembers(f, s, log, heartbeater.Services{
+			Lister:    storer.New(f.Find(platformName).(*platform.Client)),
+			Upstreams: f.Find(discoverName).(*discoverer.Discoverer),
+		})
 		f.Find(reloadName).(*reloader.Reloader).OnChange(func(s loader.Settings) { h.SetSeeds(s.Seeds) })
 		return h, nil, nil
 	})
-	needs = []registrar.Name{clockName, peersName, membersName, documentsName}
+	needs = []registrar.Name{clockName, peersName, membersName, documentsName, discoverName}
 	r.Register(answersName, needs, func(f registrar.Finder) (any, func(), error) {
 		services := answerer.Services{
 			Members:   f.Find(membersName).(*heartbeater.Heartbeater),
 			Documents: f.Find(documentsName).(*keeper.Keeper),
+			Upstreams: f.Find(discoverName).(*discoverer.Discoverer),
 		}
 		return &peerServer{
 			messenger: f.Find(peersName).(*messenger.Messenger),
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -132,11 +132,12 @@
 	})
 }
 
-func newMembers(f registrar.Finder, s loader.Settings, log *slog.Logger, lister heartbeater.Lister) *heartbeater.Heartbeater {
+func newMembers(f registrar.Finder, s loader.Settings, log *slog.Logger, services heartbeater.Services) *heartbeater.Heartbeater {
 	p := f.Find(portsName).(*ports)
 	clock := f.Find(clockName).(clockwork.Clock)
 	peers := f.Find(peersName).(*messenger.Messenger)
-	services := heartbeater.Services{Peers: peers, Lister: lister, Documents: f.Find(documentsName).(*keeper.Keeper)}
+	services.Peers = peers
+	services.Documents = f.Find(documentsName).(*keeper.Keeper)
 	h := heartbeater.New(p.member(s, clock.Now()), services, s.Seeds, timing(s), clock, log)
 	peers.OnDown(func(id messenger.Identity) { h.Doubt(id.Incarnation) })
 	return h
@@ -145,7 +146,7 @@
 func registerMembers(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
 	needs := []registrar.Name{portsName, clockName, peersName, platformName, documentsName}
 	r.Register(membersName, needs, func(f registrar.Finder) (any, func(), error) {
-		return newMembers(f, s, log, f.Find(platformName).(*storer.Storer)), nil, nil
+		return newMembers(f, s, log, heartbeater.Services{Lister: f.Find(platformName).(*storer.Storer)}), nil, nil
 	})
 	needs = []registrar.Name{clockName, platformName, documentsName, membersName}
 	r.Register(watchName, needs, func(f registrar.Finder) (any, func(), error) {
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -29,6 +29,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/peer/converter"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
 // othersTold is how many members of each other zone a heartbeat tells of.
@@ -63,6 +64,11 @@
 		Adopt(head keeper.Head, sources parser.Sources) (bool, error)
 	}
 
+	// Upstreams takes over another VM's view of the upstreams.
+	Upstreams interface {
+		Borrow(v *cataloger.View) bool
+	}
+
 	// Timing is the heartbeater's intervals.
 	Timing struct {
 		Heartbeat time.Duration
@@ -70,11 +76,12 @@
 		Tracker   tracker.Timing
 	}
 
-	// Services is what a heartbeater works with.
+	// Services is what a heartbeater works with. Upstreams may be nil.
 	Services struct {
 		Peers     Peers
 		Lister    Lister
 		Documents Documents
+		Upstreams Upstreams
 	}
 
 	// Heartbeater keeps one VM's view of the members.
@@ -352,6 +359,9 @@
 		h.log.Warn("document not pulled", "from", string(from.VM), "reason", err.Error())
 		return
 	}
+	if h.services.Upstreams != nil && reply.GetDocument() != nil {
+		h.services.Upstreams.Borrow(converter.UpstreamsFrom(reply.GetDocument()))
+	}
 	adopted, err := h.adopt(reply.GetDocument())
 	if err != nil {
 		h.log.Warn("document refused", "from", string(from.VM), "reason", err.Error())
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -109,7 +109,7 @@
 		m.Heard = t.now
 	}
 	known, ok := t.members[m.VM]
-	if ok && older(m, known) {
+	if ok && (older(m, known) && !t.overtakes(m, known) || t.overtakes(known, m)) {
 		return false
 	}
 	if ok && m.Incarnation == known.Incarnation {
@@ -189,6 +189,12 @@
 	return Alive
 }
 
+// overtakes reports whether a process that says it is older was heard long
+// after the one that is known. Its clock was set back before it started.
+func (t *Tracker) overtakes(m, known Member) bool {
+	return m.Incarnation != known.Incarnation && m.Heard.Sub(known.Heard) > t.timing.Suspect
+}
+
 // older reports whether a is an earlier word of the VM than b: an earlier
 // process, or an earlier announcement of the same one.
 func older(a, b Member) bool {
--- a/internal/member/tracker/tracker_test.go
+++ b/internal/member/tracker/tracker_test.go
@@ -101,3 +101,20 @@
 		}
 	})
 }
+
+// TestClockSetBackBeforeARestart has a new process whose start seems older than
+// that of the one before. It counts once the other has been silent.
+func TestClockSetBackBeforeARestart(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	tr := tracker.New("self", timing)
+	tr.Hear(now, member(1, 9, 5, now))
+	soon := now.Add(timing.Suspect)
+	tr.Hear(soon, member(2, 7, 1, soon))
+	assert.Equal(t, tr.View(soon)[0].Incarnation, namer.Incarnation{1})
+	later := soon.Add(time.Millisecond)
+	tr.Hear(later, member(2, 7, 2, later))
+	assert.Equal(t, tr.View(later)[0].Incarnation, namer.Incarnation{2})
+	tr.Hear(later, member(1, 9, 5, now))
+	assert.Equal(t, tr.View(later)[0].Incarnation, namer.Incarnation{2}, "an old copy of the first changes nothing")
+}
--- a/internal/peer/answerer/answerer.go
+++ b/internal/peer/answerer/answerer.go
@@ -23,6 +23,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
 	"github.com/waxwingloom/waxwingloom/internal/route/dispatcher"
 	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
 type (
@@ -49,13 +50,19 @@
 		Current() *keeper.Force
 	}
 
+	// Upstreams tells which upstreams were discovered.
+	Upstreams interface {
+		View() *cataloger.View
+	}
+
 	// Services is what an answerer works with. Without Tokens and Router it
-	// answers only members.
+	// answers only members; without Upstreams it tells of none.
 	Services struct {
 		Members   Members
 		Tokens    Tokens
 		Router    Router
 		Documents Documents
+		Upstreams Upstreams
 	}
 
 	// Answerer answers the requests of other entry VMs.
@@ -186,5 +193,8 @@
 	for _, src := range force.Sources {
 		doc.Sections = append(doc.Sections, &encoder.Section{Name: string(src.Section), Text: src.Text})
 	}
+	if a.services.Upstreams != nil {
+		converter.Upstreams(doc, a.services.Upstreams.View(), a.clock.Now())
+	}
 	return s.Reply(&encoder.Reply{Kind: &encoder.Reply_Document{Document: doc}})
 }
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -8,13 +8,16 @@
 package converter
 
 import (
+	"math"
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
 	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
 // Call returns a request as a message. The deadline travels as the time left,
@@ -200,3 +203,50 @@
 	}
 	return out, true
 }
+
+// Upstreams adds what is known of upstreams to a document. Cold times travel as
+// what is left of them.
+func Upstreams(out *encoder.Document, v *cataloger.View, now time.Time) {
+	for _, u := range v.Upstreams {
+		out.Upstreams = append(out.Upstreams, &encoder.Upstream{
+			Name:     string(u.Upstream),
+			Version:  uint64(u.Version),
+			Born:     u.Born,
+			Service:  string(u.Service),
+			Zone:     string(u.Zone),
+			Address:  u.Address,
+			Slots:    int32(min(u.Slots, math.MaxInt32)),
+			Draining: u.Draining,
+			Cold:     max(0, u.Cold.Sub(now)).Milliseconds(),
+		})
+	}
+	for zone, drained := range v.Drained {
+		if drained {
+			out.Drained = append(out.Drained, string(zone))
+		}
+	}
+}
+
+// UpstreamsFrom reads what a document tells of upstreams.
+func UpstreamsFrom(in *encoder.Document) *cataloger.View {
+	v := &cataloger.View{Drained: make(map[namer.Zone]bool)}
+	for _, u := range in.GetUpstreams() {
+		v.Upstreams = append(v.Upstreams, cataloger.Upstream{
+			Version: storer.Version(u.GetVersion()),
+			Entry: cataloger.Entry{
+				Upstream: namer.Upstream(u.GetName()),
+				Born:     u.GetBorn(),
+				Service:  namer.Service(u.GetService()),
+				Zone:     namer.Zone(u.GetZone()),
+				Address:  u.GetAddress(),
+				Slots:    int(u.GetSlots()),
+				Draining: u.GetDraining(),
+				ColdLeft: time.Duration(u.GetCold()) * time.Millisecond,
+			},
+		})
+	}
+	for _, zone := range in.GetDrained() {
+		v.Drained[namer.Zone(zone)] = true
+	}
+	return v
+}
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -187,7 +187,7 @@
 func (s *Steerer) Ready() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.document != nil
+	return s.document != nil && len(s.view.Upstreams) > 0
 }
 
 // Regions returns the regions that may serve a host's routes, or nil for all.
--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -48,10 +48,12 @@
 		ColdLeft time.Duration
 	}
 
-	// Upstream is an entry in force. Cold is when it stops being cold.
+	// Upstream is an entry in force, as of a version. Cold is when it stops
+	// being cold.
 	Upstream struct {
 		Entry
-		Cold time.Time
+		Version storer.Version
+		Cold    time.Time
 	}
 
 	// View is the upstreams and drained zones at one moment.
@@ -70,7 +72,6 @@
 
 	held struct {
 		upstream Upstream
-		version  storer.Version
 		// gone is when a missing entry's upstream is taken as gone.
 		gone time.Time
 	}
@@ -84,14 +85,14 @@
 // Put takes over an entry, unless a later version of it is known.
 func (c *Cataloger) Put(now time.Time, version storer.Version, e Entry) bool {
 	known, ok := c.entries[e.Upstream]
-	if ok && version < known.version {
+	if ok && version < known.upstream.Version {
 		return false
 	}
-	u := Upstream{Entry: e, Cold: now.Add(e.ColdLeft)}
+	u := Upstream{Entry: e, Version: version, Cold: now.Add(e.ColdLeft)}
 	if ok && known.upstream.Born == e.Born && known.upstream.ColdLeft == e.ColdLeft {
 		u.Cold = known.upstream.Cold
 	}
-	c.entries[e.Upstream] = held{upstream: u, version: version}
+	c.entries[e.Upstream] = held{upstream: u}
 	return true
 }
 
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -40,6 +40,7 @@
 
 		mu      sync.Mutex
 		catalog *cataloger.Cataloger
+		listed  bool
 		drained map[namer.Zone]bool
 		changed func(*cataloger.View)
 	}
@@ -87,6 +88,32 @@
 	}
 }
 
+// View returns the upstreams and drained zones as they are known now.
+func (d *Discoverer) View() *cataloger.View {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.catalog.View()
+}
+
+// Borrow takes over another VM's view while this one has not yet read the
+// records itself, and reports whether it did.
+func (d *Discoverer) Borrow(v *cataloger.View) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.listed || len(v.Upstreams) == 0 {
+		return false
+	}
+	now := d.clock.Now()
+	for _, u := range v.Upstreams {
+		d.catalog.Put(now, u.Version, u.Entry)
+	}
+	d.drained = v.Drained
+	d.catalog.Drain(v.Drained)
+	d.log.Info("upstreams borrowed", "count", len(v.Upstreams), "reason", "the store was not read yet")
+	d.changed(d.catalog.View())
+	return true
+}
+
 // Upstreams returns the handler of upstreams' records.
 func (d *Discoverer) Upstreams() follower.Handler {
 	return &upstreams{d}
@@ -109,6 +136,7 @@
 		}
 	}
 	u.catalog.Keep(now, listed)
+	u.Discoverer.listed = true
 	u.log.Info("upstreams listed", "count", len(listed))
 	u.changed(u.catalog.View())
 }
--- /dev/null
+++ b/internal/upstream/discoverer/discoverer_test.go
@@ -0,0 +1,82 @@
+package discoverer_test
+
+import (
+	"log/slog"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/discoverer"
+)
+
+func decode(r storer.Record) (cataloger.Entry, error) {
+	if string(r.Spec) == "bad" {
+		return cataloger.Entry{}, errors.New("unreadable")
+	}
+	return cataloger.Entry{Upstream: namer.Upstream(r.Name), Service: "s", Zone: "z", Address: "a", Slots: 1}, nil
+}
+
+func record(name, spec string, version storer.Version) storer.Record {
+	return storer.Record{Name: name, Version: version, Spec: []byte(spec)}
+}
+
+func start() (*discoverer.Discoverer, func() []string) {
+	d := discoverer.New(decode, clockwork.NewFakeClock(), slog.New(slog.DiscardHandler))
+	var view *cataloger.View
+	d.OnChange(func(v *cataloger.View) { view = v })
+	return d, func() []string {
+		names := []string{}
+		for _, u := range view.Upstreams {
+			names = append(names, string(u.Upstream))
+		}
+		return names
+	}
+}
+
+// TestUnreadableEntry names no upstream and leaves the others.
+func TestUnreadableEntry(t *testing.T) {
+	t.Parallel()
+	d, names := start()
+	h := d.Upstreams()
+	h.Reset([]storer.Record{record("a", "", 1), record("b", "bad", 2), record("c", "", 3)})
+	assert.DeepEqual(t, names(), []string{"a", "c"})
+	h.Apply(storer.Change{Record: record("a", "bad", 4)})
+	assert.DeepEqual(t, names(), []string{"c"})
+	h.Apply(storer.Change{Record: record("a", "", 5)})
+	h.Apply(storer.Change{Record: record("c", "", 3), Removed: true})
+	assert.DeepEqual(t, names(), []string{"a"})
+}
+
+func TestDrains(t *testing.T) {
+	t.Parallel()
+	d, _ := start()
+	h := d.Drains()
+	h.Reset([]storer.Record{record("z1", "", 1)})
+	h.Apply(storer.Change{Record: record("z2", "", 2)})
+	assert.DeepEqual(t, d.View().Drained, map[namer.Zone]bool{"z1": true, "z2": true})
+	h.Apply(storer.Change{Record: record("z1", "", 1), Removed: true})
+	assert.DeepEqual(t, d.View().Drained, map[namer.Zone]bool{"z2": true})
+}
+
+// TestBorrow serves a VM that starts while the store is away, and ends with its
+// own first reading.
+func TestBorrow(t *testing.T) {
+	t.Parallel()
+	d, names := start()
+	other := &cataloger.View{
+		Upstreams: []cataloger.Upstream{{Version: 7, Entry: cataloger.Entry{Upstream: "a", Service: "s", Zone: "z", Address: "a", Slots: 1}}},
+		Drained:   map[namer.Zone]bool{"z": true},
+	}
+	assert.Assert(t, d.Borrow(other))
+	assert.DeepEqual(t, names(), []string{"a"})
+	assert.Assert(t, d.View().Drained["z"])
+	d.Upstreams().Reset([]storer.Record{record("b", "", 8)})
+	assert.DeepEqual(t, names(), []string{"b"})
+	assert.Assert(t, !d.Borrow(other), "an own reading goes first")
+	assert.DeepEqual(t, names(), []string{"b"})
+}
