One lead a region watches the store closely, the others hear from it

A watch that brought changes is followed by a pause of 100 ms, so that changes in a row come together. Tests: TestToldByAPeer, TestLeadTellsWhatWasMissed.

--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -33,9 +33,27 @@
 	deaf    bool
 	failing error
 	lists   int
+	watches int
 	kick    chan struct{}
 }
 
+// nextWatch lets the pause after a change pass, until the next watch is open.
+func (s *source) nextWatch(t *testing.T, clock *clockwork.FakeClock) {
+	t.Helper()
+	s.mu.Lock()
+	before := s.watches
+	s.mu.Unlock()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.watches > before {
+			return poll.Success()
+		}
+		clock.Advance(10 * time.Millisecond)
+		return poll.Continue("no new watch")
+	}, poll.WithDelay(time.Millisecond))
+}
+
 func newSource(clock clockwork.Clock) *source {
 	return &source{clock: clock, records: make(map[string]storer.Record), page: 500, kick: make(chan struct{})}
 }
@@ -86,6 +104,9 @@
 
 func (s *source) Changes(ctx context.Context, _ storer.Kind, since storer.Version, wait time.Duration) (storer.Changes, error) {
 	end := s.clock.After(wait)
+	s.mu.Lock()
+	s.watches++
+	s.mu.Unlock()
 	for {
 		s.mu.Lock()
 		if s.failing != nil {
@@ -163,13 +184,19 @@
 	}
 }
 
-func start(t *testing.T) (*source, *copied, *clockwork.FakeClock) {
+func start(t *testing.T, opts ...follower.Option) (*source, *copied, *clockwork.FakeClock) {
+	t.Helper()
+	src, kept, clock, _ := startFollower(t, opts...)
+	return src, kept, clock
+}
+
+func startFollower(t *testing.T, opts ...follower.Option) (*source, *copied, *clockwork.FakeClock, *follower.Follower) {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	src := newSource(clock)
 	src.put("first")
 	kept := &copied{}
-	f := follower.New(src, kind, kept, clock, slog.New(slog.DiscardHandler))
+	f := follower.New(src, kind, kept, clock, slog.New(slog.DiscardHandler), opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f.Serve(ctx) }()
@@ -178,7 +205,7 @@
 		assert.NilError(t, <-done)
 	})
 	poll.WaitOn(t, kept.has("first"))
-	return src, kept, clock
+	return src, kept, clock, f
 }
 
 // wait gives the follower time to open its next watch, and lets time pass.
@@ -270,3 +297,51 @@
 	cancel()
 	assert.NilError(t, <-done)
 }
+
+// TestToldByAPeer has a VM that is no lead, with a watch that hears nothing: it
+// looks again when a peer has seen more, and not when all have seen as much.
+func TestToldByAPeer(t *testing.T) {
+	t.Parallel()
+	src, kept, clock, f := startFollower(t, follower.WithLead(func() bool { return false }, func() {}))
+	wait(t, clock, 0)
+	src.mu.Lock()
+	src.deaf = true
+	src.mu.Unlock()
+	src.put("missed")
+	wait(t, clock, tightest)
+	kept.mu.Lock()
+	assert.Assert(t, !kept.names["missed"], "a watch that hears nothing goes on")
+	kept.mu.Unlock()
+	f.Told(2)
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
+	clock.Advance(200 * time.Millisecond)
+	poll.WaitOn(t, kept.has("missed"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if f.Seen() == 2 {
+			return poll.Success()
+		}
+		return poll.Continue("seen %d", f.Seen())
+	})
+	f.Told(2)
+}
+
+// TestLeadTellsWhatWasMissed has a lead spread the news once its next watch
+// brings what the last one should have.
+func TestLeadTellsWhatWasMissed(t *testing.T) {
+	t.Parallel()
+	news := make(chan struct{}, 8)
+	src, kept, clock := start(t, follower.WithLead(func() bool { return true }, func() { news <- struct{}{} }))
+	<-news
+	wait(t, clock, 0)
+	src.put("heard")
+	poll.WaitOn(t, kept.has("heard"))
+	assert.Equal(t, len(news), 0, "all watches heard it")
+	src.nextWatch(t, clock)
+	src.mu.Lock()
+	src.deaf = true
+	src.mu.Unlock()
+	src.put("missed")
+	wait(t, clock, time.Second)
+	poll.WaitOn(t, kept.has("missed"))
+	<-news
+}
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -42,6 +42,7 @@
 	configName    registrar.Name = "config"
 	upstreamsName registrar.Name = "upstreams"
 	drainsName    registrar.Name = "drains"
+	seenName      registrar.Name = "seen"
 	steerName     registrar.Name = "steer"
 	spreadName    registrar.Name = "spread"
 	directoryName registrar.Name = "directory"
@@ -71,6 +72,7 @@
 	})
 	registerRoutedMembers(r, s, log)
 	registerDiscovery(r, log)
+	registerSeen(r)
 	registerSteering(r, s, log)
 	registerRoutedFront(r, s, log)
 }
@@ -110,10 +112,11 @@
 		return discoverer.New(platform.Upstream, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
 	follow := func(name registrar.Name, kind storer.Kind, need registrar.Name, handler func(registrar.Finder) follower.Handler) {
-		needs := []registrar.Name{platformName, clockName, need}
+		needs := []registrar.Name{platformName, clockName, membersName, need}
 		r.Register(name, needs, func(f registrar.Finder) (any, func(), error) {
-			clock := f.Find(clockName).(clockwork.Clock)
-			return follower.New(f.Find(platformName).(*platform.Client), kind, handler(f), clock, log), nil, nil
+			members := f.Find(membersName).(*heartbeater.Heartbeater)
+			return follower.New(f.Find(platformName).(*platform.Client), kind, handler(f), f.Find(clockName).(clockwork.Clock), log,
+				follower.WithLead(members.Lead, members.Kick)), nil, nil
 		})
 	}
 	follow(configName, platform.ConfigKind, documentsName, func(f registrar.Finder) follower.Handler {
@@ -127,6 +130,40 @@
 	})
 }
 
+// registerSeen has VMs tell each other how far they have seen the store's
+// records.
+func registerSeen(r *registrar.Registrar) {
+	names := []registrar.Name{configName, upstreamsName, drainsName}
+	r.Register(seenName, append(names, membersName), func(f registrar.Finder) (any, func(), error) {
+		var all []*follower.Follower
+		for _, name := range names {
+			all = append(all, f.Find(name).(*follower.Follower))
+		}
+		f.Find(membersName).(*heartbeater.Heartbeater).OnSeen(
+			func() []tracker.Seen { return seenBy(all) },
+			func(told []tracker.Seen) { tell(all, told) })
+		return all, nil, nil
+	})
+}
+
+func seenBy(all []*follower.Follower) []tracker.Seen {
+	out := make([]tracker.Seen, len(all))
+	for i, f := range all {
+		out[i] = tracker.Seen{Kind: f.Kind(), Version: f.Seen()}
+	}
+	return out
+}
+
+func tell(all []*follower.Follower, told []tracker.Seen) {
+	for _, seen := range told {
+		for _, f := range all {
+			if f.Kind() == seen.Kind {
+				f.Told(seen.Version)
+			}
+		}
+	}
+}
+
 func registerSteering(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
 	needs := []registrar.Name{clockName, documentsName, discoverName, membersName}
 	r.Register(steerName, needs, func(f registrar.Finder) (any, func(), error) {
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -104,6 +104,8 @@
 		changed  func()
 		rooms    func() []tracker.Room
 		needs    func() []tracker.Need
+		seen     func() []tracker.Seen
+		told     func([]tracker.Seen)
 	}
 )
 
@@ -124,6 +126,8 @@
 		changed:  func() {},
 		rooms:    func() []tracker.Room { return nil },
 		needs:    func() []tracker.Need { return nil },
+		seen:     func() []tracker.Seen { return nil },
+		told:     func([]tracker.Seen) {},
 	}
 }
 
@@ -148,6 +152,15 @@
 	h.needs = f
 }
 
+// OnSeen sets what tells how far this VM has seen the store's records, and what
+// is told how far a peer has.
+func (h *Heartbeater) OnSeen(seen func() []tracker.Seen, told func([]tracker.Seen)) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.seen = seen
+	h.told = told
+}
+
 // SetSeeds replaces the peers to ask while no other is known.
 func (h *Heartbeater) SetSeeds(seeds []string) {
 	h.mu.Lock()
@@ -204,6 +217,11 @@
 	return IsGateway(h.self.VM, h.self.Zone, members)
 }
 
+// Lead reports whether this VM is its region's lead.
+func (h *Heartbeater) Lead() bool {
+	return IsLead(h.self, h.Members())
+}
+
 // Serve sends heartbeats until ctx ends.
 func (h *Heartbeater) Serve(ctx context.Context) error {
 	defer h.beats.Wait()
@@ -326,6 +344,7 @@
 	self.Generation = h.services.Documents.Generation()
 	self.Rooms = h.rooms()
 	self.Needs = h.needs()
+	self.Seen = h.seen()
 	return self
 }
 
@@ -341,12 +360,14 @@
 	h.mu.Lock()
 	h.tracker.Hear(now, sender)
 	h.met[sender.Peers] = now
+	told := h.told
 	for _, raw := range hb.GetMembers() {
 		if m, ok := converter.MemberFrom(raw, now); ok {
 			h.tracker.Hear(now, m)
 		}
 	}
 	h.mu.Unlock()
+	told(sender.Seen)
 	if sender.Generation > h.services.Documents.Generation() {
 		h.pull(ctx, sender)
 	}
--- a/internal/member/heartbeater/topology.go
+++ b/internal/member/heartbeater/topology.go
@@ -28,6 +28,19 @@
 	return above < Gateways
 }
 
+// IsLead reports whether a VM is the one of its region that watches the store
+// most closely, in the view of members that includes it. Views that differ cost
+// calls, not safety.
+func IsLead(self tracker.Member, members []tracker.Member) bool {
+	own := rank(self.VM, namer.Zone(self.Region))
+	for _, m := range members {
+		if m.Region == self.Region && m.VM != self.VM && m.State == tracker.Alive && rank(m.VM, namer.Zone(m.Region)) < own {
+			return false
+		}
+	}
+	return true
+}
+
 // Targets returns the members to send heartbeats to: every one of this zone,
 // and from a gateway the gateways of the other zones.
 func Targets(self tracker.Member, members []tracker.Member) []tracker.Member {
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -20,6 +20,7 @@
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 )
 
 // The states of a member.
@@ -50,6 +51,12 @@
 		Slots   float64
 	}
 
+	// Seen is the version up to which a member has seen a kind of records.
+	Seen struct {
+		Kind    storer.Kind
+		Version storer.Version
+	}
+
 	// Member is an entry VM as it described itself. Heard is when it was last
 	// known to run; State is judged from it when the view is read.
 	Member struct {
@@ -66,6 +73,7 @@
 		Generation  namer.Generation
 		Rooms       []Room
 		Needs       []Need
+		Seen        []Seen
 		Heard       time.Time
 		State       State
 
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -165,6 +165,9 @@
 	for _, n := range m.Needs {
 		out.Need = append(out.Need, &encoder.Need{Service: string(n.Service), Slots: n.Slots})
 	}
+	for _, seen := range m.Seen {
+		out.Seen = append(out.Seen, &encoder.Seen{Kind: string(seen.Kind), Version: uint64(seen.Version)})
+	}
 	for _, r := range m.Rooms {
 		out.Room = append(out.Room, &encoder.Room{Service: string(r.Service), Weight: int64(r.Weight)})
 	}
@@ -195,6 +198,9 @@
 	for _, n := range m.GetNeed() {
 		out.Needs = append(out.Needs, tracker.Need{Service: namer.Service(n.GetService()), Slots: n.GetSlots()})
 	}
+	for _, seen := range m.GetSeen() {
+		out.Seen = append(out.Seen, tracker.Seen{Kind: storer.Kind(seen.GetKind()), Version: storer.Version(seen.GetVersion())})
+	}
 	for _, r := range m.GetRoom() {
 		out.Rooms = append(out.Rooms, tracker.Room{
 			Service: namer.Service(r.GetService()),
