--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -26,6 +26,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/front/recorder"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 )
@@ -46,6 +47,7 @@
 	Router interface {
 		Steer(ctx context.Context, r steerer.Request) steerer.Result
 		Ingress() (parser.Ingress, bool)
+		Generation() namer.Generation
 	}
 
 	// Limits bounds what all callers together may use.
@@ -65,6 +67,7 @@
 		busy    atomic.Int64
 		held    atomic.Int64
 		leaving atomic.Bool
+		latency *recorder.Recorder
 		last    atomic.Int64
 		begun   time.Time
 	}
@@ -78,7 +81,9 @@
 
 // New returns a receiver.
 func New(router Router, headers namer.Headers, limits Limits, clock clockwork.Clock, log *slog.Logger) *Receiver {
-	return &Receiver{router: router, headers: headers, limits: limits, clock: clock, log: log, begun: clock.Now()}
+	return &Receiver{
+		router: router, headers: headers, limits: limits, clock: clock, log: log, begun: clock.Now(), latency: recorder.New(),
+	}
 }
 
 // Leave asks callers to open their next connection elsewhere, while requests
@@ -97,6 +102,11 @@
 	return r.busy.Load()
 }
 
+// Latencies returns the latencies by route and outcome.
+func (r *Receiver) Latencies() map[string]map[string]recorder.Latency {
+	return r.latency.Summary()
+}
+
 // Quiet returns how long no request has come.
 func (r *Receiver) Quiet() time.Duration {
 	return r.clock.Since(r.begun) - time.Duration(r.last.Load())
@@ -260,9 +270,15 @@
 }
 
 func (r *Receiver) logResult(in *http.Request, request steerer.Request, result steerer.Result) {
-	r.log.Info("answered", "attempt", request.Attempt, "method", in.Method, "host", in.Host, "object", request.Object,
-		"status", result.Status, "code", string(result.Code), "reason", result.Reason,
-		"remaining", request.Remaining, "took", r.clock.Since(request.Arrived))
+	took := r.clock.Since(request.Arrived)
+	outcome := "answered"
+	if result.Code != "" {
+		outcome = string(result.Code)
+	}
+	r.latency.Record(string(result.Route), outcome, took)
+	r.log.Info("answered", "attempt", request.Attempt, "method", in.Method, "host", in.Host, "route", string(result.Route),
+		"object", request.Object, "generation", uint64(r.router.Generation()), "status", result.Status, "code", string(result.Code),
+		"reason", result.Reason, "sent", result.Sent, "retryafter", result.RetryAfter, "remaining", request.Remaining, "took", took)
 }
 
 func refused(code steerer.Code, reason string) steerer.Result {
--- a/internal/front/receiver/receiver_test.go
+++ b/internal/front/receiver/receiver_test.go
@@ -42,6 +42,8 @@
 	return parser.Ingress{HeadBytes: 1024, BodyBytes: 64, ReadTime: 200 * time.Millisecond, IdleTime: time.Second}, !r.unready
 }
 
+func (r *router) Generation() namer.Generation { return 1 }
+
 func start(t *testing.T, r *router, limits receiver.Limits) (*receiver.Receiver, string) {
 	t.Helper()
 	rec := receiver.New(r, namer.OwnHeaders(), limits, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
--- a/internal/kernel/logger/logger.go
+++ b/internal/kernel/logger/logger.go
@@ -1,5 +1,6 @@
 // Package logger writes one key=value line for each event. Lines are buffered
-// for a short time, since every routing and placement decision has one.
+// for a short time, since every routing and placement decision has one. Lines
+// below a warning are bounded in rate; what is dropped is counted in a line.
 //
 // # Usage
 //
@@ -13,6 +14,7 @@
 	"io"
 	"log/slog"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -33,6 +35,8 @@
 	full  chan struct{}
 	stop  chan struct{}
 	ended chan struct{}
+	// over counts the lines beyond the rate since the last flush.
+	over atomic.Int64
 
 	mu      sync.Mutex
 	lines   []byte
@@ -48,7 +52,7 @@
 	}
 	b := &buffered{out: w, full: make(chan struct{}, 1), stop: make(chan struct{}), ended: make(chan struct{})}
 	go b.run()
-	log := slog.New(slog.NewTextHandler(b, &slog.HandlerOptions{Level: least}))
+	log := slog.New(limit(slog.NewTextHandler(b, &slog.HandlerOptions{Level: least}), &b.over))
 	return log, sync.OnceFunc(func() {
 		close(b.stop)
 		<-b.ended
@@ -97,6 +101,9 @@
 	b.lines = b.spare[:0]
 	b.dropped = 0
 	b.mu.Unlock()
+	if over := b.over.Swap(0); over > 0 {
+		lines = fmt.Appendf(lines, "level=WARN msg=\"lines dropped\" count=%d reason=\"more lines than the rate allows\"\n", over)
+	}
 	if dropped > 0 {
 		lines = fmt.Appendf(lines, "level=WARN msg=\"lines dropped\" count=%d reason=\"the log's reader is too slow\"\n", dropped)
 	}
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -176,7 +176,7 @@
 		members.OnChange(func() { countMembers(st, members, s) })
 		countMembers(st, members, s)
 		f.Find(documentsName).(*keeper.Keeper).Subscribe(func(force *keeper.Force) {
-			st.SetDocument(force.Document)
+			st.SetDocument(force.Head.Generation, force.Document)
 			members.Kick()
 		})
 		f.Find(discoverName).(*discoverer.Discoverer).OnChange(st.SetUpstreams)
@@ -290,7 +290,7 @@
 		front := f.Find(callersName).(*receiver.Receiver)
 		return openAdmin(s.Routing.Ready, platform.Ready(func() bool { return st.Ready() && !front.Leaving() }))
 	})
-	r.Register(operatorsName, []registrar.Name{portsName, steerName, documentsName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(operatorsName, []registrar.Name{portsName, steerName, documentsName, callersName}, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeaderTime}
 		return &webServer{server: server, listener: f.Find(portsName).(*ports).operators}, nil, nil
 	})
@@ -319,6 +319,10 @@
 	documents := f.Find(documentsName).(*keeper.Keeper)
 	m := new(expvar.Map).Init()
 	m.Set("requests", expvar.Func(func() any { return st.Counts() }))
+	front := f.Find(callersName).(*receiver.Receiver)
+	m.Set("latency", expvar.Func(func() any { return front.Latencies() }))
+	m.Set("busy", expvar.Func(func() any { return front.Busy() }))
+	m.Set("needs", expvar.Func(func() any { return st.Needs() }))
 	m.Set("generation", expvar.Func(func() any { return documents.Generation() }))
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/route/selector/node.go
+++ b/internal/route/selector/node.go
@@ -23,8 +23,8 @@
 	// slots; more wait here, where urgent ones can pass them.
 	queueSlots = 0.5
 
-	// loadAge is the half-life of what an upstream said of its load.
-	loadAge = 300 * time.Millisecond
+	// loadHalf is the half-life of what an upstream said of its load.
+	loadHalf = 300 * time.Millisecond
 	// latencyGain and failureGain are the weights of a new sample.
 	latencyGain = 0.1
 	speedGain   = 0.2
@@ -191,7 +191,16 @@
 		return float64(n.own)
 	}
 	others := max(0, n.said.requests-float64(n.said.own))
-	return others*halved(now.Sub(n.said.at), loadAge) + float64(n.own)
+	return others*halved(now.Sub(n.said.at), loadHalf) + float64(n.own)
+}
+
+// loadAge returns how old the upstream's word on its load is, and -1 when there
+// was none.
+func (n *node) loadAge(now time.Time) time.Duration {
+	if n.said.at.IsZero() {
+		return -1
+	}
+	return now.Sub(n.said.at).Round(time.Millisecond)
 }
 
 // capacity is the load beyond which requests wait here.
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -83,8 +83,10 @@
 		Reason     Reason
 		Expected   time.Duration
 		RetryAfter time.Duration
-		// Load is the requests that the upstream is thought to have.
-		Load float64
+		// Load is the requests that the upstream is thought to have, LoadAge
+		// how old its own word on that is.
+		Load    float64
+		LoadAge time.Duration
 
 		node  *node
 		route namer.Route
@@ -182,7 +184,7 @@
 // candidate's place in the object's order.
 func (s *Selector) weigh(now time.Time, n *node, place int, work time.Duration) Decision {
 	load := n.load(now)
-	d := Decision{node: n, Load: load, Reason: ByPrimary, warm: place < copies}
+	d := Decision{node: n, Load: load, LoadAge: n.loadAge(now), Reason: ByPrimary, warm: place < copies}
 	effort := n.effort(now, work)
 	switch {
 	case place == 1:
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -70,7 +71,9 @@
 	}
 	a := &attempts{request: r, route: route, service: service, due: r.Arrived.Add(limit)}
 	result := s.run(ctx, a)
-	s.note(a, result)
+	result.Route = route.Name
+	result.Sent = a.sent
+	s.note(result)
 	return result
 }
 
@@ -180,23 +183,23 @@
 	took := s.clock.Since(begun)
 	if errors.Is(err, exchanger.ErrUnsent) {
 		s.release(a, d, selector.Report{Unreached: ctx.Err() == nil, Unknown: ctx.Err() != nil, Load: -1})
-		s.logAttempt(a, name, 0, "unreached", took, err)
+		s.logAttempt(a, d, 0, "unreached", took, err)
 		return failure(http.StatusServiceUnavailable, CodeRefused, err.Error(), 0), unreached
 	}
 	a.sent++
 	if err != nil {
-		return s.broken(ctx, a, d, name, took, err)
+		return s.broken(ctx, a, d, took, err)
 	}
-	return s.answered(a, d, name, took, answer)
+	return s.answered(a, d, took, answer)
 }
 
 // broken judges a send that got no whole answer.
 func (s *Steerer) broken(
-	ctx context.Context, a *attempts, d selector.Decision, name namer.Upstream, took time.Duration, err error,
+	ctx context.Context, a *attempts, d selector.Decision, took time.Duration, err error,
 ) (Result, verdict) {
 	gone := ctx.Err() != nil
 	s.release(a, d, selector.Report{Failed: !gone, Unknown: gone, Load: -1})
-	s.logAttempt(a, name, 0, "broken", took, err)
+	s.logAttempt(a, d, 0, "broken", took, err)
 	if gone {
 		return Result{}, canceled
 	}
@@ -205,7 +208,7 @@
 
 // answered judges an upstream's answer.
 func (s *Steerer) answered(
-	a *attempts, d selector.Decision, name namer.Upstream, took time.Duration, answer exchanger.Answer,
+	a *attempts, d selector.Decision, took time.Duration, answer exchanger.Answer,
 ) (Result, verdict) {
 	report := selector.Report{Latency: took, Opening: answer.Opening, Load: loadOf(answer.Header.Get(s.headers.Load))}
 	result := Result{
@@ -216,26 +219,26 @@
 		report.Refused = true
 		report.Latency = 0
 		s.release(a, d, report)
-		s.logAttempt(a, name, answer.Status, "refused", took, nil)
+		s.logAttempt(a, d, answer.Status, "refused", took, nil)
 		closeRest(answer)
 		return failure(http.StatusServiceUnavailable, CodeRefused, "the upstream refused the request", 0), refused
 	case answer.Header.Get("Content-Encoding") != "" || answer.Status < 300 && answer.Header.Get(s.headers.Signature) == "":
 		report.Failed = true
 		s.release(a, d, report)
-		s.logAttempt(a, name, answer.Status, "spoiled", took, nil)
+		s.logAttempt(a, d, answer.Status, "spoiled", took, nil)
 		closeRest(answer)
 		return failure(http.StatusBadGateway, CodeUnknown, "the answer is not the upstream's own", 0), unknown
 	case answer.Status >= http.StatusInternalServerError:
 		report.Failed = true
 		s.release(a, d, report)
-		s.logAttempt(a, name, answer.Status, "failed", took, nil)
+		s.logAttempt(a, d, answer.Status, "failed", took, nil)
 		if a.route.Once || answer.Rest != nil {
 			return result, finished
 		}
 		return result, unknown
 	}
 	s.release(a, d, report)
-	s.logAttempt(a, name, answer.Status, "answered", took, nil)
+	s.logAttempt(a, d, answer.Status, "answered", took, nil)
 	return result, finished
 }
 
@@ -278,7 +281,7 @@
 	return running + queued
 }
 
-func (s *Steerer) note(a *attempts, r Result) {
+func (s *Steerer) note(r Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch {
@@ -289,16 +292,16 @@
 	default:
 		s.counts.Failed++
 	}
-	if a.misses > 0 || a.sent > 1 {
-		s.log.Debug("several upstreams", "attempt", a.request.Attempt, "sent", a.sent, "unreached", a.misses)
-	}
 }
 
-func (s *Steerer) logAttempt(a *attempts, name namer.Upstream, status int, what string, took time.Duration, err error) {
+// logAttempt tells of one send: what decided it, and what came of it.
+func (s *Steerer) logAttempt(a *attempts, d selector.Decision, status int, what string, took time.Duration, err error) {
 	reason := ""
 	if err != nil {
 		reason = err.Error()
 	}
+	name, _, _, _ := d.Upstream()
 	s.log.Info("sent", "attempt", a.request.Attempt, "route", string(a.route.Name), "service", string(a.service),
-		"upstream", string(name), "outcome", what, "status", status, "took", took, "reason", reason)
+		"upstream", string(name), "by", string(d.Reason), "load", math.Round(10*d.Load)/10, "loadage", d.LoadAge,
+		"expected", d.Expected, "outcome", what, "status", status, "took", took, "reason", reason)
 }
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -11,7 +11,7 @@
 //
 //	s, cleanup := steerer.New(self, headers, budget, clock, log)
 //	defer cleanup()
-//	s.SetDocument(doc)
+//	s.SetDocument(generation, doc)
 //	s.SetUpstreams(view)
 //	result := s.Steer(ctx, request)
 package steerer
@@ -78,6 +78,10 @@
 		Code       Code
 		Reason     string
 		RetryAfter time.Duration
+		// Route is empty when none fits. Sent counts the upstreams that the
+		// request was sent to.
+		Route namer.Route
+		Sent  int
 	}
 
 	// Budget is the bound on second sends.
@@ -100,15 +104,16 @@
 		clock     clockwork.Clock
 		log       *slog.Logger
 
-		mu       sync.Mutex
-		selector *selector.Selector
-		document *parser.Document
-		table    *matcher.Table
-		view     *cataloger.View
-		budgets  map[namer.Service]*budgeter.Budgeter
-		waiting  map[namer.Service]*queue
-		ticking  bool
-		counts   Counts
+		mu         sync.Mutex
+		selector   *selector.Selector
+		generation namer.Generation
+		document   *parser.Document
+		table      *matcher.Table
+		view       *cataloger.View
+		budgets    map[namer.Service]*budgeter.Budgeter
+		waiting    map[namer.Service]*queue
+		ticking    bool
+		counts     Counts
 	}
 
 	// Counts is what became of requests so far.
@@ -139,9 +144,10 @@
 }
 
 // SetDocument takes over the steering document in force.
-func (s *Steerer) SetDocument(d *parser.Document) {
+func (s *Steerer) SetDocument(g namer.Generation, d *parser.Document) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.generation = g
 	s.document = d
 	s.table = matcher.New(d)
 	s.update()
@@ -200,6 +206,14 @@
 	return s.table.Regions(host)
 }
 
+// Generation returns the generation of the document in force, 0 before the
+// first.
+func (s *Steerer) Generation() namer.Generation {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.generation
+}
+
 // Ingress returns the limits of callers' requests in force.
 func (s *Steerer) Ingress() (parser.Ingress, bool) {
 	s.mu.Lock()
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -136,7 +136,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.SetDocument(doc)
+	s.SetDocument(1, doc)
 	view := &cataloger.View{}
 	for i := range count {
 		name := fmt.Sprintf("u%d", i)
