--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -198,9 +198,13 @@
 	for _, c := range changes.List {
 		f.handler.Apply(c)
 	}
-	f.since = max(f.since, changes.At)
+	if len(changes.List) > 0 {
+		// An answer without changes may come of a watch that heard nothing, so
+		// it does not move the place from which the next one begins.
+		f.since = max(f.since, changes.At)
+	}
 	if len(changes.List) > 0 || looks {
-		f.sees(f.since)
+		f.sees(changes.At)
 	}
 	if len(changes.List) > 0 && f.quiet && f.clock.Since(begun) < lateTime {
 		f.log.Info("changes were missed", "since", uint64(f.since), "count", len(changes.List), "reason", "the last watch heard nothing")
--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -130,6 +130,9 @@
 		}
 		select {
 		case <-end:
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			out.At = s.at
 			return out, nil
 		case <-kick:
 		case <-ctx.Done():
--- a/internal/share/spreader/spreader.go
+++ b/internal/share/spreader/spreader.go
@@ -33,6 +33,9 @@
 	// pace is how much of a zone's objects may move in a second. Two seconds of
 	// it stay well below the shift between regions that the platform allows.
 	pace = 0.03
+	// idle is the need, as a part of all slots, below which nothing is known of
+	// the callers yet.
+	idle = 0.02
 	// least is a part too small to be worth an object.
 	least = 0.005
 )
@@ -79,7 +82,7 @@
 	for _, l := range loads {
 		s.order = append(s.order, l.Zone)
 	}
-	goals := goals(loads)
+	goals := goals(expected(loads))
 	for i, l := range loads {
 		known := s.parts[l.Zone]
 		if first || known == nil {
@@ -102,6 +105,25 @@
 	return out
 }
 
+// expected returns the loads, or before there are callers what the deployment
+// is made for: zones whose callers need the same, and all together what their
+// upstreams may be filled with.
+func expected(loads []Load) []Load {
+	slots, need := 0.0, 0.0
+	for _, l := range loads {
+		slots += l.Slots
+		need += l.Need
+	}
+	if need > idle*slots {
+		return loads
+	}
+	out := slices.Clone(loads)
+	for i := range out {
+		out[i].Need = use * slots / float64(len(out))
+	}
+	return out
+}
+
 // goals returns the parts that fit the loads.
 func goals(loads []Load) []map[namer.Zone]float64 {
 	out := make([]map[namer.Zone]float64, len(loads))
--- a/internal/share/spreader/spreader_test.go
+++ b/internal/share/spreader/spreader_test.go
@@ -57,6 +57,17 @@
 	assert.Equal(t, parts(s, "b1")["b1"], 1.0)
 }
 
+// TestNoCallersYet places objects as if zones needed the same, so that the first
+// callers do not all meet the few upstreams of their own region.
+func TestNoCallersYet(t *testing.T) {
+	t.Parallel()
+	s := spreader.New()
+	s.Update(time.Unix(1000, 0), loads(0))
+	got := parts(s, "a1")
+	assert.Assert(t, got["a1"] > 0.25 && got["a1"] < 0.35, "%v", got)
+	assert.Equal(t, parts(s, "c1")["c1"], 1.0)
+}
+
 // TestLoadRises moves few objects in any two seconds, however fast callers
 // come.
 func TestLoadRises(t *testing.T) {
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -40,7 +40,9 @@
 
 		mu      sync.Mutex
 		catalog *cataloger.Cataloger
+		// listed and read say that upstreams and drains were read here.
 		listed  bool
+		read    bool
 		drained map[namer.Zone]bool
 		changed func(*cataloger.View)
 	}
@@ -107,8 +109,10 @@
 	for _, u := range v.Upstreams {
 		d.catalog.Put(now, u.Version, u.Entry)
 	}
-	d.drained = v.Drained
-	d.catalog.Drain(v.Drained)
+	if !d.read {
+		d.drained = v.Drained
+		d.catalog.Drain(v.Drained)
+	}
 	d.log.Info("upstreams borrowed", "count", len(v.Upstreams), "reason", "the store was not read yet")
 	d.changed(d.catalog.View())
 	return true
@@ -207,6 +211,7 @@
 func (d *drains) set(zones map[namer.Zone]bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	d.read = true
 	if maps.Equal(zones, d.drained) {
 		return
 	}
--- a/internal/upstream/discoverer/discoverer_test.go
+++ b/internal/upstream/discoverer/discoverer_test.go
@@ -80,3 +80,17 @@
 	assert.Assert(t, !d.Borrow(other), "an own reading goes first")
 	assert.DeepEqual(t, names(), []string{"b"})
 }
+
+// TestBorrowLeavesOwnDrains has the drains read before the upstreams, when a
+// peer's older view comes.
+func TestBorrowLeavesOwnDrains(t *testing.T) {
+	t.Parallel()
+	d, names := start()
+	d.Drains().Reset([]storer.Record{record("z", "", 9)})
+	older := &cataloger.View{
+		Upstreams: []cataloger.Upstream{{Version: 7, Entry: cataloger.Entry{Upstream: "a", Service: "s", Zone: "z", Address: "a", Slots: 1}}},
+	}
+	assert.Assert(t, d.Borrow(older))
+	assert.DeepEqual(t, names(), []string{"a"})
+	assert.Assert(t, d.View().Drained["z"])
+}
