--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -92,6 +92,9 @@
 		route namer.Route
 		warm  bool
 		idle  bool
+		// away says that the upstream is not in the region that the object
+		// belongs to.
+		away bool
 	}
 
 	// Selector holds what is known of the upstreams.
@@ -104,6 +107,7 @@
 		rates    map[rateKey]*rate
 		drained  map[namer.Zone]bool
 		spreads  map[namer.Service]*spreader.Spreader
+		drift    drift
 		vms      int
 		rank     func(namer.Upstream) int
 	}
@@ -146,19 +150,26 @@
 	}
 	work := s.work(a.Route)
 	best := Decision{Kind: Refuse, Reason: ByNone, RetryAfter: retryUnknown}
-	var bestCost time.Duration
-	for i, c := range s.candidates(now, svc, a) {
+	stay := best
+	var bestCost, stayCost time.Duration
+	candidates := s.candidates(now, svc, a)
+	for i, c := range candidates {
 		d := s.weigh(now, c, i, work)
+		d.away = c.region != candidates[0].region
 		cost := d.Expected + preference(i, work, a.Object != "")
-		if d.node == nil || (best.node != nil && cost >= bestCost) {
-			continue
+		if best.node == nil || cost < bestCost {
+			best, bestCost = d, cost
+		}
+		if !d.away && (stay.node == nil || cost < stayCost) {
+			stay, stayCost = d, cost
 		}
-		best = d
-		bestCost = cost
 	}
 	if best.node == nil {
 		return best
 	}
+	if best.away && a.Object != "" && !s.drift.allows(now) {
+		best = stay
+	}
 	best.route = a.Route.Name
 	return settle(now, a, best)
 }
@@ -228,6 +239,7 @@
 // Begin counts a request as sent.
 func (s *Selector) Begin(now time.Time, d Decision) {
 	d.node.own++
+	s.drift.count(now, d.away)
 	if d.node.cold(now) {
 		d.node.pace.Take(now)
 	}
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -217,23 +217,36 @@
 // overlapping reports listeners that can't be open at once. Port 0 asks the
 // kernel for a free port and overlaps nothing.
 func overlapping(entries []checker.Entry) checker.Problems {
+	type listener struct {
+		entry checker.Entry
+		name  string
+	}
 	var problems checker.Problems
-	names := []string{"callers", "operators", "peers"}
+	var before []listener
 	for _, e := range entries {
-		if e.Kind != "listen" {
-			continue
-		}
-		for i, name := range names {
-			for _, other := range names[:i] {
-				if overlaps(e.Text(name), e.Text(other)) {
-					problems = append(problems, e.Problem(name, "%s overlaps %s", e.Text(name), other))
+		for _, name := range listenersOf(e.Kind) {
+			for _, other := range before {
+				if overlaps(e.Text(name), other.entry.Text(other.name)) {
+					problems = append(problems, e.Problem(name, "%s overlaps %s", e.Text(name), other.name))
 				}
 			}
+			before = append(before, listener{entry: e, name: name})
 		}
 	}
 	return problems
 }
 
+// listenersOf returns the keys of a group that are own addresses.
+func listenersOf(kind string) []string {
+	switch kind {
+	case "listen":
+		return []string{"callers", "operators", "peers"}
+	case "routing":
+		return []string{"ready", "lookup"}
+	}
+	return nil
+}
+
 func overlaps(a, b string) bool {
 	first, err := netip.ParseAddrPort(a)
 	if err != nil {
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -140,7 +140,7 @@
 		}
 	}
 	u.catalog.Keep(now, listed)
-	u.Discoverer.listed = true
+	u.listed = true
 	u.log.Info("upstreams listed", "count", len(listed))
 	u.changed(u.catalog.View())
 }
