A look at the store is not ended by further words of peers

Ruled out: a silent connection; the follower reported no loss. Test: TestLookGoesOn; peers' words are followed after 300 ms.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -36,8 +36,9 @@
 	// watchTime is how long the watches of others wait.
 	watchTime = 20 * time.Second
 	// behindTime is how long a peer may have seen more before this VM looks
-	// again, since the watches of all hear of a change at about the same time.
-	behindTime = 150 * time.Millisecond
+	// again, since the watches of all hear of a change at about the same time. It
+	// is over twice the longest round trip to the store that the brief names.
+	behindTime = 300 * time.Millisecond
 	// lateTime is the age below which a watch that brings changes shows that
 	// the one before it had missed them.
 	lateTime = 100 * time.Millisecond
@@ -87,10 +88,12 @@
 		// quiet says that the last watch ended without changes.
 		quiet bool
 
-		mu     sync.Mutex
-		seen   storer.Version
-		look   bool
-		cancel context.CancelFunc
+		mu   sync.Mutex
+		seen storer.Version
+		// look asks for a look, and looking says that one is under way.
+		look    bool
+		looking bool
+		cancel  context.CancelFunc
 	}
 
 	// Option changes a follower.
@@ -143,15 +146,19 @@
 	f.clock.AfterFunc(behindTime, func() { f.catchUp(version) })
 }
 
-// catchUp ends the running watch if it has not brought a version by now.
+// catchUp ends the running watch if it has not brought a version by now. A look
+// that is under way goes on: the way to the store may take longer than the time
+// between two peers' words.
 func (f *Follower) catchUp(version storer.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version <= f.seen || f.cancel == nil {
+	if version <= f.seen || f.looking {
 		return
 	}
 	f.look = true
-	f.cancel()
+	if f.cancel != nil {
+		f.cancel()
+	}
 }
 
 // Serve follows until ctx ends.
@@ -227,6 +234,7 @@
 	defer f.mu.Unlock()
 	looks := f.look
 	f.look = false
+	f.looking = looks
 	if looks {
 		wait = lookTime
 	}
@@ -239,6 +247,7 @@
 	defer f.mu.Unlock()
 	f.cancel()
 	f.cancel = nil
+	f.looking = false
 }
 
 // interrupted reports whether the watch ended because a peer has seen more.
