Tests of the routed daemon as a whole, and two data races that they found

Cause: Lead read this VM's description without its lock, and a decision read its upstream after the lock was given back, while a change of the catalog wrote it (race detector, TestRoutedDaemon). A decision holds a copy of its target now; the type stands once, in cataloger. Tests: start, change of configuration, drain, planned stop; start while the store is away, from a peer.

--- /dev/null
+++ b/internal/kernel/runner/leave.go
@@ -0,0 +1,49 @@
+package runner
+
+import (
+	"context"
+	"log/slog"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
+	"github.com/waxwingloom/waxwingloom/internal/member/enroller"
+	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
+	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
+	"github.com/waxwingloom/waxwingloom/internal/settings/reloader"
+)
+
+const (
+	// stopMost is the part of the grace after which the process ends whatever
+	// is still in progress.
+	stopMost = 0.85
+	// quietTime is how long no request must have come before the process ends.
+	quietTime = 300 * time.Millisecond
+)
+
+// leaveRouted takes the daemon through its planned stop. Callers hear of it by
+// readiness, look-ups and the end of their kept connections; what they still
+// send is served.
+func leaveRouted(k *registrar.Kernel, s loader.Settings, log *slog.Logger) {
+	clock := k.Find(clockName).(clockwork.Clock)
+	front := k.Find(callersName).(*receiver.Receiver)
+	begun := clock.Now()
+	s = k.Find(reloadName).(*reloader.Reloader).Current()
+	log.Info("leaving", "busy", front.Busy())
+	front.Leave()
+	k.Find(membersName).(*heartbeater.Heartbeater).Leave()
+	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
+	defer cancel()
+	if err := k.Find(enrollName).(*enroller.Enroller).Withdraw(ctx); err != nil {
+		log.Warn("not withdrawn", "reason", err.Error())
+	}
+	// Callers may use an answer for as long as it holds.
+	if wait := s.Routing.TTL - clock.Since(begun); wait > 0 {
+		clock.Sleep(wait)
+	}
+	most := time.Duration(stopMost*float64(s.Routing.Grace)) - clock.Since(begun)
+	idle := waitIdle(clock, most, func() bool { return front.Busy() == 0 && front.Quiet() >= quietTime })
+	log.Info("left", "idle", idle, "busy", front.Busy(), "took", clock.Since(begun))
+}
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -1,7 +1,6 @@
 package runner
 
 import (
-	"context"
 	"expvar"
 	"log/slog"
 	"net"
@@ -53,8 +52,6 @@
 	// adminHeaderTime bounds the reading of a request's head on the listeners
 	// that only the platform and callers' look-ups use.
 	adminHeaderTime = 5 * time.Second
-	// spreadEvery is how often the parts of zones are worked out anew.
-	spreadEvery = time.Second
 	// headMost is the largest head that the HTTP library reads; the document's
 	// own limit is checked afterwards and is answered.
 	headMost = 1 << 20
@@ -192,51 +189,6 @@
 	})
 }
 
-// spread tells the steerer at intervals what each zone's callers need.
-type spread struct {
-	steerer *steerer.Steerer
-	members *heartbeater.Heartbeater
-	clock   clockwork.Clock
-}
-
-// Serve implements registrar.Server.
-func (s *spread) Serve(ctx context.Context) error {
-	ticker := s.clock.NewTicker(spreadEvery)
-	defer ticker.Stop()
-	for {
-		select {
-		case <-ctx.Done():
-			return nil
-		case <-ticker.Chan():
-			s.steerer.Spread(s.needs())
-		}
-	}
-}
-
-func (s *spread) needs() map[namer.Service]map[namer.Zone]float64 {
-	needs := make(map[namer.Service]map[namer.Zone]float64)
-	for _, m := range withSelf(s.members) {
-		if m.State == tracker.Dead {
-			continue
-		}
-		for _, n := range m.Needs {
-			if needs[n.Service] == nil {
-				needs[n.Service] = make(map[namer.Zone]float64)
-			}
-			needs[n.Service][m.Zone] += n.Slots
-		}
-	}
-	return needs
-}
-
-func needsOf(st *steerer.Steerer) []tracker.Need {
-	var out []tracker.Need
-	for service, slots := range st.Needs() {
-		out = append(out, tracker.Need{Service: service, Slots: slots})
-	}
-	return out
-}
-
 // countMembers tells the steerer how many VMs there are. A VM that knows few
 // others takes it that each zone has at least one.
 func countMembers(st *steerer.Steerer, members *heartbeater.Heartbeater, s loader.Settings) {
@@ -329,36 +281,3 @@
 		_, _ = w.Write([]byte(m.String()))
 	})
 }
-
-const (
-	// stopMost is the part of the grace after which the process ends whatever
-	// is still in progress.
-	stopMost = 0.85
-	// quietTime is how long no request must have come before the process ends.
-	quietTime = 300 * time.Millisecond
-)
-
-// leaveRouted takes the daemon through its planned stop. Callers hear of it by
-// readiness, look-ups and the end of their kept connections; what they still
-// send is served.
-func leaveRouted(k *registrar.Kernel, s loader.Settings, log *slog.Logger) {
-	clock := k.Find(clockName).(clockwork.Clock)
-	front := k.Find(callersName).(*receiver.Receiver)
-	begun := clock.Now()
-	s = k.Find(reloadName).(*reloader.Reloader).Current()
-	log.Info("leaving", "busy", front.Busy())
-	front.Leave()
-	k.Find(membersName).(*heartbeater.Heartbeater).Leave()
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
-	defer cancel()
-	if err := k.Find(enrollName).(*enroller.Enroller).Withdraw(ctx); err != nil {
-		log.Warn("not withdrawn", "reason", err.Error())
-	}
-	// Callers may use an answer for as long as it holds.
-	if wait := s.Routing.TTL - clock.Since(begun); wait > 0 {
-		clock.Sleep(wait)
-	}
-	most := time.Duration(stopMost*float64(s.Routing.Grace)) - clock.Since(begun)
-	idle := waitIdle(clock, most, func() bool { return front.Busy() == 0 && front.Quiet() >= quietTime })
-	log.Info("left", "idle", idle, "busy", front.Busy(), "took", clock.Since(begun))
-}
--- /dev/null
+++ b/internal/kernel/runner/routed_test.go
@@ -0,0 +1,254 @@
+package runner_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/runner"
+	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
+	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
+	"github.com/waxwingloom/waxwingloom/platform"
+)
+
+const configuration = `{"version":"r%d","limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"},
+"listeners":[{"hostname":"shop.example","ruleSet":[{"name":"r","kind":"idempotent","targetLatency":"250ms","priority":0,
+"sessionAffinity":true,"match":{"pathPrefix":"%s"},"action":{"service":"desk","timeout":"2s","maxAttempts":2}}]}],
+"clusters":[{"name":"desk","maxConnections":30,"coldStart":"0s","coldPerS":10}]}`
+
+const settings = `[vm]
+name = %s
+zone = a
+region = r
+[listen]
+callers = %s
+operators = %s
+peers = %s
+[platform]
+address = %s
+[peers]
+key = %s
+seeds = %s
+[timing]
+heartbeat = 50ms
+suspect = 500ms
+[routing]
+ready = %s
+lookup = %s
+ttl = 100ms
+grace = 2s
+[zone a]
+region = r
+`
+
+// daemon is a routed daemon in this process, on addresses of its own.
+type daemon struct {
+	callers, ready, lookup, peers string
+
+	stop context.CancelFunc
+	done chan error
+	log  *safeBuffer
+}
+
+type safeBuffer struct {
+	mu  sync.Mutex
+	buf bytes.Buffer
+}
+
+func (b *safeBuffer) Write(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.Write(p)
+}
+
+func (b *safeBuffer) String() string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.buf.String()
+}
+
+// free returns addresses that nothing listens on.
+func free(t *testing.T, n int) []string {
+	t.Helper()
+	var out []string
+	for range n {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		assert.NilError(t, err)
+		defer func() { _ = ln.Close() }()
+		out = append(out, ln.Addr().String())
+	}
+	return out
+}
+
+func start(t *testing.T, name, store, seed string) *daemon {
+	t.Helper()
+	dir := t.TempDir()
+	key := filepath.Join(dir, "key")
+	assert.NilError(t, os.WriteFile(key, []byte("a key of sixteen bytes"), 0o600))
+	a := free(t, 5)
+	if seed == "" {
+		seed = a[2]
+	}
+	path := filepath.Join(dir, "waxwingd.ini")
+	text := fmt.Sprintf(settings, name, a[0], a[1], a[2], store, key, seed, a[3], a[4])
+	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
+	s, err := loader.Load(path)
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	d := &daemon{callers: a[0], peers: a[2], ready: a[3], lookup: a[4], stop: cancel, done: make(chan error, 1), log: &safeBuffer{}}
+	go func() { d.done <- runner.Run(ctx, s, d.log) }()
+	t.Cleanup(func() {
+		cancel()
+		select {
+		case err := <-d.done:
+			assert.Check(t, err)
+		case <-time.After(10 * time.Second):
+			t.Errorf("%s did not stop", name)
+		}
+		if t.Failed() {
+			t.Log(d.log.String())
+		}
+	})
+	return d
+}
+
+// isReady waits until the daemon says so.
+func (d *daemon) isReady(t *testing.T) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, _ := get(d.ready, platform.ReadyPath, ""); status == http.StatusOK {
+			return poll.Success()
+		}
+		return poll.Continue("not ready")
+	}, poll.WithTimeout(20*time.Second))
+}
+
+func get(address, path, host string) (int, string) {
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
+	if err != nil {
+		return 0, err.Error()
+	}
+	if host != "" {
+		req.Host = host
+		req.Header.Set(platform.Headers().Attempt, "a1")
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	body, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return resp.StatusCode, string(body)
+}
+
+// fixture is a store and an upstream.
+type fixture struct {
+	stand *storekeeper.Storekeeper
+	store string
+}
+
+func newFixture(t *testing.T) *fixture {
+	t.Helper()
+	f := &fixture{stand: storekeeper.New(clockwork.NewRealClock())}
+	store := httptest.NewServer(f.stand.Handler())
+	t.Cleanup(store.CloseClientConnections)
+	f.store = strings.TrimPrefix(store.URL, "http://")
+	h := platform.Headers()
+	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set(h.Attempt, r.Header.Get(h.Attempt))
+		w.Header().Set(h.Signature, "s")
+		_, _ = w.Write([]byte(r.Header.Get(h.Expect)))
+	}))
+	t.Cleanup(upstream.Close)
+	f.configure(t, 1, "/stock/")
+	entry := fmt.Sprintf(`{"address":%q,"info":{"service":"desk","zone":"a","slots":4},"status":{"state":"ready","coldLeft":"0ms"}}`,
+		strings.TrimPrefix(upstream.URL, "http://"))
+	assert.NilError(t, f.stand.Write(platform.UpstreamKind, "i-1", json.RawMessage(entry)))
+	return f
+}
+
+func (f *fixture) configure(t *testing.T, version int, path string) {
+	t.Helper()
+	text := json.RawMessage(fmt.Sprintf(configuration, version, path))
+	assert.NilError(t, f.stand.Write(platform.ConfigKind, platform.ConfigName, text))
+}
+
+// TestRoutedDaemon takes a daemon from its start over a change of the
+// configuration and a drained zone to its planned stop.
+func TestRoutedDaemon(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := start(t, "vm-1", f.store, "")
+	d.isReady(t)
+	status, body := get(d.lookup, platform.LookupPath+"?name=shop.example&zone=a&region=r", "")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Assert(t, strings.Contains(body, d.callers), body)
+	status, body = get(d.callers, "/stock/1", "shop.example")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "i-1")
+	status, _ = get(d.callers, "/other/1", "shop.example")
+	assert.Equal(t, status, http.StatusNotFound)
+
+	f.configure(t, 2, "/other/")
+	poll.WaitOn(t, answers(d, "/other/1", http.StatusOK))
+	status, _ = get(d.callers, "/stock/1", "shop.example")
+	assert.Equal(t, status, http.StatusNotFound)
+	f.configure(t, 1, "/stock/")
+
+	assert.NilError(t, f.stand.Write(platform.DrainKind, "a", struct{}{}))
+	poll.WaitOn(t, answers(d, "/other/1", http.StatusServiceUnavailable))
+	f.stand.Erase(platform.DrainKind, "a")
+	poll.WaitOn(t, answers(d, "/other/1", http.StatusOK))
+
+	d.stop()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if status, _ := get(d.ready, platform.ReadyPath, ""); status != http.StatusOK {
+			return poll.Success()
+		}
+		return poll.Continue("still ready")
+	})
+	assert.NilError(t, <-d.done)
+	d.done <- nil
+}
+
+func answers(d *daemon, path string, want int) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if status, body := get(d.callers, path, "shop.example"); status != want {
+			return poll.Continue("%d %s", status, body)
+		}
+		return poll.Success()
+	}
+}
+
+// TestStartWhileTheStoreIsAway has a daemon learn document and upstreams from
+// its peer.
+func TestStartWhileTheStoreIsAway(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	first := start(t, "vm-1", f.store, "")
+	first.isReady(t)
+	f.stand.SetFaults(storekeeper.Faults{Outage: true})
+	second := start(t, "vm-2", f.store, first.peers)
+	second.isReady(t)
+	status, body := get(second.callers, "/stock/1", "shop.example")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "i-1")
+}
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -219,7 +219,9 @@
 
 // Lead reports whether this VM is its region's lead.
 func (h *Heartbeater) Lead() bool {
-	return IsLead(h.self, h.Members())
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return IsLead(h.self, h.tracker.View(h.clock.Now()))
 }
 
 // Serve sends heartbeats until ctx ends.
--- a/internal/route/selector/node.go
+++ b/internal/route/selector/node.go
@@ -179,6 +179,10 @@
 	n.judged = now
 }
 
+func (n *node) target() cataloger.Target {
+	return cataloger.Target{Upstream: n.Upstream.Upstream, Born: n.Born, Address: n.Address, Conns: n.conns}
+}
+
 // effort is the expected work of a request, whose warm work is given.
 func (n *node) effort(now time.Time, work time.Duration) time.Duration {
 	n.fade(now)
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -28,6 +28,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
 // What a decision says.
@@ -88,10 +89,11 @@
 		Load    float64
 		LoadAge time.Duration
 
-		node  *node
-		route namer.Route
-		warm  bool
-		idle  bool
+		node   *node
+		target cataloger.Target
+		route  namer.Route
+		warm   bool
+		idle   bool
 		// away says that the upstream is not in the region that the object
 		// belongs to.
 		away bool
@@ -171,6 +173,7 @@
 		best = stay
 	}
 	best.route = a.Route.Name
+	best.target = best.node.target()
 	return settle(now, a, best)
 }
 
@@ -245,8 +248,7 @@
 	}
 }
 
-// Upstream returns the upstream of a decision.
-func (d Decision) Upstream() (name namer.Upstream, born int64, address string, conns int) {
-	n := d.node
-	return n.Upstream.Upstream, n.Born, n.Address, n.conns
+// Target returns the upstream of a decision as it was when that was made.
+func (d Decision) Target() cataloger.Target {
+	return d.target
 }
--- a/internal/route/selector/selector_test.go
+++ b/internal/route/selector/selector_test.go
@@ -80,7 +80,7 @@
 	t.Helper()
 	d := f.Decide(f.now, f.ask(object))
 	assert.Equal(t, d.Kind, selector.Send, "%v", d.Reason)
-	name, _, _, _ := d.Upstream()
+	name := d.Target().Upstream
 	return name
 }
 
@@ -159,7 +159,7 @@
 	for range 20 {
 		d := f.Decide(f.now, a)
 		assert.Equal(t, d.Kind, selector.Send)
-		name, _, _, _ := d.Upstream()
+		name := d.Target().Upstream
 		assert.Equal(t, string(name[:1]), "a")
 		a.Tried = append(a.Tried, name)
 		if len(a.Tried) == 8 {
@@ -182,7 +182,7 @@
 	for i := range 1000 {
 		f.now = noon.Add(time.Duration(i) * time.Millisecond)
 		d := f.Decide(f.now, f.ask(objects(100)[i%100]))
-		name, _, _, _ := d.Upstream()
+		name := d.Target().Upstream
 		f.Begin(f.now, d)
 		f.End(f.now, d, answer(50*time.Millisecond, 0))
 		if name[:2] == "a1" {
@@ -243,7 +243,7 @@
 	slow := f.pick(t, "o")
 	for range 40 {
 		d := f.Decide(f.now, f.ask("o"))
-		name, _, _, _ := d.Upstream()
+		name := d.Target().Upstream
 		latency := 100 * time.Millisecond
 		if name == slow {
 			latency = time.Second
@@ -262,7 +262,7 @@
 	t.Parallel()
 	f := newFixture(t, "a1", view())
 	d := f.Decide(f.now, f.ask("o"))
-	down, _, _, _ := d.Upstream()
+	down := d.Target().Upstream
 	f.Begin(f.now, d)
 	f.End(f.now, d, selector.Report{Unreached: true, Load: -1})
 	assert.Assert(t, f.pick(t, "o") != down)
@@ -290,7 +290,7 @@
 	for _, o := range objects(400) {
 		for _, tried := range [][]namer.Upstream{nil, {"a1-0", "a1-1", "a1-2", "a1-3", "a2-0", "a2-1", "a2-2", "a2-3"}} {
 			d := f.Decide(f.now, f.ask(o, tried...))
-			name, _, _, _ := d.Upstream()
+			name := d.Target().Upstream
 			way := time.Millisecond
 			if name[:1] == "b" {
 				way = 110 * time.Millisecond
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -158,7 +158,7 @@
 
 // attempt sends a request to one upstream.
 func (s *Steerer) attempt(ctx context.Context, a *attempts, d selector.Decision) (Result, verdict) {
-	name, born, address, conns := d.Upstream()
+	target := d.Target()
 	begun := s.clock.Now()
 	left := a.due.Sub(begun)
 	if left < leastLeft {
@@ -170,16 +170,16 @@
 		ctx = context.WithoutCancel(ctx)
 	}
 	answer, err := s.upstreams.Exchange(ctx,
-		exchanger.Target{Upstream: name, Born: born, Address: address, Conns: conns},
+		target,
 		exchanger.Request{
 			Method:        a.request.Method,
-			Head:          s.head(a, name, left),
+			Head:          s.head(a, target.Upstream, left),
 			Body:          a.request.Body,
 			AttemptHeader: s.headers.Attempt,
 			Attempt:       a.request.Attempt,
 			Deadline:      a.due,
 		})
-	a.tried = append(a.tried, name)
+	a.tried = append(a.tried, target.Upstream)
 	took := s.clock.Since(begun)
 	if errors.Is(err, exchanger.ErrUnsent) {
 		s.release(a, d, selector.Report{Unreached: ctx.Err() == nil, Unknown: ctx.Err() != nil, Load: -1})
@@ -300,8 +300,7 @@
 	if err != nil {
 		reason = err.Error()
 	}
-	name, _, _, _ := d.Upstream()
 	s.log.Info("sent", "attempt", a.request.Attempt, "route", string(a.route.Name), "service", string(a.service),
-		"upstream", string(name), "by", string(d.Reason), "load", math.Round(10*d.Load)/10, "loadage", d.LoadAge,
+		"upstream", string(d.Target().Upstream), "by", string(d.Reason), "load", math.Round(10*d.Load)/10, "loadage", d.LoadAge,
 		"expected", d.Expected, "outcome", what, "status", status, "took", took, "reason", reason)
 }
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -92,8 +92,8 @@
 
 	// Upstreams sends one request to one upstream.
 	Upstreams interface {
-		Exchange(ctx context.Context, t exchanger.Target, r exchanger.Request) (exchanger.Answer, error)
-		Keep(targets []exchanger.Target)
+		Exchange(ctx context.Context, t cataloger.Target, r exchanger.Request) (exchanger.Answer, error)
+		Keep(targets []cataloger.Target)
 	}
 
 	// Steerer steers requests.
@@ -159,9 +159,9 @@
 	s.view = v
 	s.update()
 	s.mu.Unlock()
-	targets := make([]exchanger.Target, 0, len(v.Upstreams))
+	targets := make([]cataloger.Target, 0, len(v.Upstreams))
 	for _, u := range v.Upstreams {
-		targets = append(targets, exchanger.Target{Upstream: u.Upstream, Born: u.Born, Address: u.Address})
+		targets = append(targets, cataloger.Target{Upstream: u.Upstream, Born: u.Born, Address: u.Address})
 	}
 	s.upstreams.Keep(targets)
 }
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -82,9 +82,9 @@
 	gone  int
 }
 
-func (u *upstreams) Keep([]exchanger.Target) {}
+func (u *upstreams) Keep([]cataloger.Target) {}
 
-func (u *upstreams) Exchange(ctx context.Context, t exchanger.Target, r exchanger.Request) (exchanger.Answer, error) {
+func (u *upstreams) Exchange(ctx context.Context, t cataloger.Target, r exchanger.Request) (exchanger.Answer, error) {
 	u.mu.Lock()
 	f := runs
 	if len(u.fates) > 0 {
--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -56,6 +56,15 @@
 		Cold    time.Time
 	}
 
+	// Target is an upstream to send to. Born tells one process from the next at
+	// the same address. Conns bounds the idle connections that are kept.
+	Target struct {
+		Upstream namer.Upstream
+		Born     int64
+		Address  string
+		Conns    int
+	}
+
 	// View is the upstreams and drained zones at one moment.
 	View struct {
 		Upstreams []Upstream
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -25,7 +25,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
-	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
 const (
@@ -48,16 +48,6 @@
 )
 
 type (
-	// Target is where a request goes. Born tells one process from the next at
-	// the same address.
-	Target struct {
-		Upstream namer.Upstream
-		Born     int64
-		Address  string
-		// Conns bounds the idle connections that are kept.
-		Conns int
-	}
-
 	// Request is one request as it is written. Attempt must come back in the
 	// header that is named AttemptHeader.
 	Request struct {
@@ -97,10 +87,10 @@
 }
 
 // Keep closes the idle connections to all but these targets.
-func (x *Exchanger) Keep(targets []Target) {
+func (x *Exchanger) Keep(targets []cataloger.Target) {
 	kept := make(map[poolKey]bool, len(targets))
 	for _, t := range targets {
-		kept[t.key()] = true
+		kept[keyOf(t)] = true
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
@@ -114,7 +104,7 @@
 
 // Exchange sends a request and returns the answer. The end of ctx closes the
 // connection, which tells the upstream to stop.
-func (x *Exchanger) Exchange(ctx context.Context, t Target, r Request) (Answer, error) {
+func (x *Exchanger) Exchange(ctx context.Context, t cataloger.Target, r Request) (Answer, error) {
 	link, opening, err := x.link(ctx, t)
 	if err != nil {
 		return Answer{}, errors.Mark(err, ErrUnsent)
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -16,6 +16,7 @@
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
 )
 
@@ -118,8 +119,8 @@
 	return u.conns, append([]string(nil), u.arrivals...)
 }
 
-func (u *upstream) target() exchanger.Target {
-	return exchanger.Target{Upstream: "u", Address: u.listener.Addr().String(), Conns: 4}
+func (u *upstream) target() cataloger.Target {
+	return cataloger.Target{Upstream: "u", Address: u.listener.Addr().String(), Conns: 4}
 }
 
 func request(attempt string) exchanger.Request {
@@ -230,7 +231,7 @@
 	t.Parallel()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	target := exchanger.Target{Upstream: "u", Address: ln.Addr().String()}
+	target := cataloger.Target{Upstream: "u", Address: ln.Addr().String()}
 	assert.NilError(t, ln.Close())
 	_, err = newExchanger(t).Exchange(t.Context(), target, request("a1"))
 	assert.Assert(t, errors.Is(err, exchanger.ErrUnsent))
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -14,6 +14,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/dialer"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
 const (
@@ -52,13 +53,13 @@
 	}
 )
 
-func (t Target) key() poolKey {
+func keyOf(t cataloger.Target) poolKey {
 	return poolKey{address: t.Address, born: t.Born, name: string(t.Upstream)}
 }
 
 // link returns an idle connection that is still open, or a new one and the
 // time that it took.
-func (x *Exchanger) link(ctx context.Context, t Target) (*link, time.Duration, error) {
+func (x *Exchanger) link(ctx context.Context, t cataloger.Target) (*link, time.Duration, error) {
 	for {
 		l := x.take(t)
 		if l == nil {
@@ -77,11 +78,11 @@
 	return &link{conn: conn, reader: newReader(conn)}, x.clock.Since(begun), nil
 }
 
-func (x *Exchanger) take(t Target) *link {
+func (x *Exchanger) take(t cataloger.Target) *link {
 	now := x.clock.Now()
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	p := x.pools[t.key()]
+	p := x.pools[keyOf(t)]
 	for p != nil && len(p.links) > 0 {
 		l := p.links[len(p.links)-1]
 		p.links = p.links[:len(p.links)-1]
@@ -93,17 +94,17 @@
 	return nil
 }
 
-func (x *Exchanger) put(t Target, l *link) {
+func (x *Exchanger) put(t cataloger.Target, l *link) {
 	if err := l.conn.SetDeadline(time.Time{}); err != nil {
 		l.close()
 		return
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	p := x.pools[t.key()]
+	p := x.pools[keyOf(t)]
 	if p == nil {
 		p = &pool{}
-		x.pools[t.key()] = p
+		x.pools[keyOf(t)] = p
 	}
 	if len(p.links) >= max(t.Conns, 1) {
 		l.close()
