--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -26,11 +27,6 @@
 	"github.com/waxwingloom/waxwingloom/platform"
 )
 
-const configuration = `{"version":"r%d","limits":{"maxHeaderBytes":16384,"maxBodyBytes":1048576,"headerTimeout":"3s","idleTimeout":"15s"},
-"listeners":[{"hostname":"shop.example","ruleSet":[{"name":"r","kind":"idempotent","targetLatency":"250ms","priority":0,
-"sessionAffinity":true,"match":{"pathPrefix":"%s"},"action":{"service":"desk","timeout":"2s","maxAttempts":2}}]}],
-"clusters":[{"name":"desk","maxConnections":30,"coldStart":"0s","coldPerS":10}]}`
-
 const settings = `[vm]
 name = %s
 zone = a
@@ -179,18 +175,25 @@
 	}))
 	t.Cleanup(upstream.Close)
 	f.configure(t, 1, "/stock/")
-	entry := fmt.Sprintf(`{"address":%q,"info":{"service":"desk","zone":"a","slots":4},"status":{"state":"ready","coldLeft":"0ms"}}`,
-		strings.TrimPrefix(upstream.URL, "http://"))
-	assert.NilError(t, f.stand.Write(platform.UpstreamKind, "i-1", json.RawMessage(entry)))
+	entry := sample(t, "upstream", "ADDRESS", strings.TrimPrefix(upstream.URL, "http://"))
+	assert.NilError(t, f.stand.Write(platform.UpstreamKind, "i-1", entry))
 	return f
 }
 
 func (f *fixture) configure(t *testing.T, version int, path string) {
 	t.Helper()
-	text := json.RawMessage(fmt.Sprintf(configuration, version, path))
+	text := sample(t, "configuration", "VERSION", strconv.Itoa(version), "PATH", path)
 	assert.NilError(t, f.stand.Write(platform.ConfigKind, platform.ConfigName, text))
 }
 
+// sample returns a record as the platform writes it, with words replaced.
+func sample(t *testing.T, name string, words ...string) json.RawMessage {
+	t.Helper()
+	text, err := os.ReadFile(filepath.Join("../../../platform/testdata", name+".json"))
+	assert.NilError(t, err)
+	return json.RawMessage(strings.NewReplacer(words...).Replace(string(text)))
+}
+
 // TestRoutedDaemon takes a daemon from its start over a change of the
 // configuration and a drained zone to its planned stop.
 func TestRoutedDaemon(t *testing.T) {
