--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -82,7 +82,7 @@
 		d := s.acquire(ctx, a)
 		if ctx.Err() != nil {
 			if d.Kind == selector.Send {
-				s.release(a, d, selector.Report{Load: -1, Unknown: true})
+				s.release(d, selector.Report{Load: -1, Unknown: true})
 			}
 			return failure(http.StatusServiceUnavailable, CodeGone, "the caller has gone", 0)
 		}
@@ -162,7 +162,7 @@
 	begun := s.clock.Now()
 	left := a.due.Sub(begun)
 	if left < leastLeft {
-		s.release(a, d, selector.Report{Load: -1, Unknown: true})
+		s.release(d, selector.Report{Load: -1, Unknown: true})
 		return failure(http.StatusServiceUnavailable, CodeLate, "no time is left", s.retryAfter(a)), unreached
 	}
 	if a.route.Once {
@@ -182,7 +182,7 @@
 	a.tried = append(a.tried, target.Upstream)
 	took := s.clock.Since(begun)
 	if errors.Is(err, exchanger.ErrUnsent) {
-		s.release(a, d, selector.Report{Unreached: ctx.Err() == nil, Unknown: ctx.Err() != nil, Load: -1})
+		s.release(d, selector.Report{Unreached: ctx.Err() == nil, Unknown: ctx.Err() != nil, Load: -1})
 		s.logAttempt(a, d, 0, "unreached", took, err)
 		return failure(http.StatusServiceUnavailable, CodeRefused, err.Error(), 0), unreached
 	}
@@ -198,7 +198,7 @@
 	ctx context.Context, a *attempts, d selector.Decision, took time.Duration, err error,
 ) (Result, verdict) {
 	gone := ctx.Err() != nil
-	s.release(a, d, selector.Report{Failed: !gone, Unknown: gone, Load: -1})
+	s.release(d, selector.Report{Failed: !gone, Unknown: gone, Load: -1})
 	s.logAttempt(a, d, 0, "broken", took, err)
 	if gone {
 		return Result{}, canceled
@@ -218,26 +218,26 @@
 	case answer.Header.Get(s.headers.Refused) != "" || answer.Status == http.StatusMisdirectedRequest:
 		report.Refused = true
 		report.Latency = 0
-		s.release(a, d, report)
+		s.release(d, report)
 		s.logAttempt(a, d, answer.Status, "refused", took, nil)
 		closeRest(answer)
 		return failure(http.StatusServiceUnavailable, CodeRefused, "the upstream refused the request", 0), refused
 	case answer.Header.Get("Content-Encoding") != "" || answer.Status < 300 && answer.Header.Get(s.headers.Signature) == "":
 		report.Failed = true
-		s.release(a, d, report)
+		s.release(d, report)
 		s.logAttempt(a, d, answer.Status, "spoiled", took, nil)
 		closeRest(answer)
 		return failure(http.StatusBadGateway, CodeUnknown, "the answer is not the upstream's own", 0), unknown
 	case answer.Status >= http.StatusInternalServerError:
 		report.Failed = true
-		s.release(a, d, report)
+		s.release(d, report)
 		s.logAttempt(a, d, answer.Status, "failed", took, nil)
 		if a.route.Once || answer.Rest != nil {
 			return result, finished
 		}
 		return result, unknown
 	}
-	s.release(a, d, report)
+	s.release(d, report)
 	s.logAttempt(a, d, answer.Status, "answered", took, nil)
 	return result, finished
 }
--- a/internal/route/steerer/queue.go
+++ b/internal/route/steerer/queue.go
@@ -94,7 +94,7 @@
 }
 
 // release takes over what came of a send and lets others have the room.
-func (s *Steerer) release(_ *attempts, d selector.Decision, r selector.Report) {
+func (s *Steerer) release(d selector.Decision, r selector.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.selector.End(s.clock.Now(), d, r)
