A peer that only accepted connections notices the other's end; the demo says why it failed

Cause: only the side that had dialed a connection was told when it ended. Since heartbeats go once a pair, one of two peers may never dial, so it went on taking a killed peer for a witness until the suspect time, and an order used up its four tokens within milliseconds (intent-lost). Test: TestDownOfEitherSide, failing before for the accepting side.

--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -92,8 +92,9 @@
 	return m, cleanup, nil
 }
 
-// OnDown sets what is called when a connection that this messenger opened has
-// ended, with the peer that it led to.
+// OnDown sets what is called when a connection to a peer has ended, whichever
+// side opened it. Of two peers one may be the only one that ever dials, so the
+// accepting side must learn of its end too.
 func (m *Messenger) OnDown(f func(Identity)) {
 	m.down.Store(&f)
 }
@@ -169,6 +170,9 @@
 	for {
 		raw, err := session.AcceptStream()
 		if err != nil {
+			if ctx.Err() == nil {
+				m.tellDown(remote)
+			}
 			return
 		}
 		m.open.Go(func() { m.serveStream(ctx, raw, remote, h) })
@@ -207,12 +211,14 @@
 		_ = conn.Close()
 		return nil, errors.Wrapf(err, "opening a session to %s", address)
 	}
-	go m.watch(session, remote)
+	go func() {
+		<-session.CloseChan()
+		m.tellDown(remote)
+	}()
 	return &link{session: session, remote: remote}, nil
 }
 
-func (m *Messenger) watch(session *yamux.Session, remote Identity) {
-	<-session.CloseChan()
+func (m *Messenger) tellDown(remote Identity) {
 	if f := m.down.Load(); f != nil {
 		(*f)(remote)
 	}
--- a/internal/peer/messenger/messenger_test.go
+++ b/internal/peer/messenger/messenger_test.go
@@ -30,6 +30,8 @@
 	*messenger.Messenger
 	address string
 	inc     namer.Incarnation
+	// stop ends the node; it may be called again.
+	stop func()
 }
 
 func newNode(t *testing.T, inc byte, h messenger.Handler, keys ...string) node {
@@ -48,12 +50,13 @@
 		defer close(done)
 		_ = m.Serve(ctx, h)
 	}()
-	t.Cleanup(func() {
+	stop := func() {
 		cancel()
 		cleanup()
 		<-done
-	})
-	return node{Messenger: m, address: ln.Addr().String(), inc: self.Incarnation}
+	}
+	t.Cleanup(stop)
+	return node{Messenger: m, address: ln.Addr().String(), inc: self.Incarnation, stop: stop}
 }
 
 func pull() *encoder.Request {
@@ -190,3 +193,34 @@
 	_, err = a.Open(context.Background(), address, namer.Incarnation{})
 	assert.Assert(t, err != nil)
 }
+
+func TestDownOfEitherSide(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name string
+		ends func(dialer, acceptor node) (ending, left node)
+	}{
+		{"the dialer ends", func(d, a node) (node, node) { return d, a }},
+		{"the acceptor ends", func(d, a node) (node, node) { return a, d }},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			dialer := newNode(t, 1, echoVM, "k")
+			acceptor := newNode(t, 2, echoVM, "k")
+			ending, left := tc.ends(dialer, acceptor)
+			down := make(chan messenger.Identity, 1)
+			left.OnDown(func(id messenger.Identity) { down <- id })
+			ctx, cancel := context.WithTimeout(context.Background(), bound)
+			defer cancel()
+			_, err := dialer.Ask(ctx, acceptor.address, namer.Incarnation{}, pull())
+			assert.NilError(t, err)
+			ending.stop()
+			select {
+			case id := <-down:
+				assert.Equal(t, id.Incarnation, ending.inc)
+			case <-ctx.Done():
+				t.Fatal("the end of the connection was not told")
+			}
+		})
+	}
+}
--- a/internal/stand/demonstrator/demonstrator.go
+++ b/internal/stand/demonstrator/demonstrator.go
@@ -69,17 +69,22 @@
 )
 
 // Run starts a deployment, disturbs it under load, and prints a table and one
-// closing line. It returns ErrFailed when a promise was broken.
+// closing line. It returns ErrFailed when a promise was broken. The logs of a run
+// that failed are always kept.
 func Run(ctx context.Context, o Options, out io.Writer) error {
 	dir, err := os.MkdirTemp("", "waxwing-demo-")
 	if err != nil {
 		return errors.Wrap(err, "making a folder for logs")
 	}
-	if o.Keep {
-		fmt.Fprintf(out, "logs are kept in %s\n", dir)
-	} else {
-		defer func() { _ = os.RemoveAll(dir) }()
+	err = run(ctx, o, dir, out)
+	if err == nil && !o.Keep {
+		return errors.Wrap(os.RemoveAll(dir), "removing the logs")
 	}
+	fmt.Fprintf(out, "logs are kept in %s\n", dir)
+	return err
+}
+
+func run(ctx context.Context, o Options, dir string, out io.Writer) error {
 	fleet, cleanup, err := launcher.Launch(ctx, launcher.Spec{
 		Programs: o.Programs, Example: o.Example, Dir: dir, PerZone: perZone, Work: workTime, Level: "info",
 	})
@@ -210,9 +215,25 @@
 		return err
 	}
 	d.print(r, v, over, late)
-	readsMissed := r.ReadsAnswered*100 < readsWanted*r.Reads
-	if v.Duplicated+r.Mismatched+v.FalseNotRun+v.FalseRan+over > 0 || late > 0 || readsMissed {
-		return ErrFailed
+	var broken []string
+	for _, check := range []struct {
+		failed bool
+		name   string
+	}{
+		{v.Duplicated > 0, "an order ran twice"},
+		{r.Mismatched > 0, "a caller got another request's answer"},
+		{v.FalseNotRun > 0, "an order told not-run ran"},
+		{v.FalseRan > 0, "an order told ran did not"},
+		{over > 0, "an upstream got more than its slots"},
+		{late > 0, "a drained upstream got new work"},
+		{r.ReadsAnswered*100 < readsWanted*r.Reads, "too few reads were answered"},
+	} {
+		if check.failed {
+			broken = append(broken, check.name)
+		}
+	}
+	if len(broken) > 0 {
+		return errors.Wrap(ErrFailed, strings.Join(broken, "; "))
 	}
 	return nil
 }
