--- a/internal/kernel/runner/leave.go
+++ b/internal/kernel/runner/leave.go
@@ -19,6 +19,9 @@
 	// stopMost is the part of the grace after which the process ends whatever
 	// is still in progress.
 	stopMost = 0.85
+	// lingerPart is the part of the grace for which a listener that has ended
+	// waits for its last requests. Both leave a tenth of the grace for the rest.
+	lingerPart = 0.05
 	// quietTime is how long no request must have come before the process ends.
 	quietTime = 300 * time.Millisecond
 )
@@ -47,3 +50,8 @@
 	idle := waitIdle(clock, most, func() bool { return front.Busy() == 0 && front.Quiet() >= quietTime })
 	log.Info("left", "idle", idle, "busy", front.Busy(), "took", clock.Since(begun))
 }
+
+// lingerOf returns how long the HTTP listeners wait for their last requests.
+func lingerOf(s loader.Settings) time.Duration {
+	return time.Duration(lingerPart * float64(s.Routing.Grace))
+}
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -225,7 +225,7 @@
 			MaxHeaderBytes:    headMost,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		}
-		return &webServer{server: server, listener: f.Find(portsName).(*ports).callers}, nil, nil
+		return &webServer{server: server, listener: f.Find(portsName).(*ports).callers, linger: lingerOf(s)}, nil, nil
 	})
 	r.Register(directoryName, []registrar.Name{membersName, steerName, reloadName}, func(f registrar.Finder) (any, func(), error) {
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
@@ -235,16 +235,16 @@
 		}
 		settings := f.Find(reloadName).(*reloader.Reloader)
 		ttl := func() time.Duration { return settings.Current().Routing.TTL }
-		return openAdmin(s.Routing.Lookup, platform.Directory(locate, ttl))
+		return openAdmin(s, s.Routing.Lookup, platform.Directory(locate, ttl))
 	})
 	r.Register(readyName, []registrar.Name{steerName, callersName}, func(f registrar.Finder) (any, func(), error) {
 		st := f.Find(steerName).(*steerer.Steerer)
 		front := f.Find(callersName).(*receiver.Receiver)
-		return openAdmin(s.Routing.Ready, platform.Ready(func() bool { return st.Ready() && !front.Leaving() }))
+		return openAdmin(s, s.Routing.Ready, platform.Ready(func() bool { return st.Ready() && !front.Leaving() }))
 	})
 	r.Register(operatorsName, []registrar.Name{portsName, steerName, documentsName, callersName}, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeaderTime}
-		return &webServer{server: server, listener: f.Find(portsName).(*ports).operators}, nil, nil
+		return &webServer{server: server, listener: f.Find(portsName).(*ports).operators, linger: lingerOf(s)}, nil, nil
 	})
 }
 
@@ -257,13 +257,13 @@
 	return append(h.Members(), self)
 }
 
-func openAdmin(address string, handler http.Handler) (any, func(), error) {
+func openAdmin(s loader.Settings, address string, handler http.Handler) (any, func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "opening a listener")
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminHeaderTime}
-	return &webServer{server: server, listener: listener}, func() { _ = listener.Close() }, nil
+	return &webServer{server: server, listener: listener, linger: lingerOf(s)}, func() { _ = listener.Close() }, nil
 }
 
 func routedMetrics(f registrar.Finder) http.Handler {
--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -47,11 +47,15 @@
 ready = %s
 lookup = %s
 ttl = 100ms
-grace = 2s
+grace = %s
 [zone a]
 region = r
 `
 
+// grace is the time of a planned stop. It is below the time limit of the sample's
+// route, so that a stuck request outlasts it.
+const grace = 1500 * time.Millisecond
+
 // daemon is a routed daemon in this process, on addresses of its own.
 type daemon struct {
 	callers, ready, lookup, peers string
@@ -101,7 +105,7 @@
 		seed = a[2]
 	}
 	path := filepath.Join(dir, "waxwingd.ini")
-	text := fmt.Sprintf(settings, name, a[0], a[1], a[2], store, key, seed, a[3], a[4])
+	text := fmt.Sprintf(settings, name, a[0], a[1], a[2], store, key, seed, a[3], a[4], grace)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	s, err := loader.Load(path)
 	assert.NilError(t, err)
@@ -159,16 +163,23 @@
 type fixture struct {
 	stand *storekeeper.Storekeeper
 	store string
+	// stuck tells of requests that the upstream never answers.
+	stuck chan struct{}
 }
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{stand: storekeeper.New(clockwork.NewRealClock())}
+	f := &fixture{stand: storekeeper.New(clockwork.NewRealClock()), stuck: make(chan struct{}, 1)}
 	store := httptest.NewServer(f.stand.Handler())
 	t.Cleanup(store.CloseClientConnections)
 	f.store = strings.TrimPrefix(store.URL, "http://")
 	h := platform.Headers()
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/stuck") {
+			f.stuck <- struct{}{}
+			<-r.Context().Done()
+			return
+		}
 		w.Header().Set(h.Attempt, r.Header.Get(h.Attempt))
 		w.Header().Set(h.Signature, "s")
 		_, _ = w.Write([]byte(r.Header.Get(h.Expect)))
@@ -255,3 +266,25 @@
 	assert.Equal(t, status, http.StatusOK)
 	assert.Equal(t, body, "i-1")
 }
+
+// TestStopWithStuckRequest has a planned stop end inside the grace although an
+// upstream never answers.
+func TestStopWithStuckRequest(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := start(t, "vm-1", f.store, "")
+	d.isReady(t)
+	asked := make(chan struct{})
+	go func() {
+		defer close(asked)
+		get(d.callers, "/stock/stuck", "shop.example")
+	}()
+	<-f.stuck
+	begun := time.Now()
+	d.stop()
+	assert.NilError(t, <-d.done)
+	took := time.Since(begun)
+	d.done <- nil
+	<-asked
+	assert.Assert(t, took < grace, "the stop took %v", took)
+}
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -70,10 +70,12 @@
 		incarnation namer.Incarnation
 	}
 
-	// webServer serves HTTP on a listener.
+	// webServer serves HTTP on a listener. After its end it waits for requests
+	// in progress for the linger time.
 	webServer struct {
 		server   *http.Server
 		listener net.Listener
+		linger   time.Duration
 	}
 
 	// peerServer answers peers.
@@ -92,7 +94,7 @@
 		return errors.Wrap(err, "serving HTTP")
 	case <-ctx.Done():
 	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTime)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), w.linger)
 	defer cancel()
 	if err := w.server.Shutdown(ctx); err != nil {
 		return errors.Wrap(w.server.Close(), "closing connections")
@@ -214,7 +216,7 @@
 			MaxHeaderBytes:    s.Limits.HeadBytes + headSlack,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		}
-		return &webServer{server: server, listener: f.Find(portsName).(*ports).callers}, nil, nil
+		return &webServer{server: server, listener: f.Find(portsName).(*ports).callers, linger: shutdownTime}, nil, nil
 	})
 	needs = []registrar.Name{callersName, documentsName, routerName, tokensName}
 	r.Register(metricsName, needs, func(f registrar.Finder) (any, func(), error) {
@@ -235,7 +237,7 @@
 			ReadHeaderTimeout: s.Limits.ReadTime,
 			ReadTimeout:       s.Limits.ReadTime,
 		}
-		return &webServer{server: server, listener: f.Find(portsName).(*ports).operators}, nil, nil
+		return &webServer{server: server, listener: f.Find(portsName).(*ports).operators, linger: shutdownTime}, nil, nil
 	})
 	needs = []registrar.Name{clockName, peersName, membersName, tokensName, routerName, documentsName}
 	r.Register(answersName, needs, func(f registrar.Finder) (any, func(), error) {
