VMs follow a peer in place of the store; one VM a region asks the store

Change: the lead of a region watches the store. Each update says how old the store's last confirmation is; a VM whose peer is silent or stale asks the store before what it knows is three quarters of the tightest bound old. Leads' watches and that age come from the settings apply and drain now, not from constants. A VM that the store does not answer says so and leads nobody. A document is pulled from a peer only when it has not come by way of the records; upstreams travel with it only to a VM that has not listed them. Ruled out: fewer or longer watches of each VM; events alone cost a call each. Tests: relayed_test.go, TestGuide, TestAwait.

--- /dev/null
+++ b/internal/document/follower/feed.go
@@ -0,0 +1,187 @@
+package follower
+
+import (
+	"bytes"
+	"context"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+)
+
+// feedMost bounds the changes that are kept for peers that lag behind; one that
+// lags further gets all records, which are about as many.
+const feedMost = 4096
+
+type (
+	// Position is how much of a kind a peer has been told.
+	Position struct {
+		At    storer.Version
+		Fresh time.Time
+		Away  bool
+	}
+
+	// feed is a copy of a kind's records for peers that follow this VM.
+	feed struct {
+		mu      sync.Mutex
+		listed  bool
+		records map[string]storer.Record
+		steps   []step
+		kept    int
+		at      storer.Version
+		seen    storer.Version
+		fresh   time.Time
+		away    bool
+		news    chan struct{}
+	}
+
+	// step is the changes between two versions.
+	step struct {
+		from    storer.Version
+		to      storer.Version
+		changes []storer.Change
+	}
+)
+
+// Await returns what a peer at a position lacks, once there is something: changes,
+// a later confirmation by the store, or the loss of the store.
+func (f *Follower) Await(ctx context.Context, p Position) (storer.Update, Position, error) {
+	for {
+		u, next, news, ok := f.feed.after(p)
+		if ok {
+			u.Age = max(0, f.clock.Since(next.Fresh))
+			return u, next, nil
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return storer.Update{}, p, errors.Wrap(ctx.Err(), "waiting for changes")
+		}
+	}
+}
+
+func newFeed() *feed {
+	return &feed{records: make(map[string]storer.Record), news: make(chan struct{})}
+}
+
+// after returns what lies after a position, or what to wait for.
+func (f *feed) after(p Position) (storer.Update, Position, <-chan struct{}, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.listed || p.At >= f.at && !f.fresh.After(p.Fresh) && f.away == p.Away {
+		return storer.Update{}, p, f.news, false
+	}
+	u := storer.Update{At: f.at, Seen: f.seen, Away: f.away}
+	u.Changes, u.All = f.lacking(p.At)
+	return u, Position{At: max(p.At, f.at), Fresh: f.fresh, Away: f.away}, nil, true
+}
+
+// lacking returns the changes after a version, or all records when the changes
+// are not known so far back.
+func (f *feed) lacking(since storer.Version) ([]storer.Change, bool) {
+	if since >= f.at && since > 0 {
+		return nil, false
+	}
+	var changes []storer.Change
+	if len(f.steps) > 0 && f.steps[0].from <= since && since > 0 {
+		for _, s := range f.steps {
+			if s.to > since {
+				changes = append(changes, s.changes...)
+			}
+		}
+		return changes, false
+	}
+	for _, r := range f.records {
+		changes = append(changes, storer.Change{Record: r})
+	}
+	return changes, true
+}
+
+// replace takes over all records. What differs from those before becomes a step,
+// so that peers need not be told of all.
+func (f *feed) replace(records []storer.Record, at storer.Version, fresh time.Time) {
+	f.mu.Lock()
+	known := f.records
+	listed := f.listed
+	f.listed = true
+	f.records = make(map[string]storer.Record, len(records))
+	for _, r := range records {
+		f.records[r.Name] = r
+	}
+	var changes []storer.Change
+	for _, r := range records {
+		if old, ok := known[r.Name]; !ok || !same(old, r) {
+			changes = append(changes, storer.Change{Record: r})
+		}
+	}
+	for name, r := range known {
+		if _, ok := f.records[name]; !ok {
+			changes = append(changes, storer.Change{Record: r, Removed: true})
+		}
+	}
+	if !listed {
+		f.at = at
+		changes = nil
+	}
+	f.mu.Unlock()
+	f.add(changes, at, fresh)
+}
+
+// add takes over changes up to a version, confirmed by the store at a time.
+func (f *feed) add(changes []storer.Change, at storer.Version, fresh time.Time) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for _, c := range changes {
+		if c.Removed {
+			delete(f.records, c.Record.Name)
+			continue
+		}
+		f.records[c.Record.Name] = c.Record
+	}
+	if at > f.at {
+		f.steps = append(f.steps, step{from: f.at, to: at, changes: changes})
+		f.kept += len(changes)
+		f.at = at
+	}
+	for f.kept > feedMost {
+		f.kept -= len(f.steps[0].changes)
+		f.steps = f.steps[1:]
+	}
+	if fresh.After(f.fresh) {
+		f.fresh = fresh
+	}
+	f.wake()
+}
+
+func (f *feed) sees(version storer.Version) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seen = max(f.seen, version)
+}
+
+// confirmed returns when the store last confirmed what is known.
+func (f *feed) confirmed() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.fresh
+}
+
+func (f *feed) setAway(away bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.away != away {
+		f.away = away
+		f.wake()
+	}
+}
+
+func (f *feed) wake() {
+	close(f.news)
+	f.news = make(chan struct{})
+}
+
+func same(a, b storer.Record) bool {
+	return a.Version == b.Version && bytes.Equal(a.Spec, b.Spec) && bytes.Equal(a.Status, b.Status)
+}
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -3,16 +3,18 @@
 // source that fails is asked again after a growing pause.
 //
 // A watch may miss changes without ending. A lead replaces its watches often and
-// so finds what was missed; the others hear from their peers how far these have
-// seen, and look again when they are behind. So the calls grow with leads, not
-// with VMs.
+// so finds what was missed; the others follow a peer, which passes on what it
+// learns and when the store last confirmed it. A VM whose peer is silent, or has
+// heard nothing of the store for too long, asks the store itself. So the calls
+// grow with leads, not with VMs.
 //
 // # Usage
 //
-//	f := follower.New(calls, kind, handler, clock, log, follower.WithLead(lead, news))
+//	f := follower.New(calls, kind, handler, clock, log, follower.WithRelay(relay), follower.WithBound(bound))
 //	go f.Serve(ctx)
 //	version := f.Seen()
 //	f.Told(peersVersion)
+//	update, position, err := f.Await(ctx, position)
 package follower
 
 import (
@@ -25,16 +27,22 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 )
 
 const (
-	// leadTime is how long a lead's watch waits; each costs one call. What a
-	// watch missed must be known everywhere within the shortest bound that the
-	// platform sets on a change, 2 s.
-	leadTime = 800 * time.Millisecond
-	// watchTime is how long the watches of others wait.
-	watchTime = 20 * time.Second
+	// defaultBound is the time within which a change must be known, where none is
+	// set.
+	defaultBound = 2 * time.Second
+	// leadPart is how long a lead's watch waits, as a part of the bound; each
+	// costs one call. A watch that heard nothing proves only that nothing had
+	// changed when it began, so a confirmation can be two watches old.
+	leadPart = 0.3
+	// stalePart is the age of the store's last confirmation, as a part of the
+	// bound, at which a VM asks the store itself. It is over two watches and a
+	// slow answer, and leaves time for the VM's own call.
+	stalePart = 0.75
 	// behindTime is how long a peer may have seen more before this VM looks
 	// again, since the watches of all hear of a change at about the same time. It
 	// is over twice the longest round trip to the store that the brief names.
@@ -52,6 +60,16 @@
 	// by half, so that many followers don't return together.
 	retryFirst = 50 * time.Millisecond
 	retryMost  = 500 * time.Millisecond
+	// retryFollower is the longest pause of a VM that follows a peer; it hears
+	// from there that the source is back.
+	retryFollower = 2 * time.Second
+	// firstTime is how long a VM that has just started waits for a peer's records
+	// before it reads them from the store; it is two round trips of the longest
+	// way that the brief names.
+	firstTime = 250 * time.Millisecond
+	// awayTime is how long the source must have failed before this VM says so to
+	// its peers; a single failed call is tried again well before.
+	awayTime = 300 * time.Millisecond
 )
 
 type (
@@ -80,15 +98,21 @@
 		clock   clockwork.Clock
 		log     *slog.Logger
 
-		lead   func() bool
+		relay  Relay
+		bound  time.Duration
 		news   func()
+		feed   *feed
 		since  storer.Version
 		listed bool
-		lost   time.Time
 		// quiet says that the last watch ended without changes.
 		quiet bool
+		// followed is the peer whose updates are taken, or empty.
+		followed namer.VM
+		// longest is the longest pause between calls that fail.
+		longest time.Duration
 
 		mu   sync.Mutex
+		lost time.Time
 		seen storer.Version
 		// look asks for a look, and looking says that one is under way.
 		look    bool
@@ -100,13 +124,20 @@
 	Option func(*Follower)
 )
 
-// WithLead sets what says whether this VM is a lead, and what is called when a
-// lead finds changes that its watch had missed. Without it the VM is a lead.
-func WithLead(lead func() bool, news func()) Option {
-	return func(f *Follower) {
-		f.lead = lead
-		f.news = news
-	}
+// WithRelay sets whom a VM that is no lead follows. Without it the VM is a lead.
+func WithRelay(r Relay) Option {
+	return func(f *Follower) { f.relay = r }
+}
+
+// WithNews sets what is called when a lead finds changes that its watch had
+// missed.
+func WithNews(news func()) Option {
+	return func(f *Follower) { f.news = news }
+}
+
+// WithBound sets the time within which a change must be known.
+func WithBound(d time.Duration) Option {
+	return func(f *Follower) { f.bound = d }
 }
 
 // New returns a follower of a kind.
@@ -117,8 +148,9 @@
 		handler: h,
 		clock:   clock,
 		log:     log.With("kind", string(kind)),
-		lead:    func() bool { return true },
+		bound:   defaultBound,
 		news:    func() {},
+		feed:    newFeed(),
 	}
 	for _, opt := range opts {
 		opt(f)
@@ -131,6 +163,13 @@
 	return f.kind
 }
 
+// Away reports whether the store has not answered for some time.
+func (f *Follower) Away() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return !f.lost.IsZero() && f.clock.Since(f.lost) >= awayTime
+}
+
 // Seen returns the version of the last change that is known.
 func (f *Follower) Seen() storer.Version {
 	f.mu.Lock()
@@ -176,13 +215,23 @@
 		case ctx.Err() == nil:
 			f.noteLost(err)
 			f.pause(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, retryMost)
+			pause = min(2*pause, f.longest)
 		}
 	}
 	return nil
 }
 
+// step learns from a peer for as long as one tells what is fresh, and otherwise
+// calls the store once.
 func (f *Follower) step(ctx context.Context) error {
+	err := f.follow(ctx)
+	if errors.Is(err, errSwitch) || ctx.Err() != nil {
+		return nil
+	}
+	f.longest = retryFollower
+	if errors.Is(err, ErrLead) {
+		f.longest = retryMost
+	}
 	if !f.listed {
 		return f.list(ctx)
 	}
@@ -213,6 +262,7 @@
 	if len(changes.List) > 0 || looks {
 		f.sees(changes.At)
 	}
+	f.feed.add(changes.List, f.since, begun)
 	if len(changes.List) > 0 && f.quiet && f.clock.Since(begun) < lateTime {
 		f.log.Info("changes were missed", "since", uint64(f.since), "count", len(changes.List), "reason", "the last watch heard nothing")
 		f.news()
@@ -226,10 +276,7 @@
 
 // begin returns how long the next watch is to wait, and whether it only looks.
 func (f *Follower) begin(ctx context.Context) (context.Context, time.Duration, bool) {
-	wait := watchTime
-	if f.lead() {
-		wait = leadTime
-	}
+	wait := time.Duration(leadPart * float64(f.bound))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	looks := f.look
@@ -261,12 +308,14 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.seen = max(f.seen, version)
+	f.feed.sees(version)
 }
 
 // list reads all pages. Changes between two pages are seen by the watch, which
 // begins at the first page's version.
 func (f *Follower) list(ctx context.Context) error {
 	var records []storer.Record
+	begun := f.clock.Now()
 	after := ""
 	first := storer.Version(0)
 	for {
@@ -288,25 +337,36 @@
 	f.listed = true
 	f.handler.Reset(records)
 	f.sees(first)
+	f.feed.replace(records, first, begun)
 	f.news()
 	return nil
 }
 
 func (f *Follower) noteLost(err error) {
-	if !f.lost.IsZero() {
+	f.mu.Lock()
+	known := !f.lost.IsZero()
+	if !known {
+		f.lost = f.clock.Now()
+	}
+	f.mu.Unlock()
+	if known {
 		return
 	}
-	f.lost = f.clock.Now()
+	f.feed.setAway(true)
 	f.log.Warn("store lost", "since", uint64(f.since), "reason", err.Error())
 	f.handler.Lost()
 }
 
 func (f *Follower) regained() {
-	if f.lost.IsZero() {
+	f.mu.Lock()
+	lost := f.lost
+	f.lost = time.Time{}
+	f.mu.Unlock()
+	if lost.IsZero() {
 		return
 	}
-	f.log.Info("store regained", "since", uint64(f.since), "away", f.clock.Since(f.lost))
-	f.lost = time.Time{}
+	f.feed.setAway(false)
+	f.log.Info("store regained", "since", uint64(f.since), "away", f.clock.Since(lost))
 	f.handler.Regained()
 }
 
--- /dev/null
+++ b/internal/document/follower/relayed.go
@@ -0,0 +1,151 @@
+package follower
+
+import (
+	"context"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+)
+
+var (
+	// ErrLead says that a VM follows nobody and asks the store itself.
+	ErrLead = errors.New("this VM asks the store itself")
+
+	// errSwitch says that another peer is to be followed now, and that nothing
+	// was missed.
+	errSwitch = errors.New("another peer is to be followed")
+	errStale  = errors.New("the peer's word is too old")
+	errBehind = errors.New("other peers have seen more")
+	// errPeerAway is why a VM takes the store for lost.
+	errPeerAway = errors.New("the store does not answer the peer")
+)
+
+type (
+	// Relay opens another VM's updates.
+	Relay interface {
+		// Open returns the updates of a kind after a version. It returns ErrLead
+		// on a VM that is to ask the store itself.
+		Open(ctx context.Context, kind storer.Kind, since storer.Version) (Updates, error)
+	}
+
+	// Updates is what a peer tells.
+	Updates interface {
+		// Next waits for the next update.
+		Next() (storer.Update, error)
+		// From returns the peer, and whether it is still the one to follow.
+		From() (namer.VM, bool)
+		Close()
+	}
+)
+
+// follow takes a peer's updates until they end or are not fresh any more.
+func (f *Follower) follow(parent context.Context) error {
+	if f.relay == nil {
+		return ErrLead
+	}
+	ctx, cancel := context.WithCancel(parent)
+	defer cancel()
+	if !f.beginFollow(cancel) {
+		return errBehind
+	}
+	defer f.end()
+	since := f.since
+	if !f.listed {
+		since = 0
+	}
+	stale := f.clock.AfterFunc(f.patience(), cancel)
+	defer func() { stale.Stop() }()
+	updates, err := f.relay.Open(ctx, f.kind, since)
+	if err != nil {
+		return f.unfollow(err)
+	}
+	defer updates.Close()
+	for {
+		u, err := updates.Next()
+		if err != nil {
+			return f.unfollow(err)
+		}
+		left := f.staleTime() - u.Age
+		if left <= 0 {
+			return f.unfollow(errStale)
+		}
+		stale.Stop()
+		stale = f.clock.AfterFunc(left, cancel)
+		peer, current := updates.From()
+		f.noteFollowed(peer)
+		f.take(u)
+		if !current {
+			return errSwitch
+		}
+	}
+}
+
+// take applies a peer's update.
+func (f *Follower) take(u storer.Update) {
+	if u.Away {
+		f.noteLost(errPeerAway)
+	} else {
+		f.regained()
+	}
+	fresh := f.clock.Now().Add(-u.Age)
+	f.since = max(f.since, u.At)
+	if u.All {
+		records := make([]storer.Record, len(u.Changes))
+		for i, c := range u.Changes {
+			records[i] = c.Record
+		}
+		f.listed = true
+		f.handler.Reset(records)
+		f.sees(u.Seen)
+		f.feed.replace(records, f.since, fresh)
+		return
+	}
+	for _, c := range u.Changes {
+		f.handler.Apply(c)
+	}
+	f.sees(u.Seen)
+	f.feed.add(u.Changes, f.since, fresh)
+}
+
+// patience returns how long a peer may take to say something. What is known
+// must not become stale meanwhile.
+func (f *Follower) patience() time.Duration {
+	if !f.listed {
+		return firstTime
+	}
+	return f.staleTime() - f.clock.Since(f.feed.confirmed())
+}
+
+func (f *Follower) staleTime() time.Duration {
+	return time.Duration(stalePart * float64(f.bound))
+}
+
+// beginFollow lets a look end the following, and reports whether none is due.
+func (f *Follower) beginFollow(cancel context.CancelFunc) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.look {
+		return false
+	}
+	f.cancel = cancel
+	return true
+}
+
+func (f *Follower) noteFollowed(peer namer.VM) {
+	if f.followed != peer {
+		f.log.Info("peer followed", "peer", string(peer), "since", uint64(f.since))
+	}
+	f.followed = peer
+}
+
+// unfollow tells once that a VM turns from its peer to the store.
+func (f *Follower) unfollow(err error) error {
+	if f.followed != "" {
+		f.log.Info("peer not followed", "peer", string(f.followed), "since", uint64(f.since), "reason", err.Error())
+	}
+	f.followed = ""
+	return err
+}
--- /dev/null
+++ b/internal/document/follower/relayed_test.go
@@ -0,0 +1,272 @@
+package follower_test
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/follower"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+)
+
+// peer is a VM that is followed. It is silent until it is given updates.
+type peer struct {
+	updates chan storer.Update
+	// opened tells from which versions it was followed.
+	opened chan storer.Version
+
+	mu   sync.Mutex
+	gone bool
+}
+
+func newPeer() *peer {
+	return &peer{updates: make(chan storer.Update), opened: make(chan storer.Version, 64)}
+}
+
+func (p *peer) leave() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.gone = true
+}
+
+// Open implements follower.Relay.
+func (p *peer) Open(ctx context.Context, _ storer.Kind, since storer.Version) (follower.Updates, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.gone {
+		return nil, follower.ErrLead
+	}
+	p.opened <- since
+	return &words{peer: p, ctx: ctx}, nil
+}
+
+// words are what a peer tells one follower.
+type words struct {
+	peer *peer
+	ctx  context.Context
+}
+
+// Next implements follower.Updates.
+func (w *words) Next() (storer.Update, error) {
+	select {
+	case u := <-w.peer.updates:
+		return u, nil
+	case <-w.ctx.Done():
+		return storer.Update{}, w.ctx.Err()
+	}
+}
+
+// From implements follower.Updates.
+func (w *words) From() (namer.VM, bool) {
+	w.peer.mu.Lock()
+	defer w.peer.mu.Unlock()
+	return "vm-1", !w.peer.gone
+}
+
+// Close implements follower.Updates.
+func (w *words) Close() {}
+
+func (s *source) calls() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists + s.watches
+}
+
+// startBehind starts a follower of a peer that has told it of all records.
+func startBehind(t *testing.T) (*source, *peer, *copied, *clockwork.FakeClock, *follower.Follower) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	src := newSource(clock)
+	src.put("first")
+	kept := &copied{}
+	p := newPeer()
+	f := follower.New(src, kind, kept, clock, slog.New(slog.DiscardHandler), follower.WithRelay(p), follower.WithBound(tightest))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	assert.Equal(t, <-p.opened, storer.Version(0))
+	p.updates <- storer.Update{All: true, Changes: []storer.Change{change("first", 1)}, At: 1, Seen: 1}
+	poll.WaitOn(t, sees(f, 1))
+	return src, p, kept, clock, f
+}
+
+func sees(f *follower.Follower, version storer.Version) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if f.Seen() == version {
+			return poll.Success()
+		}
+		return poll.Continue("seen %d", f.Seen())
+	}
+}
+
+func change(name string, version storer.Version) storer.Change {
+	return storer.Change{Record: storer.Record{Name: name, Version: version}}
+}
+
+// TestPeerInPlaceOfTheStore has many VMs cost no calls: a VM that is told what is
+// fresh asks the store for nothing.
+func TestPeerInPlaceOfTheStore(t *testing.T) {
+	t.Parallel()
+	src, p, kept, clock, f := startBehind(t)
+	for i := range 10 {
+		clock.Advance(tightest / 2)
+		u := storer.Update{At: storer.Version(i + 2), Seen: storer.Version(i + 2)}
+		if i == 5 {
+			u.Changes = []storer.Change{change("second", 7)}
+		}
+		p.updates <- u
+		poll.WaitOn(t, sees(f, u.Seen))
+	}
+	poll.WaitOn(t, kept.has("second"))
+	assert.Equal(t, src.calls(), 0)
+}
+
+// TestSilentPeer has a peer fall silent, or tell what the store confirmed too long
+// ago. What changes meanwhile is known within the bound all the same.
+func TestSilentPeer(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name string
+		tell func(p *peer)
+	}{
+		{"silent", func(*peer) {}},
+		{"old word", func(p *peer) { p.updates <- storer.Update{At: 1, Seen: 1, Age: tightest} }},
+		{"no peer", func(p *peer) {
+			p.leave()
+			p.updates <- storer.Update{At: 1, Seen: 1}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			src, p, kept, clock, _ := startBehind(t)
+			src.put("missed")
+			tc.tell(p)
+			assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+			clock.Advance(tightest - 100*time.Millisecond)
+			poll.WaitOn(t, kept.has("missed"))
+		})
+	}
+}
+
+// TestPeerIsFollowedAgain has a VM return to its peer once that one's word is
+// fresh, from where it has come to itself.
+func TestPeerIsFollowedAgain(t *testing.T) {
+	t.Parallel()
+	src, p, kept, clock, _ := startBehind(t)
+	src.put("missed")
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(tightest - 100*time.Millisecond)
+	poll.WaitOn(t, kept.has("missed"))
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		select {
+		case since := <-p.opened:
+			assert.Equal(t, since, storer.Version(2))
+			return poll.Success()
+		default:
+			clock.Advance(10 * time.Millisecond)
+			return poll.Continue("not followed again")
+		}
+	})
+	p.updates <- storer.Update{Changes: []storer.Change{change("third", 3)}, At: 3, Seen: 3}
+	poll.WaitOn(t, kept.has("third"))
+}
+
+// TestToldByAPeer has a followed peer lag behind others, which have seen more: the
+// VM looks at the store.
+func TestToldByAPeer(t *testing.T) {
+	t.Parallel()
+	src, p, kept, clock, f := startBehind(t)
+	src.put("missed")
+	p.updates <- storer.Update{At: 1, Seen: 1}
+	assert.Equal(t, src.calls(), 0)
+	f.Told(2)
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
+	clock.Advance(400 * time.Millisecond)
+	poll.WaitOn(t, kept.has("missed"))
+	poll.WaitOn(t, sees(f, 2))
+	f.Told(2)
+}
+
+// TestPeerTellsOfAnOutage has the outage of the store that a peer notices count
+// here too, since entries lapse meanwhile.
+func TestPeerTellsOfAnOutage(t *testing.T) {
+	t.Parallel()
+	_, p, kept, _, _ := startBehind(t)
+	p.updates <- storer.Update{At: 1, Seen: 1, Away: true}
+	p.updates <- storer.Update{At: 1, Seen: 1}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		kept.mu.Lock()
+		defer kept.mu.Unlock()
+		if kept.lost == 1 && kept.back == 1 {
+			return poll.Success()
+		}
+		return poll.Continue("lost %d, back %d", kept.lost, kept.back)
+	})
+}
+
+// TestAwait tells peers what they lack from where they are.
+func TestAwait(t *testing.T) {
+	t.Parallel()
+	src, kept, clock, f := startFollower(t)
+	for _, name := range []string{"second", "third"} {
+		src.put(name)
+		poll.WaitOn(t, kept.has(name))
+		src.nextWatch(t, clock)
+	}
+	for _, tc := range []struct {
+		name  string
+		since storer.Version
+		all   bool
+		want  int
+	}{
+		{"nothing known", 0, true, 3},
+		{"one known", 1, false, 2},
+		{"two known", 2, false, 1},
+		{"all known", 3, false, 0},
+		{"more known than here", 9, false, 0},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			u, next, err := f.Await(t.Context(), follower.Position{At: tc.since})
+			assert.NilError(t, err)
+			assert.Equal(t, u.All, tc.all)
+			assert.Equal(t, len(u.Changes), tc.want)
+			assert.Equal(t, next.At, max(tc.since, 3))
+		})
+	}
+}
+
+// TestAwaitAfterLostHistory has a list replace a watch: a peer is told only of
+// what differs.
+func TestAwaitAfterLostHistory(t *testing.T) {
+	t.Parallel()
+	src, kept, clock, f := startFollower(t)
+	wait(t, clock, 0)
+	src.mu.Lock()
+	src.deaf = true
+	src.mu.Unlock()
+	src.put("missed")
+	src.mu.Lock()
+	src.first = src.at + 1
+	src.changes = nil
+	src.at++
+	src.mu.Unlock()
+	wait(t, clock, tightest/2)
+	poll.WaitOn(t, kept.has("missed"))
+	u, _, err := f.Await(t.Context(), follower.Position{At: 1})
+	assert.NilError(t, err)
+	assert.Assert(t, !u.All)
+	assert.Equal(t, len(u.Changes), 1)
+	assert.Equal(t, u.Changes[0].Record.Name, "missed")
+}
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -23,6 +24,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
 	"github.com/waxwingloom/waxwingloom/internal/peer/answerer"
 	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
+	"github.com/waxwingloom/waxwingloom/internal/peer/relayer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
@@ -48,7 +50,14 @@
 	readyName     registrar.Name = "ready"
 )
 
+// followed are the services that follow the store's records.
+var followed = []registrar.Name{configName, upstreamsName, drainsName}
+
 const (
+	// pullAfter is how long a document may take to come by way of the records
+	// before it is pulled from a peer: two round trips of the longest way that the
+	// brief names.
+	pullAfter = 250 * time.Millisecond
 	// adminHeaderTime bounds the reading of a request's head on the listeners
 	// that only the platform and callers' look-ups use.
 	adminHeaderTime = 5 * time.Second
@@ -68,7 +77,7 @@
 		return reloader.New(o.path, s, o.reload, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
 	registerRoutedMembers(r, s, log)
-	registerDiscovery(r, log)
+	registerDiscovery(r, s, log)
 	registerSeen(r)
 	registerSteering(r, s, log)
 	registerRoutedFront(r, s, log)
@@ -89,12 +98,17 @@
 		f.Find(reloadName).(*reloader.Reloader).OnChange(func(s loader.Settings) { h.SetSeeds(s.Seeds) })
 		return h, nil, nil
 	})
-	needs = []registrar.Name{clockName, peersName, membersName, documentsName, discoverName}
+	needs = append([]registrar.Name{clockName, peersName, membersName, documentsName, discoverName}, followed...)
 	r.Register(answersName, needs, func(f registrar.Finder) (any, func(), error) {
 		services := answerer.Services{
 			Members:   f.Find(membersName).(*heartbeater.Heartbeater),
 			Documents: f.Find(documentsName).(*keeper.Keeper),
 			Upstreams: f.Find(discoverName).(*discoverer.Discoverer),
+			Records:   make(map[storer.Kind]answerer.Records, len(followed)),
+		}
+		for _, name := range followed {
+			records := f.Find(name).(*follower.Follower)
+			services.Records[records.Kind()] = records
 		}
 		return &peerServer{
 			messenger: f.Find(peersName).(*messenger.Messenger),
@@ -104,16 +118,17 @@
 }
 
 // registerDiscovery registers what follows the store.
-func registerDiscovery(r *registrar.Registrar, log *slog.Logger) {
+func registerDiscovery(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
 	r.Register(discoverName, []registrar.Name{clockName}, func(f registrar.Finder) (any, func(), error) {
 		return discoverer.New(platform.Upstream, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
 	follow := func(name registrar.Name, kind storer.Kind, need registrar.Name, handler func(registrar.Finder) follower.Handler) {
-		needs := []registrar.Name{platformName, clockName, membersName, need}
+		needs := []registrar.Name{platformName, clockName, peersName, membersName, need}
 		r.Register(name, needs, func(f registrar.Finder) (any, func(), error) {
 			members := f.Find(membersName).(*heartbeater.Heartbeater)
+			relay := relayer.New(f.Find(peersName).(*messenger.Messenger), members.Guide)
 			return follower.New(f.Find(platformName).(*platform.Client), kind, handler(f), f.Find(clockName).(clockwork.Clock), log,
-				follower.WithLead(members.Lead, members.Kick)), nil, nil
+				follower.WithRelay(relay), follower.WithNews(members.Kick), follower.WithBound(min(s.Routing.Apply, s.Routing.Drain))), nil, nil
 		})
 	}
 	follow(configName, platform.ConfigKind, documentsName, func(f registrar.Finder) follower.Handler {
@@ -130,15 +145,15 @@
 // registerSeen has VMs tell each other how far they have seen the store's
 // records.
 func registerSeen(r *registrar.Registrar) {
-	names := []registrar.Name{configName, upstreamsName, drainsName}
-	r.Register(seenName, append(names, membersName), func(f registrar.Finder) (any, func(), error) {
+	r.Register(seenName, append([]registrar.Name{membersName}, followed...), func(f registrar.Finder) (any, func(), error) {
 		var all []*follower.Follower
-		for _, name := range names {
+		for _, name := range followed {
 			all = append(all, f.Find(name).(*follower.Follower))
 		}
 		f.Find(membersName).(*heartbeater.Heartbeater).OnSeen(
 			func() []tracker.Seen { return seenBy(all) },
-			func(told []tracker.Seen) { tell(all, told) })
+			func(told []tracker.Seen) { tell(all, told) },
+			func() bool { return slices.ContainsFunc(all, (*follower.Follower).Away) })
 		return all, nil, nil
 	})
 }
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -306,11 +306,15 @@
 }
 
 func timing(s loader.Settings) heartbeater.Timing {
-	return heartbeater.Timing{
+	t := heartbeater.Timing{
 		Heartbeat: s.Timing.Heartbeat,
 		Poll:      s.Timing.Poll,
 		Tracker:   tracker.Timing{Suspect: s.Timing.Suspect, Dead: s.Timing.Dead},
 	}
+	if s.Routed() {
+		t.PullAfter = pullAfter
+	}
+	return t
 }
 
 // everyone returns the members in view and this VM, which is left out of
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -64,9 +64,11 @@
 		Adopt(head keeper.Head, sources parser.Sources) (bool, error)
 	}
 
-	// Upstreams takes over another VM's view of the upstreams.
+	// Upstreams takes over another VM's view of the upstreams, as long as this
+	// one has not listed them.
 	Upstreams interface {
 		Borrow(v *cataloger.View) bool
+		Listed() bool
 	}
 
 	// Timing is the heartbeater's intervals.
@@ -74,6 +76,9 @@
 		Heartbeat time.Duration
 		Poll      time.Duration
 		Tracker   tracker.Timing
+		// PullAfter is how long a document may take to come by another way
+		// before it is pulled from a peer.
+		PullAfter time.Duration
 	}
 
 	// Services is what a heartbeater works with. Upstreams may be nil.
@@ -106,6 +111,8 @@
 		needs    func() []tracker.Need
 		seen     func() []tracker.Seen
 		told     func([]tracker.Seen)
+		away     func() bool
+		pulling  bool
 	}
 )
 
@@ -128,6 +135,7 @@
 		needs:    func() []tracker.Need { return nil },
 		seen:     func() []tracker.Seen { return nil },
 		told:     func([]tracker.Seen) {},
+		away:     func() bool { return false },
 	}
 }
 
@@ -152,13 +160,14 @@
 	h.needs = f
 }
 
-// OnSeen sets what tells how far this VM has seen the store's records, and what
-// is told how far a peer has.
-func (h *Heartbeater) OnSeen(seen func() []tracker.Seen, told func([]tracker.Seen)) {
+// OnSeen sets what tells how far this VM has seen the store's records, what is
+// told how far a peer has, and what tells that the store does not answer.
+func (h *Heartbeater) OnSeen(seen func() []tracker.Seen, told func([]tracker.Seen), away func() bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.seen = seen
 	h.told = told
+	h.away = away
 }
 
 // SetSeeds replaces the peers to ask while no other is known.
@@ -217,11 +226,14 @@
 	return IsGateway(h.self.VM, h.self.Zone, members)
 }
 
-// Lead reports whether this VM is its region's lead.
-func (h *Heartbeater) Lead() bool {
+// Guide returns the member from which this VM hears of the store's records, or
+// none when it is to ask the store itself.
+func (h *Heartbeater) Guide() (tracker.Member, bool) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return IsLead(h.self, h.tracker.View(h.clock.Now()))
+	self := h.self
+	self.Away = h.away()
+	return Guide(self, h.tracker.View(h.clock.Now()))
 }
 
 // Serve sends heartbeats until ctx ends.
@@ -347,6 +359,7 @@
 	self.Rooms = h.rooms()
 	self.Needs = h.needs()
 	self.Seen = h.seen()
+	self.Away = h.away()
 	return self
 }
 
@@ -370,19 +383,44 @@
 	}
 	h.mu.Unlock()
 	told(sender.Seen)
-	if sender.Generation > h.services.Documents.Generation() {
-		h.pull(ctx, sender)
+	h.catchUp(ctx, sender)
+}
+
+// catchUp pulls the document of a peer whose generation is higher. Where the
+// document comes by another way as well, that way has some time first.
+func (h *Heartbeater) catchUp(ctx context.Context, from tracker.Member) {
+	if from.Generation <= h.services.Documents.Generation() {
+		return
+	}
+	if h.timing.PullAfter == 0 || h.services.Documents.Generation() == 0 {
+		h.pull(ctx, from)
+		return
 	}
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.pulling {
+		return
+	}
+	h.pulling = true
+	h.clock.AfterFunc(h.timing.PullAfter, func() {
+		if from.Generation > h.services.Documents.Generation() {
+			h.pull(ctx, from)
+		}
+		h.mu.Lock()
+		defer h.mu.Unlock()
+		h.pulling = false
+	})
 }
 
 func (h *Heartbeater) pull(ctx context.Context, from tracker.Member) {
-	req := &encoder.Request{Kind: &encoder.Request_Pull{Pull: &encoder.Pull{}}}
+	borrows := h.services.Upstreams != nil && !h.services.Upstreams.Listed()
+	req := &encoder.Request{Kind: &encoder.Request_Pull{Pull: &encoder.Pull{Upstreams: borrows}}}
 	reply, err := h.services.Peers.Ask(ctx, from.Peers, from.Incarnation, req)
 	if err != nil {
 		h.log.Warn("document not pulled", "from", string(from.VM), "reason", err.Error())
 		return
 	}
-	if h.services.Upstreams != nil && reply.GetDocument() != nil {
+	if borrows && reply.GetDocument() != nil {
 		h.services.Upstreams.Borrow(converter.UpstreamsFrom(reply.GetDocument()))
 	}
 	adopted, err := h.adopt(reply.GetDocument())
--- a/internal/member/heartbeater/topology.go
+++ b/internal/member/heartbeater/topology.go
@@ -28,17 +28,45 @@
 	return above < Gateways
 }
 
-// IsLead reports whether a VM is the one of its region that watches the store
-// most closely, in the view of members that includes it. Views that differ cost
-// calls, not safety.
-func IsLead(self tracker.Member, members []tracker.Member) bool {
-	own := rank(self.VM, namer.Zone(self.Region))
+// Guide returns the member from which a VM hears of the store's records, in the
+// view of members without it: the lead of its zone, from that one the lead of its
+// region, and none on the lead of a region, which asks the store itself. So the
+// calls grow with regions, and records cross into a zone once. Views that differ
+// cost calls, not safety.
+func Guide(self tracker.Member, members []tracker.Member) (tracker.Member, bool) {
+	region := lead(self, members, namer.Zone(self.Region), func(m tracker.Member) bool { return m.Region == self.Region })
+	if region.VM == self.VM {
+		return tracker.Member{}, false
+	}
+	if region.Zone == self.Zone {
+		return region, true
+	}
+	zone := lead(self, members, self.Zone, func(m tracker.Member) bool { return m.Zone == self.Zone })
+	if zone.VM == self.VM {
+		return region, true
+	}
+	return zone, true
+}
+
+// lead returns the first of those that fit, by a name's order. One that the store
+// does not answer comes after all others.
+func lead(self tracker.Member, members []tracker.Member, name namer.Zone, fits func(tracker.Member) bool) tracker.Member {
+	first := self
 	for _, m := range members {
-		if m.Region == self.Region && m.VM != self.VM && m.State == tracker.Alive && rank(m.VM, namer.Zone(m.Region)) < own {
-			return false
+		if !fits(m) || m.VM == self.VM || m.State != tracker.Alive {
+			continue
+		}
+		if m.Away != first.Away {
+			if first.Away {
+				first = m
+			}
+			continue
+		}
+		if rank(m.VM, name) < rank(first.VM, name) {
+			first = m
 		}
 	}
-	return true
+	return first
 }
 
 // Targets returns the members to send heartbeats to: every one of this zone,
--- /dev/null
+++ b/internal/member/heartbeater/topology_test.go
@@ -0,0 +1,98 @@
+package heartbeater_test
+
+import (
+	"fmt"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
+	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+)
+
+// fleet returns VMs of two regions with two zones each.
+func fleet(perZone int) []tracker.Member {
+	var out []tracker.Member
+	for _, region := range []string{"r1", "r2"} {
+		for _, zone := range []string{"a", "b"} {
+			for i := range perZone {
+				out = append(out, tracker.Member{
+					VM:   namer.VM(fmt.Sprintf("%s-%s-%d", region, zone, i)),
+					Zone: namer.Zone(region + zone), Region: namer.Region(region),
+				})
+			}
+		}
+	}
+	return out
+}
+
+// guides returns whom each VM follows, in views that hold all others.
+func guides(all []tracker.Member) map[namer.VM]namer.VM {
+	out := make(map[namer.VM]namer.VM, len(all))
+	for _, self := range all {
+		guide, ok := heartbeater.Guide(self, all)
+		if ok {
+			out[self.VM] = guide.VM
+		}
+	}
+	return out
+}
+
+// TestGuide has one VM a region ask the store, and one VM of each further zone
+// follow a VM of another zone, however many VMs there are.
+func TestGuide(t *testing.T) {
+	t.Parallel()
+	for _, perZone := range []int{1, 2, 15} {
+		t.Run(fmt.Sprint(perZone), func(t *testing.T) {
+			t.Parallel()
+			all := fleet(perZone)
+			guides := guides(all)
+			assert.Equal(t, len(all)-len(guides), 2, "leads")
+			zone := make(map[namer.VM]tracker.Member)
+			for _, m := range all {
+				zone[m.VM] = m
+			}
+			crossings := 0
+			for vm, guide := range guides {
+				assert.Equal(t, zone[vm].Region, zone[guide].Region)
+				if zone[vm].Zone != zone[guide].Zone {
+					crossings++
+				}
+				steps := 0
+				for at, ok := vm, true; ok; at, ok = guides[at] {
+					steps++
+				}
+				assert.Assert(t, steps <= 3, "%s is %d steps from the store", vm, steps)
+			}
+			assert.Equal(t, crossings, 2)
+		})
+	}
+}
+
+// TestGuideWithoutStore has another VM ask the store for a region in place of one
+// that the store does not answer, or that is not alive.
+func TestGuideWithoutStore(t *testing.T) {
+	t.Parallel()
+	all := fleet(3)
+	before := guides(all)
+	for i := range all {
+		if _, follows := before[all[i].VM]; !follows && all[i].Region == "r1" {
+			all[i].Away = true
+		} else if !follows {
+			all[i].State = tracker.Suspect
+		}
+	}
+	for vm, guide := range guides(all) {
+		for _, m := range all {
+			if m.VM == guide {
+				assert.Assert(t, !m.Away && m.State == tracker.Alive, "%s follows %s", vm, guide)
+			}
+		}
+	}
+	for i := range all {
+		all[i].Away = true
+		all[i].State = tracker.Alive
+	}
+	assert.DeepEqual(t, guides(all), before)
+}
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -70,12 +70,14 @@
 		Started     time.Time
 		Sequence    uint64
 		Leaving     bool
-		Generation  namer.Generation
-		Rooms       []Room
-		Needs       []Need
-		Seen        []Seen
-		Heard       time.Time
-		State       State
+		// Away says that the store does not answer the member.
+		Away       bool
+		Generation namer.Generation
+		Rooms      []Room
+		Needs      []Need
+		Seen       []Seen
+		Heard      time.Time
+		State      State
 
 		doubted time.Time
 	}
--- a/internal/peer/answerer/answerer.go
+++ b/internal/peer/answerer/answerer.go
@@ -15,12 +15,14 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingloom/waxwingloom/internal/document/follower"
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
 	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
 	"github.com/waxwingloom/waxwingloom/internal/once/conductor"
 	"github.com/waxwingloom/waxwingloom/internal/peer/converter"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
 	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/route/dispatcher"
 	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
@@ -55,14 +57,20 @@
 		View() *cataloger.View
 	}
 
+	// Records tells of the store's records.
+	Records interface {
+		Await(ctx context.Context, p follower.Position) (storer.Update, follower.Position, error)
+	}
+
 	// Services is what an answerer works with. Without Tokens and Router it
-	// answers only members; without Upstreams it tells of none.
+	// answers only members; without Upstreams and Records it tells of none.
 	Services struct {
 		Members   Members
 		Tokens    Tokens
 		Router    Router
 		Documents Documents
 		Upstreams Upstreams
+		Records   map[storer.Kind]Records
 	}
 
 	// Answerer answers the requests of other entry VMs.
@@ -98,7 +106,9 @@
 		hb := a.services.Members.Answer(ctx, kind.Heartbeat)
 		return s.Reply(&encoder.Reply{Kind: &encoder.Reply_Heartbeat{Heartbeat: hb}})
 	case *encoder.Request_Pull:
-		return a.document(s)
+		return a.document(s, kind.Pull.GetUpstreams())
+	case *encoder.Request_Follow:
+		return a.records(ctx, kind.Follow, s)
 	}
 	if a.services.Tokens == nil {
 		return errors.New("this VM serves no once-only requests")
@@ -180,7 +190,33 @@
 	}
 }
 
-func (a *Answerer) document(s *messenger.Stream) error {
+// records tells a peer of a kind's records until it closes the stream.
+func (a *Answerer) records(ctx context.Context, f *encoder.Follow, s *messenger.Stream) error {
+	records, ok := a.services.Records[storer.Kind(f.GetKind())]
+	if !ok {
+		return errors.Newf("records of kind %q are not followed here", f.GetKind())
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		// A peer sends nothing more; the read ends when it closes the stream.
+		_, _ = s.Receive()
+		cancel()
+	}()
+	position := follower.Position{At: storer.Version(f.GetSince())}
+	for {
+		update, next, err := records.Await(ctx, position)
+		if err != nil {
+			return err
+		}
+		position = next
+		if err := s.Reply(&encoder.Reply{Kind: &encoder.Reply_Update{Update: converter.Update(update)}}); err != nil {
+			return err
+		}
+	}
+}
+
+func (a *Answerer) document(s *messenger.Stream, upstreams bool) error {
 	force := a.services.Documents.Current()
 	if force == nil {
 		return errors.New("no document is in force")
@@ -193,7 +229,7 @@
 	for _, src := range force.Sources {
 		doc.Sections = append(doc.Sections, &encoder.Section{Name: string(src.Section), Text: src.Text})
 	}
-	if a.services.Upstreams != nil {
+	if upstreams && a.services.Upstreams != nil {
 		converter.Upstreams(doc, a.services.Upstreams.View(), a.clock.Now())
 	}
 	return s.Reply(&encoder.Reply{Kind: &encoder.Reply_Document{Document: doc}})
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -161,6 +161,7 @@
 		State:       state,
 		Generation:  uint64(m.Generation),
 		Age:         now.Sub(m.Heard).Milliseconds(),
+		Away:        m.Away,
 	}
 	for _, n := range m.Needs {
 		out.Need = append(out.Need, &encoder.Need{Service: string(n.Service), Slots: n.Slots})
@@ -192,6 +193,7 @@
 		Started:     time.UnixMilli(m.GetStarted()),
 		Sequence:    m.GetSequence(),
 		Leaving:     m.GetState() == encoder.State_STATE_LEAVING,
+		Away:        m.GetAway(),
 		Generation:  namer.Generation(m.GetGeneration()),
 		Heard:       now.Add(-time.Duration(max(m.GetAge(), 0)) * time.Millisecond),
 	}
@@ -256,3 +258,47 @@
 	}
 	return v
 }
+
+// Update returns the message that tells of a kind's records.
+func Update(u storer.Update) *encoder.Update {
+	out := &encoder.Update{
+		All:  u.All,
+		At:   uint64(u.At),
+		Seen: uint64(u.Seen),
+		Age:  u.Age.Milliseconds(),
+		Away: u.Away,
+	}
+	for _, c := range u.Changes {
+		out.Changes = append(out.Changes, &encoder.Change{
+			Name:    c.Record.Name,
+			Version: uint64(c.Record.Version),
+			Spec:    c.Record.Spec,
+			Status:  c.Record.Status,
+			Removed: c.Removed,
+		})
+	}
+	return out
+}
+
+// UpdateFrom reads what a message tells of a kind's records.
+func UpdateFrom(in *encoder.Update) storer.Update {
+	u := storer.Update{
+		All:  in.GetAll(),
+		At:   storer.Version(in.GetAt()),
+		Seen: storer.Version(in.GetSeen()),
+		Age:  time.Duration(max(in.GetAge(), 0)) * time.Millisecond,
+		Away: in.GetAway(),
+	}
+	for _, c := range in.GetChanges() {
+		u.Changes = append(u.Changes, storer.Change{
+			Record: storer.Record{
+				Name:    c.GetName(),
+				Version: storer.Version(c.GetVersion()),
+				Spec:    c.GetSpec(),
+				Status:  c.GetStatus(),
+			},
+			Removed: c.GetRemoved(),
+		})
+	}
+	return u
+}
--- a/internal/platform/storer/records.go
+++ b/internal/platform/storer/records.go
@@ -47,6 +47,20 @@
 		At   Version
 	}
 
+	// Update is what one VM tells another of a kind's records: All of them, or
+	// the changes up to At that the other lacks.
+	Update struct {
+		All     bool
+		Changes []Change
+		At      Version
+		// Seen is the version of the whole platform up to which the kind is known.
+		Seen Version
+		// Age is how long ago the platform itself confirmed this.
+		Age time.Duration
+		// Away says that the platform does not answer the teller.
+		Away bool
+	}
+
 	// Calls is the platform's object API. Every call ends by itself; a write
 	// that got no answer returns ErrLost.
 	Calls interface {
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -53,6 +53,8 @@
 		Lookup string
 		TTL    time.Duration
 		Grace  time.Duration
+		Apply  time.Duration
+		Drain  time.Duration
 		Resend float64
 		Window time.Duration
 	}
@@ -199,6 +201,8 @@
 		Lookup: e.Text("lookup"),
 		TTL:    e.Duration("ttl"),
 		Grace:  e.Duration("grace"),
+		Apply:  e.Duration("apply"),
+		Drain:  e.Duration("drain"),
 		Resend: e.Ratio("resend"),
 		Window: e.Duration("window"),
 	}
--- a/internal/settings/loader/schema.go
+++ b/internal/settings/loader/schema.go
@@ -68,6 +68,8 @@
 		{Name: "lookup", Kind: checker.Address, Doc: "the listener for callers' look-ups"},
 		{Name: "ttl", Kind: checker.Duration, Default: "2s", Min: int64(100 * time.Millisecond), Max: int64(time.Hour), Doc: "how long callers may keep a look-up's answer"},
 		{Name: "grace", Kind: checker.Duration, Default: "6s", Min: int64(100 * time.Millisecond), Max: int64(time.Hour), Doc: "the time between the signal to stop and a kill"},
+		{Name: "apply", Kind: checker.Duration, Default: "2s", Min: int64(100 * time.Millisecond), Max: int64(time.Hour), Doc: "the time within which a change of the platform's configuration must be in force"},
+		{Name: "drain", Kind: checker.Duration, Default: "2s", Min: int64(100 * time.Millisecond), Max: int64(time.Hour), Doc: "the time within which a draining upstream must get nothing more"},
 		{Name: "resend", Kind: checker.Ratio, Default: "0.1", Doc: "second sends as a part of callers' requests"},
 		{Name: "window", Kind: checker.Duration, Default: "10s", Min: int64(time.Second), Max: int64(time.Hour), Doc: "the time over which second sends are counted"},
 	}}
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -97,6 +97,13 @@
 	return d.catalog.View()
 }
 
+// Listed reports whether this VM has read the upstreams' records.
+func (d *Discoverer) Listed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.listed
+}
+
 // Borrow takes over another VM's view while this one has not yet read the
 // records itself, and reports whether it did.
 func (d *Discoverer) Borrow(v *cataloger.View) bool {
