--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -50,9 +50,9 @@
 	// lateTime is the age below which a watch that brings changes shows that
 	// the one before it had missed them.
 	lateTime = 100 * time.Millisecond
-	// batchTime is the pause after a watch that brought changes, so that many
-	// changes in a row come with few calls.
-	batchTime = 100 * time.Millisecond
+	// batchPart is the pause after a watch that brought changes, as a part of the
+	// bound, so that many changes in a row come with few calls.
+	batchPart = 0.1
 	// lookTime is the wait of a watch that only looks.
 	lookTime = time.Millisecond
 	// The pause before a failed call is tried again doubles up to the most, so
@@ -269,7 +269,7 @@
 	}
 	f.quiet = len(changes.List) == 0
 	if !f.quiet {
-		f.pause(parent, batchTime)
+		f.pause(parent, time.Duration(batchPart*float64(f.bound)))
 	}
 	return nil
 }
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -88,6 +88,8 @@
 		// how old its own word on that is.
 		Load    float64
 		LoadAge time.Duration
+		// Zone is the upstream's.
+		Zone namer.Zone
 
 		node   *node
 		target cataloger.Target
@@ -198,7 +200,7 @@
 // candidate's place in the object's order.
 func (s *Selector) weigh(now time.Time, n *node, place int, work time.Duration) Decision {
 	load := n.load(now)
-	d := Decision{node: n, Load: load, LoadAge: n.loadAge(now), Reason: ByPrimary, warm: place < copies}
+	d := Decision{node: n, Zone: n.Zone, Load: load, LoadAge: n.loadAge(now), Reason: ByPrimary, warm: place < copies}
 	effort := n.effort(now, work)
 	switch {
 	case place == 1:
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -301,6 +301,6 @@
 		reason = err.Error()
 	}
 	s.log.Info("sent", "attempt", a.request.Attempt, "route", string(a.route.Name), "service", string(a.service),
-		"upstream", string(d.Target().Upstream), "by", string(d.Reason), "load", math.Round(10*d.Load)/10, "loadage", d.LoadAge,
+		"upstream", string(d.Target().Upstream), "zone", string(d.Zone), "by", string(d.Reason), "load", math.Round(10*d.Load)/10, "loadage", d.LoadAge,
 		"expected", d.Expected, "outcome", what, "status", status, "took", took, "reason", reason)
 }
