Zones of a region share an object's copies where other regions are far

Change: a VM measures the way to each zone by opening a connection as soon as it knows an upstream there (until now a way was 0 before the first request). Where the nearest other region is over seven times as far as the other zones of the own one, all zones of the region use one placement. Elsewhere each zone keeps its own. Ruled out: sharing everywhere. Tests: TestZonesOfARegionShareCopies (failing before), TestLoadDoesNotMoveObjects, TestUnmeasured.

--- a/internal/route/selector/node.go
+++ b/internal/route/selector/node.go
@@ -28,7 +28,6 @@
 	// latencyGain and failureGain are the weights of a new sample.
 	latencyGain = 0.1
 	speedGain   = 0.2
-	wayGain     = 0.02
 	failureGain = 0.2
 	// speedAge is the half-life of the belief that an upstream is slow or
 	// fails, while nothing is sent there.
@@ -118,22 +117,11 @@
 	n.until = time.Time{}
 	n.judge(now, true)
 	if r.Opening > 0 {
-		s.learnWay(n.Zone, r.Opening)
+		s.LearnWay(n.Zone, r.Opening)
 	}
 	s.learn(now, d, r.Latency-r.Opening-s.way(n))
 }
 
-// learnWay keeps the shortest time that opening a connection to a zone took,
-// which is one round trip. It rises slowly, so that a longer way is learned too.
-func (s *Selector) learnWay(zone namer.Zone, opening time.Duration) {
-	known, ok := s.ways[zone]
-	if !ok || opening < known {
-		s.ways[zone] = opening
-		return
-	}
-	s.ways[zone] = known + time.Duration(wayGain*float64(opening-known))
-}
-
 // learn takes a latency into the route's expectation and the upstream's speed.
 func (s *Selector) learn(now time.Time, d Decision, latency time.Duration) {
 	if latency <= 0 || !d.warm || !d.idle || d.node.cold(now) {
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -110,12 +110,7 @@
 // zoneOrder returns each zone's place for an object: zones that hold a part of
 // this zone's objects by that part, then those of the own region, then others.
 func (s *Selector) zoneOrder(svc *service, key uint64) map[namer.Zone]int {
-	parts := make(map[namer.Zone]float64)
-	if sp := s.spreads[svc.Name]; sp != nil {
-		for _, p := range sp.Parts(s.self.Zone) {
-			parts[p.Zone] = p.Part
-		}
-	}
+	parts := s.parts(svc)
 	zones := make([]zoned, 0, len(svc.slots))
 	for name, slots := range svc.slots {
 		z := zoned{name: name, tier: farTier, score: draw(xxhash.Sum64String(string(name)), key, slots)}
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -23,6 +23,7 @@
 package selector
 
 import (
+	"slices"
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
@@ -107,13 +108,17 @@
 		services map[namer.Service]*service
 		nodes    map[namer.Upstream]*node
 		latency  map[namer.Route]time.Duration
-		ways     map[namer.Zone]time.Duration
-		rates    map[rateKey]*rate
-		drained  map[namer.Zone]bool
-		spreads  map[namer.Service]*spreader.Spreader
-		drift    drift
-		vms      int
-		rank     func(namer.Upstream) int
+		ways     ways
+		// pooled says that the zones of the region share copies; sharing are
+		// these zones in the order of their names.
+		pooled  bool
+		sharing []namer.Zone
+		rates   map[rateKey]*rate
+		drained map[namer.Zone]bool
+		spreads map[namer.Service]*spreader.Spreader
+		drift   drift
+		vms     int
+		rank    func(namer.Upstream) int
 	}
 
 	service struct {
@@ -131,7 +136,8 @@
 		services: make(map[namer.Service]*service),
 		nodes:    make(map[namer.Upstream]*node),
 		latency:  make(map[namer.Route]time.Duration),
-		ways:     make(map[namer.Zone]time.Duration),
+		ways:     ways{usual: make(map[namer.Zone]time.Duration), least: make(map[namer.Zone]time.Duration)},
+		sharing:  sharing(self),
 		rates:    make(map[rateKey]*rate),
 		spreads:  make(map[namer.Service]*spreader.Spreader),
 		vms:      1,
@@ -139,6 +145,18 @@
 	}
 }
 
+// sharing returns the zones of a VM's region.
+func sharing(self Self) []namer.Zone {
+	var out []namer.Zone
+	for zone, region := range self.Regions {
+		if region == self.Region {
+			out = append(out, zone)
+		}
+	}
+	slices.Sort(out)
+	return out
+}
+
 // SetMembers takes over how many VMs there are, and a function that gives this
 // VM's place among them for an upstream.
 func (s *Selector) SetMembers(vms int, rank func(namer.Upstream) int) {
@@ -238,7 +256,7 @@
 
 // way is the time to an upstream's zone and back.
 func (s *Selector) way(n *node) time.Duration {
-	return s.ways[n.Zone]
+	return s.ways.usual[n.Zone]
 }
 
 // Begin counts a request as sent.
--- /dev/null
+++ b/internal/route/selector/way_test.go
@@ -0,0 +1,91 @@
+package selector_test
+
+import (
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+// measure has a VM know the way to every zone.
+func (f *fixture) measure(own namer.Zone, near, far time.Duration) {
+	for zone, region := range regions {
+		switch {
+		case zone == own:
+			f.LearnWay(zone, time.Millisecond)
+		case region == regions[own]:
+			f.LearnWay(zone, near)
+		default:
+			f.LearnWay(zone, far)
+		}
+	}
+}
+
+// TestZonesOfARegionShareCopies has the zones of a region send an object to one
+// upstream where other regions are far, and each to its own where they are not.
+// With a copy in each zone, every object is cold once a zone after a start.
+func TestZonesOfARegionShareCopies(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name      string
+		near, far time.Duration
+		shared    bool
+	}{
+		{"far regions", 9 * time.Millisecond, 110 * time.Millisecond, true},
+		{"near regions", 7 * time.Millisecond, 24 * time.Millisecond, false},
+		{"one distance", 5 * time.Millisecond, 5 * time.Millisecond, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			one, other := newFixture(t, "a1", view()), newFixture(t, "a2", view())
+			for _, f := range []*fixture{one, other} {
+				f.Spread(f.now, nil)
+			}
+			one.measure("a1", tc.near, tc.far)
+			other.measure("a2", tc.near, tc.far)
+			used := make(map[namer.Upstream]bool)
+			same := 0
+			for _, o := range objects(200) {
+				picked := one.pick(t, o)
+				used[picked] = true
+				if picked == other.pick(t, o) {
+					same++
+				}
+			}
+			assert.Equal(t, one.Pooled(), tc.shared)
+			if tc.shared {
+				assert.Equal(t, same, 200)
+				assert.Equal(t, len(used), 8, "all upstreams of the region: %v", used)
+				return
+			}
+			assert.Equal(t, same, 0)
+			assert.Equal(t, len(used), 4, "the upstreams of the zone: %v", used)
+		})
+	}
+}
+
+// TestLoadDoesNotMoveObjects has connections open slowly under load: what was
+// near stays so.
+func TestLoadDoesNotMoveObjects(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "a1", view())
+	f.measure("a1", 9*time.Millisecond, 110*time.Millisecond)
+	for range 500 {
+		f.LearnWay("a2", time.Second)
+	}
+	assert.Assert(t, f.Pooled())
+}
+
+// TestUnmeasured names one upstream of each zone until its way is known.
+func TestUnmeasured(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "a1", view())
+	assert.Equal(t, len(f.Unmeasured()), 4)
+	f.LearnWay("b1", time.Millisecond)
+	unmeasured := f.Unmeasured()
+	_, ok := unmeasured["b1"]
+	assert.Assert(t, !ok)
+	assert.Equal(t, len(unmeasured), 3)
+}
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -94,6 +94,8 @@
 	Upstreams interface {
 		Exchange(ctx context.Context, t cataloger.Target, r exchanger.Request) (exchanger.Answer, error)
 		Keep(targets []cataloger.Target)
+		// Open opens a connection ahead of need, and returns the time that took.
+		Open(ctx context.Context, t cataloger.Target) (time.Duration, error)
 	}
 
 	// Steerer steers requests.
@@ -158,7 +160,11 @@
 	s.mu.Lock()
 	s.view = v
 	s.update()
+	unmeasured := s.selector.Unmeasured()
 	s.mu.Unlock()
+	for zone, target := range unmeasured {
+		go s.measure(zone, target)
+	}
 	targets := make([]cataloger.Target, 0, len(v.Upstreams))
 	for _, u := range v.Upstreams {
 		targets = append(targets, cataloger.Target{Upstream: u.Upstream, Born: u.Born, Address: u.Address})
@@ -166,6 +172,19 @@
 	s.upstreams.Keep(targets)
 }
 
+// measure learns the way to a zone before requests need it.
+func (s *Steerer) measure(zone namer.Zone, t cataloger.Target) {
+	took, err := s.upstreams.Open(context.Background(), t)
+	if err != nil {
+		s.log.Debug("way not measured", "zone", string(zone), "upstream", string(t.Upstream), "reason", err.Error())
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.selector.LearnWay(zone, took)
+	s.log.Info("way measured", "zone", string(zone), "upstream", string(t.Upstream), "took", took, "pooled", s.selector.Pooled())
+}
+
 // SetMembers takes over how many VMs there are, and this VM's place among them
 // for an upstream.
 func (s *Steerer) SetMembers(vms int, rank func(namer.Upstream) int) {
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -84,6 +84,10 @@
 
 func (u *upstreams) Keep([]cataloger.Target) {}
 
+func (u *upstreams) Open(context.Context, cataloger.Target) (time.Duration, error) {
+	return time.Millisecond, nil
+}
+
 func (u *upstreams) Exchange(ctx context.Context, t cataloger.Target, r exchanger.Request) (exchanger.Answer, error) {
 	u.mu.Lock()
 	f := runs
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -102,6 +102,17 @@
 	}
 }
 
+// Open opens a connection ahead of need, and returns the time that it took.
+func (x *Exchanger) Open(ctx context.Context, t cataloger.Target) (time.Duration, error) {
+	link, opening, err := x.open(ctx, t)
+	if err != nil {
+		return 0, err
+	}
+	link.until = x.clock.Now().Add(idleTime)
+	x.put(t, link)
+	return opening, nil
+}
+
 // Exchange sends a request and returns the answer. The end of ctx closes the
 // connection, which tells the upstream to stop.
 func (x *Exchanger) Exchange(ctx context.Context, t cataloger.Target, r Request) (Answer, error) {
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -70,6 +70,11 @@
 		}
 		l.close()
 	}
+	return x.open(ctx, t)
+}
+
+// open returns a new connection and the time that it took.
+func (x *Exchanger) open(ctx context.Context, t cataloger.Target) (*link, time.Duration, error) {
 	begun := x.clock.Now()
 	conn, err := dialer.DialWithin(ctx, t.Address, openTime)
 	if err != nil {
