--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -17,6 +17,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
 	"github.com/waxwingloom/waxwingloom/internal/front/locator"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
+	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
 	"github.com/waxwingloom/waxwingloom/internal/member/enroller"
@@ -48,6 +49,7 @@
 	spreadName    registrar.Name = "spread"
 	directoryName registrar.Name = "directory"
 	readyName     registrar.Name = "ready"
+	sweepName     registrar.Name = "sweep"
 )
 
 // followed are the services that follow the store's records.
@@ -232,11 +234,19 @@
 		return receiver.New(f.Find(steerName).(*steerer.Steerer), platform.Headers(), limits,
 			f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	r.Register(frontName, []registrar.Name{portsName, callersName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(sweepName, []registrar.Name{clockName, steerName}, func(f registrar.Finder) (any, func(), error) {
+		st := f.Find(steerName).(*steerer.Steerer)
+		limit := func() time.Duration {
+			limits, _ := st.Ingress()
+			return limits.IdleTime
+		}
+		return sweeper.New(limit, f.Find(clockName).(clockwork.Clock), log), nil, nil
+	})
+	r.Register(frontName, []registrar.Name{portsName, callersName, sweepName}, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{
 			Handler:           f.Find(callersName).(*receiver.Receiver),
 			ReadHeaderTimeout: s.Limits.ReadTime,
-			IdleTimeout:       idleTime,
+			ConnState:         f.Find(sweepName).(*sweeper.Sweeper).Track,
 			MaxHeaderBytes:    headMost,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		}
@@ -257,7 +267,7 @@
 		front := f.Find(callersName).(*receiver.Receiver)
 		return openAdmin(s, s.Routing.Ready, platform.Ready(func() bool { return st.Ready() && !front.Leaving() }))
 	})
-	r.Register(operatorsName, []registrar.Name{portsName, steerName, documentsName, callersName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(operatorsName, []registrar.Name{portsName, platformName, steerName, documentsName, callersName}, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeaderTime}
 		return &webServer{server: server, listener: f.Find(portsName).(*ports).operators, linger: lingerOf(s)}, nil, nil
 	})
@@ -290,6 +300,8 @@
 	m.Set("latency", expvar.Func(func() any { return front.Latencies() }))
 	m.Set("busy", expvar.Func(func() any { return front.Busy() }))
 	m.Set("needs", expvar.Func(func() any { return st.Needs() }))
+	store := f.Find(platformName).(*platform.Client)
+	m.Set("store", expvar.Func(func() any { return store.Counts() }))
 	m.Set("generation", expvar.Func(func() any { return documents.Generation() }))
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
