Upstreams that refuse with free slots are not taken as full; dead ones are given up sooner

Each refusal made an upstream count as full, so its objects ran cold elsewhere, and callers were sent away for 250 ms and more although waiting made no room. Second: an upstream that is gone without a word held a request for 400 ms, over half of a target, also where the way is 1 ms; a zone's 40 VMs each met each of them. Change: a refusal that tells of free slots leaves the load as told, and its caller may come back at once (10 ms). A connection may take three round trips to open, at least 120 ms, in place of 400 ms. Ruled out: a larger part for second sends; the budget is the platform's.

--- a/internal/route/selector/node.go
+++ b/internal/route/selector/node.go
@@ -106,7 +106,9 @@
 		n.unreached(now)
 		return
 	case r.Refused:
-		n.said = load{requests: max(n.said.requests, 2*float64(n.Slots)), own: n.own, at: now}
+		if r.Load < 0 || r.Load >= n.Slots {
+			n.said = load{requests: max(n.said.requests, 2*float64(n.Slots)), own: n.own, at: now}
+		}
 		n.judge(now, false)
 		return
 	case r.Failed:
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -194,6 +194,7 @@
 	}
 	best.route = a.Route.Name
 	best.target = best.node.target()
+	best.target.Way = s.way(best.node)
 	return settle(now, a, best)
 }
 
--- a/internal/route/selector/selector_test.go
+++ b/internal/route/selector/selector_test.go
@@ -271,6 +271,31 @@
 }
 
 // TestHopeless refuses at once what can't be answered in time.
+// TestRefusedWithFreeSlots has an upstream refuse part of its requests although it
+// has room. It is not taken as full, since its objects would run cold elsewhere.
+func TestRefusedWithFreeSlots(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name string
+		load int
+		full bool
+	}{
+		{"free slots", 1, false},
+		{"all slots taken", 4, true},
+		{"load not told", -1, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, "a1", view())
+			d := f.Decide(f.now, f.ask("o"))
+			primary := d.Target().Upstream
+			f.Begin(f.now, d)
+			f.End(f.now, d, selector.Report{Refused: true, Load: tc.load})
+			assert.Equal(t, f.pick(t, "o") != primary, tc.full)
+		})
+	}
+}
+
 func TestHopeless(t *testing.T) {
 	t.Parallel()
 	f := newFixture(t, "a1", view())
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -21,6 +21,9 @@
 	// startingRetry is when a caller should come back to a VM that has no
 	// document yet; reading it takes a few round trips to the store.
 	startingRetry = 200 * time.Millisecond
+	// freeRetry is when a caller should come back after an upstream with free
+	// slots refused it: at once, since waiting makes no more room.
+	freeRetry = 10 * time.Millisecond
 	// leastLeft is the time below which a request is not sent any more; the way
 	// to an upstream and back takes as long.
 	leastLeft = 20 * time.Millisecond
@@ -53,7 +56,9 @@
 		sent    int
 		misses  int
 		// ran says that an upstream may have run the request.
-		ran  bool
+		ran bool
+		// free says that the last one that refused it had free slots.
+		free bool
 		last Result
 	}
 )
@@ -153,6 +158,9 @@
 }
 
 func (s *Steerer) retryAfter(a *attempts) time.Duration {
+	if a.free {
+		return freeRetry
+	}
 	return max(a.route.Target/2, startingRetry)
 }
 
@@ -210,7 +218,8 @@
 func (s *Steerer) answered(
 	a *attempts, d selector.Decision, took time.Duration, answer exchanger.Answer,
 ) (Result, verdict) {
-	report := selector.Report{Latency: took, Opening: answer.Opening, Load: loadOf(answer.Header.Get(s.headers.Load))}
+	requests, slots := loadOf(answer.Header.Get(s.headers.Load))
+	report := selector.Report{Latency: took, Opening: answer.Opening, Load: requests}
 	result := Result{
 		Status: answer.Status, Header: answer.Header, Body: answer.Body, Rest: answer.Rest, Length: answer.Length,
 	}
@@ -218,6 +227,7 @@
 	case answer.Header.Get(s.headers.Refused) != "" || answer.Status == http.StatusMisdirectedRequest:
 		report.Refused = true
 		report.Latency = 0
+		a.free = requests >= 0 && requests < slots
 		s.release(d, report)
 		s.logAttempt(a, d, answer.Status, "refused", took, nil)
 		closeRest(answer)
@@ -264,21 +274,25 @@
 	return b.Bytes()
 }
 
-// loadOf reads running and waiting requests, and returns -1 when there are none.
-func loadOf(text string) int {
+// loadOf reads the running and waiting requests and the slots of an upstream. The
+// requests are -1 when it told none.
+func loadOf(text string) (requests, slots int) {
 	fields := strings.Split(text, ",")
 	if len(fields) < 2 {
-		return -1
-	}
-	running, err := strconv.Atoi(strings.TrimSpace(fields[0]))
-	if err != nil {
-		return -1
+		return -1, 0
 	}
-	queued, err := strconv.Atoi(strings.TrimSpace(fields[1]))
-	if err != nil {
-		return -1
+	for i, field := range fields {
+		n, err := strconv.Atoi(strings.TrimSpace(field))
+		switch {
+		case err != nil:
+			return -1, 0
+		case i < 2:
+			requests += n
+		default:
+			slots = n
+		}
 	}
-	return running + queued
+	return requests, slots
 }
 
 func (s *Steerer) note(r Result) {
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -64,11 +64,14 @@
 	unreachable
 	spoils
 	hangs
+	// sheds refuses although slots are free, full since none is.
+	sheds
+	full
 )
 
 // mayRun reports whether the upstream may have run a request of this fate.
 func (f fate) mayRun() bool {
-	return f != refuses && f != unreachable
+	return f != refuses && f != unreachable && f != sheds && f != full
 }
 
 // upstreams is every upstream, with fates for the next sends.
@@ -114,6 +117,10 @@
 	case refuses:
 		header.Set(h.Refused, "1")
 		return exchanger.Answer{Status: http.StatusServiceUnavailable, Header: header}, nil
+	case sheds, full:
+		header.Set(h.Refused, "1")
+		header.Set(h.Load, map[fate]string{sheds: "1,0,4", full: "4,2,4"}[f])
+		return exchanger.Answer{Status: http.StatusServiceUnavailable, Header: header}, nil
 	case spoils:
 		return exchanger.Answer{Status: http.StatusOK, Header: http.Header{}}, nil
 	case unreachable:
@@ -214,6 +221,29 @@
 	}
 }
 
+// TestRetryAfterRefusal has a caller come back at once when upstreams refused it
+// although they had free slots, and after some time when they were full.
+func TestRetryAfterRefusal(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name  string
+		fates []fate
+		soon  bool
+	}{
+		{"free slots", []fate{sheds}, true},
+		{"full", []fate{full}, false},
+		{"load not told", []fate{refuses}, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			s := newSteerer(t, &upstreams{fates: tc.fates}, 5, 4)
+			result := s.Steer(t.Context(), request("/urgent/"))
+			assert.Equal(t, result.Code, steerer.CodeRefused)
+			assert.Equal(t, result.RetryAfter < 50*time.Millisecond, tc.soon, "%v", result.RetryAfter)
+		})
+	}
+}
+
 // TestPropertyPromises sends requests to upstreams of any fate: what may run
 // only once is never sent again after a send that may have run, and a refusal
 // is told only when nothing may have run.
--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -57,12 +57,14 @@
 	}
 
 	// Target is an upstream to send to. Born tells one process from the next at
-	// the same address. Conns bounds the idle connections that are kept.
+	// the same address. Conns bounds the idle connections that are kept. Way is the
+	// time there and back, 0 when it is not known.
 	Target struct {
 		Upstream namer.Upstream
 		Born     int64
 		Address  string
 		Conns    int
+		Way      time.Duration
 	}
 
 	// View is the upstreams and drained zones at one moment.
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -21,6 +21,11 @@
 	// openTime bounds the opening of a connection to an upstream; it is three
 	// round trips of the slowest link between regions that the brief names.
 	openTime = 400 * time.Millisecond
+	// openLeast bounds it from below where the way is known to be short; it is
+	// over the tenth of a second for which a small VM's processor may stand still.
+	openLeast = 120 * time.Millisecond
+	// openWays is how many round trips the opening may take.
+	openWays = 3
 	// idleTime is how long a connection is kept when the upstream names no time.
 	idleTime = 4 * time.Second
 	// idleMargin is taken off the time that the upstream names, so that a
@@ -76,13 +81,22 @@
 // open returns a new connection and the time that it took.
 func (x *Exchanger) open(ctx context.Context, t cataloger.Target) (*link, time.Duration, error) {
 	begun := x.clock.Now()
-	conn, err := dialer.DialWithin(ctx, t.Address, openTime)
+	conn, err := dialer.DialWithin(ctx, t.Address, openWithin(t.Way))
 	if err != nil {
 		return nil, 0, err
 	}
 	return &link{conn: conn, reader: newReader(conn)}, x.clock.Since(begun), nil
 }
 
+// openWithin bounds the opening of a connection over a way. A request whose
+// upstream is gone without a word then finds another one in time.
+func openWithin(way time.Duration) time.Duration {
+	if way <= 0 {
+		return openTime
+	}
+	return min(max(openWays*way, openLeast), openTime)
+}
+
 func (x *Exchanger) take(t cataloger.Target) *link {
 	now := x.clock.Now()
 	x.mu.Lock()
