--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -197,11 +197,13 @@
 		members.OnNeeds(func() []tracker.Need { return needsOf(st) })
 		return st, cleanup, nil
 	})
-	r.Register(spreadName, []registrar.Name{clockName, steerName, membersName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(spreadName, []registrar.Name{clockName, platformName, steerName, membersName}, func(f registrar.Finder) (any, func(), error) {
 		return &spread{
 			steerer: f.Find(steerName).(*steerer.Steerer),
 			members: f.Find(membersName).(*heartbeater.Heartbeater),
+			notes:   storer.New(f.Find(platformName).(*platform.Client)),
 			clock:   f.Find(clockName).(clockwork.Clock),
+			log:     log,
 		}, nil, nil
 	})
 }
--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -22,6 +22,7 @@
 	"gotest.tools/v3/poll"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/runner"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
 	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
 	"github.com/waxwingloom/waxwingloom/platform"
@@ -288,3 +289,37 @@
 	<-asked
 	assert.Assert(t, took < grace, "the stop took %v", took)
 }
+
+// TestPlacementIsRestored has a daemon take over the placement that was noted
+// before it was restarted, and start all the same when a note can't be read.
+func TestPlacementIsRestored(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	notes := storer.New(client(t, f.store))
+	for _, note := range []string{`{"a":{"a":0.5,"b":0.5}}`, `{"a":{"a":1}}`} {
+		assert.NilError(t, notes.Note(t.Context(), "desk", json.RawMessage(note)))
+	}
+	assert.NilError(t, notes.Note(t.Context(), "other", json.RawMessage(`[]`)))
+	kept, err := notes.Notes(t.Context())
+	assert.NilError(t, err)
+	assert.Equal(t, string(kept["desk"]), `{"a":{"a":1}}`, "the last writer wins")
+	d := start(t, "vm-1", f.store, "")
+	d.isReady(t)
+	for _, want := range []string{`msg="placement restored" vm=vm-1 service=desk zones=1 used=true`, `msg="placement unreadable" vm=vm-1 service=other`} {
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			if strings.Contains(d.log.String(), want) {
+				return poll.Success()
+			}
+			return poll.Continue("no %s", want)
+		})
+	}
+	status, _ := get(d.callers, "/stock/1", "shop.example")
+	assert.Equal(t, status, http.StatusOK)
+}
+
+func client(t *testing.T, store string) *platform.Client {
+	t.Helper()
+	c, cleanup := platform.NewClient(store)
+	t.Cleanup(cleanup)
+	return c
+}
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -236,6 +236,16 @@
 	return Guide(self, h.tracker.View(h.clock.Now()))
 }
 
+// First reports whether this VM is the first of all that it knows, so that few do
+// what one has to do for all.
+func (h *Heartbeater) First() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	self := h.self
+	self.Away = h.away()
+	return lead(self, h.tracker.View(h.clock.Now()), "", func(tracker.Member) bool { return true }).VM == self.VM
+}
+
 // Serve sends heartbeats until ctx ends.
 func (h *Heartbeater) Serve(ctx context.Context) error {
 	defer h.beats.Wait()
--- a/internal/platform/storer/storer.go
+++ b/internal/platform/storer/storer.go
@@ -30,6 +30,9 @@
 	DocumentKind Kind = "documents"
 	// VMKind holds one record for each entry VM.
 	VMKind Kind = "entryvms"
+	// NoteKind holds what VMs note for the time after a restart; a lost or an old
+	// note costs speed only.
+	NoteKind Kind = "notes"
 )
 
 // Absent is the version of an object that does not exist.
@@ -170,6 +173,35 @@
 	return err
 }
 
+// Notes returns all notes by name.
+func (s *Storer) Notes(ctx context.Context) (map[string]json.RawMessage, error) {
+	notes := make(map[string]json.RawMessage)
+	after := ""
+	for {
+		page, err := s.calls.List(ctx, NoteKind, after)
+		if err != nil {
+			return nil, errors.Wrap(err, "listing notes")
+		}
+		for _, r := range page.Records {
+			after = r.Name
+			notes[r.Name] = r.Spec
+		}
+		if !page.More || len(page.Records) == 0 {
+			return notes, nil
+		}
+	}
+}
+
+// Note writes a note in place of an earlier one. The last writer wins.
+func (s *Storer) Note(ctx context.Context, name string, spec json.RawMessage) error {
+	_, err := s.calls.Replace(ctx, NoteKind, name, spec, Absent)
+	if !errors.Is(err, ErrMissing) {
+		return err
+	}
+	_, err = s.calls.Create(ctx, NoteKind, name, spec)
+	return err
+}
+
 // names reports whether any change is of the object with a name.
 func (c Changes) names(name string) bool {
 	for _, change := range c.List {
--- a/internal/route/selector/need.go
+++ b/internal/route/selector/need.go
@@ -58,15 +58,39 @@
 // Spread takes over what each zone's callers need of each service.
 func (s *Selector) Spread(now time.Time, needs map[namer.Service]map[namer.Zone]float64) {
 	for name, svc := range s.services {
-		loads := make([]spreader.Load, 0, len(s.self.Regions))
-		for zone, region := range s.self.Regions {
-			loads = append(loads, spreader.Load{Zone: zone, Region: region, Slots: svc.slots[zone], Need: needs[name][zone]})
-		}
 		if s.spreads[name] == nil {
 			s.spreads[name] = spreader.New()
 		}
-		s.spreads[name].Update(now, loads)
+		s.spreads[name].Update(now, s.loads(svc, needs[name]))
+	}
+}
+
+// Placements returns where objects belong, by service.
+func (s *Selector) Placements() map[namer.Service]spreader.Placement {
+	out := make(map[namer.Service]spreader.Placement, len(s.spreads))
+	for name, sp := range s.spreads {
+		out[name] = sp.Placement()
+	}
+	return out
+}
+
+// Restore takes over where a service's objects belonged before a restart, unless
+// that was worked out here already.
+func (s *Selector) Restore(now time.Time, name namer.Service, p spreader.Placement) bool {
+	if s.spreads[name] != nil {
+		return false
+	}
+	s.spreads[name] = spreader.New()
+	s.spreads[name].Restore(now, p)
+	return true
+}
+
+func (s *Selector) loads(svc *service, needs map[namer.Zone]float64) []spreader.Load {
+	loads := make([]spreader.Load, 0, len(s.self.Regions))
+	for zone, region := range s.self.Regions {
+		loads = append(loads, spreader.Load{Zone: zone, Region: region, Slots: svc.slots[zone], Need: needs[zone]})
 	}
+	return loads
 }
 
 func (r *rate) fade(now time.Time) {
--- a/internal/route/selector/way_test.go
+++ b/internal/route/selector/way_test.go
@@ -89,3 +89,31 @@
 	assert.Assert(t, !ok)
 	assert.Equal(t, len(unmeasured), 3)
 }
+
+// TestRestoredPlacement has a VM that was restarted send objects to where they are
+// still warm, though nothing is known of callers yet.
+func TestRestoredPlacement(t *testing.T) {
+	t.Parallel()
+	before := newFixture(t, "a1", view())
+	busy := map[namer.Service]map[namer.Zone]float64{"desk": {"a1": 24, "a2": 4, "b1": 2, "b2": 2}}
+	before.Spread(before.now, busy)
+	after, fresh := newFixture(t, "a1", view()), newFixture(t, "a1", view())
+	for name, p := range before.Placements() {
+		assert.Assert(t, after.Restore(after.now, name, p))
+	}
+	after.Spread(after.now, nil)
+	fresh.Spread(fresh.now, nil)
+	same, cold := 0, 0
+	for _, o := range objects(200) {
+		home := before.pick(t, o)
+		if after.pick(t, o) == home {
+			same++
+		}
+		if fresh.pick(t, o) != home {
+			cold++
+		}
+	}
+	assert.Equal(t, same, 200)
+	assert.Assert(t, cold > 50, "without the note %d of 200 objects would run cold", cold)
+	assert.Assert(t, !before.Restore(before.now, "desk", nil), "what was worked out here stays")
+}
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -32,6 +32,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/route/matcher"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 	"github.com/waxwingloom/waxwingloom/internal/share/budgeter"
+	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
 )
@@ -208,6 +209,21 @@
 	s.selector.Spread(s.clock.Now(), needs)
 }
 
+// Placements returns where objects belong, by service.
+func (s *Steerer) Placements() map[namer.Service]spreader.Placement {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.Placements()
+}
+
+// Restore takes over where a service's objects belonged before a restart, and
+// reports whether it did.
+func (s *Steerer) Restore(service namer.Service, p spreader.Placement) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.Restore(s.clock.Now(), service, p)
+}
+
 // Ready reports whether requests can be steered.
 func (s *Steerer) Ready() bool {
 	s.mu.Lock()
--- a/internal/share/spreader/spreader.go
+++ b/internal/share/spreader/spreader.go
@@ -19,6 +19,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -56,18 +57,57 @@
 		Part float64
 	}
 
+	// Placement is the part of each zone's objects that belongs to each zone.
+	Placement map[namer.Zone]map[namer.Zone]float64
+
 	// Spreader holds the parts of one service. It is pure, and not safe for
 	// concurrent use.
 	Spreader struct {
 		at    time.Time
-		parts map[namer.Zone]map[namer.Zone]float64
+		parts Placement
 		order []namer.Zone
 	}
 )
 
 // New returns a spreader without zones.
 func New() *Spreader {
-	return &Spreader{parts: make(map[namer.Zone]map[namer.Zone]float64)}
+	return &Spreader{parts: make(Placement)}
+}
+
+// Restore takes over a placement that was in force before a restart. Upstreams
+// still have their objects warm where it says.
+func (s *Spreader) Restore(now time.Time, p Placement) {
+	s.at = now
+	s.parts = p.Clone()
+	s.order = slices.Sorted(maps.Keys(p))
+}
+
+// Placement returns all parts.
+func (s *Spreader) Placement() Placement {
+	return s.parts.Clone()
+}
+
+// Clone returns a copy.
+func (p Placement) Clone() Placement {
+	out := make(Placement, len(p))
+	for zone, parts := range p {
+		out[zone] = maps.Clone(parts)
+	}
+	return out
+}
+
+// Apart returns the largest part of a zone's objects that two placements put
+// elsewhere.
+func (p Placement) Apart(o Placement) float64 {
+	most := 0.0
+	for zone, parts := range p {
+		away := 0.0
+		for other, part := range parts {
+			away += max(0, part-o[zone][other])
+		}
+		most = max(most, away)
+	}
+	return most
 }
 
 // Update moves the parts towards what the loads ask for. A zone without slots
--- a/internal/share/spreader/spreader_test.go
+++ b/internal/share/spreader/spreader_test.go
@@ -150,3 +150,38 @@
 		}
 	})
 }
+
+// TestRestore has a spreader go on from a placement of before a restart, at the
+// usual pace.
+func TestRestore(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	before := spreader.New()
+	before.Update(now, loads(2))
+	after := spreader.New()
+	after.Restore(now, before.Placement())
+	assert.Equal(t, after.Placement().Apart(before.Placement()), 0.0)
+	assert.DeepEqual(t, parts(after, "a1"), parts(before, "a1"))
+	after.Update(now.Add(time.Second), loads(9))
+	moved := after.Placement().Apart(before.Placement())
+	assert.Assert(t, moved > 0 && moved <= 0.031, "%v of a zone's objects moved in a second", moved)
+}
+
+func TestApart(t *testing.T) {
+	t.Parallel()
+	one := spreader.Placement{"a": {"a": 1}, "b": {"a": 0.5, "b": 0.5}}
+	for _, tc := range []struct {
+		name  string
+		other spreader.Placement
+		want  float64
+	}{
+		{"same", one, 0},
+		{"some", spreader.Placement{"a": {"a": 0.75, "b": 0.25}, "b": {"a": 0.5, "b": 0.5}}, 0.25},
+		{"nothing", spreader.Placement{}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			assert.Equal(t, one.Apart(tc.other), tc.want)
+		})
+	}
+}
