--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -224,12 +224,12 @@
 // step learns from a peer for as long as one tells what is fresh, and otherwise
 // calls the store once.
 func (f *Follower) step(ctx context.Context) error {
-	err := f.follow(ctx)
-	if errors.Is(err, errSwitch) || ctx.Err() != nil {
+	turn := f.follow(ctx)
+	if turn == switches || ctx.Err() != nil {
 		return nil
 	}
 	f.longest = retryFollower
-	if errors.Is(err, ErrLead) {
+	if turn == leads {
 		f.longest = retryMost
 	}
 	if !f.listed {
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -10,20 +10,30 @@
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 )
 
+// What is to be done after a peer was followed.
+const (
+	// leads says that this VM is to ask the store, for as long as it leads.
+	leads turn = iota
+	// asks says that this VM is to ask the store once.
+	asks
+	// switches says that another peer is to be followed now, and that nothing was
+	// missed.
+	switches
+)
+
 var (
 	// ErrLead says that a VM follows nobody and asks the store itself.
 	ErrLead = errors.New("this VM asks the store itself")
 
-	// errSwitch says that another peer is to be followed now, and that nothing
-	// was missed.
-	errSwitch = errors.New("another peer is to be followed")
-	errStale  = errors.New("the peer's word is too old")
-	errBehind = errors.New("other peers have seen more")
+	errStale = errors.New("the peer's word is too old")
 	// errPeerAway is why a VM takes the store for lost.
 	errPeerAway = errors.New("the store does not answer the peer")
 )
 
 type (
+	// turn is what is to be done next.
+	turn int
+
 	// Relay opens another VM's updates.
 	Relay interface {
 		// Open returns the updates of a kind after a version. It returns ErrLead
@@ -42,14 +52,14 @@
 )
 
 // follow takes a peer's updates until they end or are not fresh any more.
-func (f *Follower) follow(parent context.Context) error {
+func (f *Follower) follow(parent context.Context) turn {
 	if f.relay == nil {
-		return ErrLead
+		return leads
 	}
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	if !f.beginFollow(cancel) {
-		return errBehind
+		return asks
 	}
 	defer f.end()
 	since := f.since
@@ -78,7 +88,7 @@
 		f.noteFollowed(peer)
 		f.take(u)
 		if !current {
-			return errSwitch
+			return switches
 		}
 	}
 }
@@ -142,10 +152,13 @@
 }
 
 // unfollow tells once that a VM turns from its peer to the store.
-func (f *Follower) unfollow(err error) error {
+func (f *Follower) unfollow(err error) turn {
 	if f.followed != "" {
 		f.log.Info("peer not followed", "peer", string(f.followed), "since", uint64(f.since), "reason", err.Error())
 	}
 	f.followed = ""
-	return err
+	if errors.Is(err, ErrLead) {
+		return leads
+	}
+	return asks
 }
