--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -225,7 +225,7 @@
 // calls the store once.
 func (f *Follower) step(ctx context.Context) error {
 	turn := f.follow(ctx)
-	if turn == switches || ctx.Err() != nil {
+	if turn == switches {
 		return nil
 	}
 	f.longest = retryFollower
