Changes kept for peers that lag are bounded in bytes

Cause, found on reading: the bound counted changes, 4,096 of them, and each change of the configuration holds the whole of it; with 100 KB that is 400 MB on a VM of 284 MB. Change: 1 MB, about a page of the store; a peer that lags further gets all records. Test: TestAwaitKeepsLittle, failing before.

--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -11,9 +11,13 @@
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 )
 
-// feedMost bounds the changes that are kept for peers that lag behind; one that
-// lags further gets all records, which are about as many.
-const feedMost = 4096
+const (
+	// feedBytes bounds the changes that are kept for peers that lag behind; one
+	// that lags further gets all records. It is about one page of the store.
+	feedBytes = 1 << 20
+	// stepBytes is counted for a step beside its records.
+	stepBytes = 64
+)
 
 type (
 	// Position is how much of a kind a peer has been told.
@@ -29,12 +33,13 @@
 		listed  bool
 		records map[string]storer.Record
 		steps   []step
-		kept    int
-		at      storer.Version
-		seen    storer.Version
-		fresh   time.Time
-		away    bool
-		news    chan struct{}
+		// kept is the size of the steps in bytes.
+		kept  int
+		at    storer.Version
+		seen  storer.Version
+		fresh time.Time
+		away  bool
+		news  chan struct{}
 	}
 
 	// step is the changes between two versions.
@@ -141,12 +146,13 @@
 		f.records[c.Record.Name] = c.Record
 	}
 	if at > f.at {
-		f.steps = append(f.steps, step{from: f.at, to: at, changes: changes})
-		f.kept += len(changes)
+		s := step{from: f.at, to: at, changes: changes}
+		f.steps = append(f.steps, s)
+		f.kept += s.size()
 		f.at = at
 	}
-	for f.kept > feedMost {
-		f.kept -= len(f.steps[0].changes)
+	for f.kept > feedBytes {
+		f.kept -= f.steps[0].size()
 		f.steps = f.steps[1:]
 	}
 	if fresh.After(f.fresh) {
@@ -182,6 +188,14 @@
 	f.news = make(chan struct{})
 }
 
+func (s step) size() int {
+	size := stepBytes
+	for _, c := range s.changes {
+		size += len(c.Record.Name) + len(c.Record.Spec) + len(c.Record.Status)
+	}
+	return size
+}
+
 func same(a, b storer.Record) bool {
 	return a.Version == b.Version && bytes.Equal(a.Spec, b.Spec) && bytes.Equal(a.Status, b.Status)
 }
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -270,3 +270,28 @@
 	assert.Equal(t, len(u.Changes), 1)
 	assert.Equal(t, u.Changes[0].Record.Name, "missed")
 }
+
+// TestAwaitKeepsLittle has large records change often: what is kept for peers that
+// lag is bounded, and such a peer gets all records.
+func TestAwaitKeepsLittle(t *testing.T) {
+	t.Parallel()
+	_, p, kept, _, f := startBehind(t)
+	large := make([]byte, 100<<10)
+	for v := storer.Version(2); v < 42; v++ {
+		u := storer.Update{Changes: []storer.Change{change("large", v)}, At: v, Seen: v}
+		u.Changes[0].Record.Spec = large
+		p.updates <- u
+		poll.WaitOn(t, sees(f, v), poll.WithDelay(time.Millisecond))
+	}
+	poll.WaitOn(t, kept.has("large"))
+	for _, tc := range []struct {
+		since storer.Version
+		all   bool
+		want  int
+	}{{1, true, 2}, {39, false, 2}} {
+		u, _, err := f.Await(t.Context(), follower.Position{At: tc.since})
+		assert.NilError(t, err)
+		assert.Equal(t, u.All, tc.all)
+		assert.Equal(t, len(u.Changes), tc.want)
+	}
+}
