A document that did not come by the records is pulled after all; ways are measured once at a time

Cause, found on reading the diff: the delayed pull used the context of the heartbeat that told of the higher generation, which had ended by then, so no such pull ever went out. It is the way for a VM that has no word of the store and whose peer has. Test: TestPullComesLast, failing before. Also: one try at a time to measure the way to a zone, since each change of an upstream began one more.

--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -413,6 +413,9 @@
 	}
 	h.pulling = true
 	h.clock.AfterFunc(h.timing.PullAfter, func() {
+		// The heartbeat that told of it has been answered by now.
+		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.timing.Tracker.Suspect)
+		defer cancel()
 		if from.Generation > h.services.Documents.Generation() {
 			h.pull(ctx, from)
 		}
--- /dev/null
+++ b/internal/member/heartbeater/pull_test.go
@@ -0,0 +1,94 @@
+package heartbeater_test
+
+import (
+	"context"
+	"log/slog"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
+	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
+)
+
+const pullAfter = 250 * time.Millisecond
+
+// ahead is a peer that holds a document and counts who pulls it.
+type ahead struct {
+	t      *testing.T
+	pulled chan struct{}
+}
+
+// Ask implements heartbeater.Peers.
+func (a ahead) Ask(ctx context.Context, _ string, _ namer.Incarnation, _ *encoder.Request) (*encoder.Reply, error) {
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	head, sources := document(2)
+	raw, err := head.Encode()
+	assert.Check(a.t, err)
+	doc := &encoder.Document{Generation: 2, Head: raw}
+	for _, src := range sources {
+		doc.Sections = append(doc.Sections, &encoder.Section{Name: string(src.Section), Text: src.Text})
+	}
+	a.pulled <- struct{}{}
+	return &encoder.Reply{Kind: &encoder.Reply_Document{Document: doc}}, nil
+}
+
+func document(g namer.Generation) (keeper.Head, parser.Sources) {
+	sources := parser.Sources{{Section: parser.Services, Text: []byte("[service desk]\n")}}
+	edit := keeper.Edit{Generation: g, Section: parser.Services, Author: "test"}
+	head := keeper.Head{Generation: g, Sections: []keeper.SectionHead{{Hash: keeper.HashOf(sources[0].Text), Edit: edit}}}
+	return head, sources
+}
+
+// TestPullComesLast has a VM that hears of a higher generation wait for the
+// document to come by another way, and pull it once it has not. The heartbeat that
+// told of it has been answered long before.
+func TestPullComesLast(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name  string
+		comes bool
+	}{{"comes by itself", true}, {"does not come", false}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			clock := clockwork.NewFakeClock()
+			log := slog.New(slog.DiscardHandler)
+			documents := keeper.New(log)
+			_, err := documents.Adopt(document(1))
+			assert.NilError(t, err)
+			peer := ahead{t: t, pulled: make(chan struct{}, 1)}
+			self := tracker.Member{VM: "b", Zone: "z", Region: "r", Incarnation: namer.Incarnation{1}}
+			timing := heartbeater.Timing{
+				Heartbeat: beat, Poll: time.Hour, Tracker: tracker.Timing{Suspect: 3 * beat, Dead: 10 * beat}, PullAfter: pullAfter,
+			}
+			h := heartbeater.New(self, heartbeater.Services{Peers: peer, Lister: nobody{}, Documents: documents}, nil, timing, clock, log)
+			ctx, answered := context.WithCancel(t.Context())
+			sender := namer.Incarnation{2}
+			h.Answer(ctx, &encoder.Heartbeat{Sender: &encoder.Member{Vm: "a", Zone: "z", Region: "r", Incarnation: sender[:], Generation: 2}})
+			answered()
+			assert.Equal(t, len(peer.pulled), 0, "pulled at once")
+			if tc.comes {
+				_, err := documents.Adopt(document(2))
+				assert.NilError(t, err)
+			}
+			assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+			clock.Advance(pullAfter)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if documents.Generation() == 2 {
+					return poll.Success()
+				}
+				return poll.Continue("generation %d", documents.Generation())
+			})
+			assert.Equal(t, len(peer.pulled) == 0, tc.comes)
+		})
+	}
+}
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -116,6 +116,7 @@
 		budgets    map[namer.Service]*budgeter.Budgeter
 		waiting    map[namer.Service]*queue
 		ticking    bool
+		measuring  map[namer.Zone]bool
 		counts     Counts
 	}
 
@@ -143,6 +144,7 @@
 		view:      &cataloger.View{},
 		budgets:   make(map[namer.Service]*budgeter.Budgeter),
 		waiting:   make(map[namer.Service]*queue),
+		measuring: make(map[namer.Zone]bool),
 	}
 }
 
@@ -161,11 +163,8 @@
 	s.mu.Lock()
 	s.view = v
 	s.update()
-	unmeasured := s.selector.Unmeasured()
+	s.measureAll()
 	s.mu.Unlock()
-	for zone, target := range unmeasured {
-		go s.measure(zone, target)
-	}
 	targets := make([]cataloger.Target, 0, len(v.Upstreams))
 	for _, u := range v.Upstreams {
 		targets = append(targets, cataloger.Target{Upstream: u.Upstream, Born: u.Born, Address: u.Address})
@@ -173,15 +172,26 @@
 	s.upstreams.Keep(targets)
 }
 
-// measure learns the way to a zone before requests need it.
+// measureAll learns the ways to zones before requests need them, one try at a time
+// for each zone.
+func (s *Steerer) measureAll() {
+	for zone, target := range s.selector.Unmeasured() {
+		if !s.measuring[zone] {
+			s.measuring[zone] = true
+			go s.measure(zone, target)
+		}
+	}
+}
+
 func (s *Steerer) measure(zone namer.Zone, t cataloger.Target) {
 	took, err := s.upstreams.Open(context.Background(), t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.measuring, zone)
 	if err != nil {
 		s.log.Debug("way not measured", "zone", string(zone), "upstream", string(t.Upstream), "reason", err.Error())
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	s.selector.LearnWay(zone, took)
 	s.log.Info("way measured", "zone", string(zone), "upstream", string(t.Upstream), "took", took, "pooled", s.selector.Pooled())
 }
