Second sends are bounded in any window, and across a restart

Cause: a process knows nothing of what the one before it spent, so the requests of one window paid twice. Second, by a test: the window moved in whole seconds, so a burst just before one could be spent again just inside the same ten seconds (381 of 1,000). Tests: TestAnyWindow, TestRestart, both failing before.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -184,7 +184,7 @@
 		clock := f.Find(clockName).(clockwork.Clock)
 		links, cleanup := exchanger.New(clock)
 		self := selector.Self{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
-		budget := steerer.Budget{Ratio: s.Routing.Resend, Window: s.Routing.Window}
+		budget := steerer.Budget{Ratio: s.Routing.Resend, Window: s.Routing.Window, Started: clock.Now()}
 		st := steerer.New(self, platform.Headers(), budget, links, clock, log)
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		members.OnChange(func() { countMembers(st, members, s) })
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -85,10 +85,11 @@
 		Sent  int
 	}
 
-	// Budget is the bound on second sends.
+	// Budget is the bound on second sends of a process that was started at a time.
 	Budget struct {
-		Ratio  float64
-		Window time.Duration
+		Ratio   float64
+		Window  time.Duration
+		Started time.Time
 	}
 
 	// Upstreams sends one request to one upstream.
@@ -305,7 +306,7 @@
 func (s *Steerer) budgetOf(service namer.Service) *budgeter.Budgeter {
 	b := s.budgets[service]
 	if b == nil {
-		b = budgeter.New(s.budget.Ratio, s.budget.Window)
+		b = budgeter.New(s.budget.Ratio, s.budget.Window, s.budget.Started)
 		s.budgets[service] = b
 	}
 	return b
--- a/internal/share/budgeter/budgeter_test.go
+++ b/internal/share/budgeter/budgeter_test.go
@@ -19,7 +19,7 @@
 // to their part of the requests.
 func TestStorm(t *testing.T) {
 	t.Parallel()
-	b := budgeter.New(ratio, window)
+	b := budgeter.New(ratio, window, time.Time{})
 	now := time.Unix(1000, 0)
 	requests, spent := 0, 0
 	for range 6000 {
@@ -36,7 +36,7 @@
 
 func TestNothingWithoutRequests(t *testing.T) {
 	t.Parallel()
-	b := budgeter.New(ratio, window)
+	b := budgeter.New(ratio, window, time.Time{})
 	now := time.Unix(1000, 0)
 	for range 10 {
 		b.Request(now)
@@ -53,7 +53,7 @@
 		vms := rapid.IntRange(1, 12).Draw(t, "vms")
 		budgets := make([]*budgeter.Budgeter, vms)
 		for i := range budgets {
-			budgets[i] = budgeter.New(ratio, window)
+			budgets[i] = budgeter.New(ratio, window, time.Time{})
 		}
 		now := time.Unix(1000, 0)
 		begun := now
@@ -72,3 +72,80 @@
 		}
 	})
 }
+
+// TestAnyWindow has failures come in bursts, so that what the budget holds is spent
+// at the end of a quiet time: no window of the bound's length holds more than its
+// part, wherever it begins.
+func TestAnyWindow(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name  string
+		first time.Duration
+		every time.Duration
+	}{
+		{"always", 0, 0},
+		{"from just before a second", 10950 * time.Millisecond, 0},
+		{"burst just before a second", 10950 * time.Millisecond, 9100 * time.Millisecond},
+		{"burst each two seconds", 1990 * time.Millisecond, 2 * time.Second},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			const step = 10 * time.Millisecond
+			b := budgeter.New(ratio, window, time.Time{})
+			begun := time.Unix(1000, 0)
+			var spends []time.Duration
+			for at := time.Duration(0); at < time.Minute; at += step {
+				b.Request(begun.Add(at))
+				fails := at >= tc.first && (tc.every == 0 || (at-tc.first)%tc.every < 100*time.Millisecond)
+				for fails && b.Spend(begun.Add(at)) {
+					spends = append(spends, at)
+				}
+			}
+			assert.Assert(t, len(spends) > 0)
+			for _, end := range spends {
+				within := 0
+				for _, at := range spends {
+					if at > end-window && at <= end {
+						within++
+					}
+				}
+				requests := int(min(end, window-step)/step) + 1
+				assert.Assert(t, float64(within) <= ratio*float64(requests), "%d second sends of %d requests until %v", within, requests, end)
+			}
+		})
+	}
+}
+
+// TestRestart has a process spend all that it may just before it is restarted, and
+// the next one fail as much. The requests of one window pay for both.
+func TestRestart(t *testing.T) {
+	t.Parallel()
+	for _, restart := range []time.Duration{500 * time.Millisecond, 3 * time.Second, 9 * time.Second, 15 * time.Second} {
+		t.Run(restart.String(), func(t *testing.T) {
+			t.Parallel()
+			const step = 10 * time.Millisecond
+			begun := time.Unix(1000, 0)
+			b := budgeter.New(ratio, window, time.Time{})
+			var spends []time.Duration
+			for at := time.Duration(0); at < 6*window; at += step {
+				if at == 2*window+restart {
+					b = budgeter.New(ratio, window, begun.Add(at))
+				}
+				b.Request(begun.Add(at))
+				for at >= 2*window && b.Spend(begun.Add(at)) {
+					spends = append(spends, at)
+				}
+			}
+			for _, end := range spends {
+				within := 0
+				for _, at := range spends {
+					if at > end-window && at <= end {
+						within++
+					}
+				}
+				assert.Assert(t, float64(within) <= ratio*float64(window/step), "%d second sends until %v", within, end)
+			}
+			assert.Assert(t, spends[len(spends)-1] > 2*window+restart, "the new process never sends twice")
+		})
+	}
+}
