A planned stop takes only what it can finish, and refuses the rest as not run

Ruled out: ending later (a request of 4 s may come at any time) and handing upstreams a shorter limit (their 504 promises nothing, where a refusal sends the caller elsewhere). Now the time limit decides: over before the end, or refused at once with Connection: close; what waits since before is refused when its answer is expected after the end; a body that has not come by then is given up.

--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -66,7 +66,8 @@
 		log     *slog.Logger
 		busy    atomic.Int64
 		held    atomic.Int64
-		leaving atomic.Bool
+		// end is when the process ends, nil while it stays.
+		end     atomic.Pointer[time.Time]
 		latency *recorder.Recorder
 		last    atomic.Int64
 		begun   time.Time
@@ -87,14 +88,14 @@
 }
 
 // Leave asks callers to open their next connection elsewhere, while requests
-// are still served.
-func (r *Receiver) Leave() {
-	r.leaving.Store(true)
+// are still taken. A body that has not come when the process ends is given up.
+func (r *Receiver) Leave(end time.Time) {
+	r.end.Store(&end)
 }
 
 // Leaving reports whether callers are asked to go elsewhere.
 func (r *Receiver) Leaving() bool {
-	return r.leaving.Load()
+	return r.end.Load() != nil
 }
 
 // Busy returns the number of requests in progress.
@@ -116,7 +117,7 @@
 func (r *Receiver) ServeHTTP(w http.ResponseWriter, in *http.Request) {
 	arrived := r.clock.Now()
 	r.last.Store(int64(arrived.Sub(r.begun)))
-	if r.leaving.Load() {
+	if r.Leaving() {
 		w.Header().Set("Connection", "close")
 	}
 	if r.busy.Add(1) > r.limits.Requests {
@@ -133,6 +134,9 @@
 		return
 	}
 	result := r.router.Steer(in.Context(), request)
+	if r.Leaving() {
+		w.Header().Set("Connection", "close")
+	}
 	r.logResult(in, request, result)
 	if result.Code != "" {
 		r.fail(w, in, result)
@@ -179,8 +183,12 @@
 		return nil, refused(steerer.CodeBusy, "the bodies in progress take all of their memory")
 	}
 	rc := http.NewResponseController(w)
+	readTime := limits.ReadTime
+	if end := r.end.Load(); end != nil {
+		readTime = min(readTime, max(0, end.Sub(r.clock.Now())))
+	}
 	// A connection that is already closed shows when the body is read.
-	_ = rc.SetReadDeadline(time.Now().Add(limits.ReadTime))
+	_ = rc.SetReadDeadline(time.Now().Add(readTime))
 	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, limits.BodyBytes))
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
--- a/internal/front/receiver/receiver_test.go
+++ b/internal/front/receiver/receiver_test.go
@@ -26,8 +26,10 @@
 type router struct {
 	result  steerer.Result
 	unready bool
-	last    steerer.Request
-	block   func(ctx context.Context)
+	// readTime is the limit on bodies, a short one by default.
+	readTime time.Duration
+	last     steerer.Request
+	block    func(ctx context.Context)
 }
 
 func (r *router) Steer(ctx context.Context, req steerer.Request) steerer.Result {
@@ -39,7 +41,11 @@
 }
 
 func (r *router) Ingress() (parser.Ingress, bool) {
-	return parser.Ingress{HeadBytes: 1024, BodyBytes: 64, ReadTime: 200 * time.Millisecond, IdleTime: time.Second}, !r.unready
+	readTime := r.readTime
+	if readTime == 0 {
+		readTime = 200 * time.Millisecond
+	}
+	return parser.Ingress{HeadBytes: 1024, BodyBytes: 64, ReadTime: readTime, IdleTime: time.Second}, !r.unready
 }
 
 func (r *router) Generation() namer.Generation { return 1 }
@@ -81,6 +87,19 @@
 	return resp, string(body), err
 }
 
+// TestBodyAtTheEnd gives up a body that has not come when the process ends, although
+// the limit of its time is later. It was not run, and the caller is told so.
+func TestBodyAtTheEnd(t *testing.T) {
+	t.Parallel()
+	r := &router{result: whole("answer"), readTime: time.Minute}
+	rec, address := start(t, r, roomy)
+	rec.Leave(time.Now().Add(100 * time.Millisecond))
+	resp, _, err := exchange(t, address, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nbody")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
+	assert.Assert(t, resp.Close)
+}
+
 // TestRequests holds what is answered for what a caller sends.
 func TestRequests(t *testing.T) {
 	t.Parallel()
@@ -211,7 +230,7 @@
 	resp, _, err := exchange(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	assert.NilError(t, err)
 	assert.Assert(t, !resp.Close)
-	rec.Leave()
+	rec.Leave(time.Now().Add(time.Minute))
 	resp, body, err := exchange(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
 	assert.NilError(t, err)
 	assert.Assert(t, resp.Close)
--- a/internal/kernel/runner/leave.go
+++ b/internal/kernel/runner/leave.go
@@ -11,6 +11,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
 	"github.com/waxwingloom/waxwingloom/internal/member/enroller"
 	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
+	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
 	"github.com/waxwingloom/waxwingloom/internal/settings/reloader"
 )
@@ -27,15 +28,18 @@
 )
 
 // leaveRouted takes the daemon through its planned stop. Callers hear of it by
-// readiness, look-ups and the end of their kept connections; what they still
-// send is served.
+// readiness, look-ups and the end of their kept connections. What they still send
+// is served if its time limit is over before the process ends, and otherwise
+// refused as not run.
 func leaveRouted(k *registrar.Kernel, s loader.Settings, log *slog.Logger) {
 	clock := k.Find(clockName).(clockwork.Clock)
 	front := k.Find(callersName).(*receiver.Receiver)
 	begun := clock.Now()
 	s = k.Find(reloadName).(*reloader.Reloader).Current()
 	log.Info("leaving", "busy", front.Busy())
-	front.Leave()
+	end := begun.Add(time.Duration(stopMost * float64(s.Routing.Grace)))
+	front.Leave(end)
+	k.Find(steerName).(*steerer.Steerer).Leave(end)
 	k.Find(membersName).(*heartbeater.Heartbeater).Leave()
 	ctx, cancel := context.WithTimeout(context.Background(), releaseTime)
 	defer cancel()
@@ -46,8 +50,7 @@
 	if wait := s.Routing.TTL - clock.Since(begun); wait > 0 {
 		clock.Sleep(wait)
 	}
-	most := time.Duration(stopMost*float64(s.Routing.Grace)) - clock.Since(begun)
-	idle := waitIdle(clock, most, func() bool { return front.Busy() == 0 && front.Quiet() >= quietTime })
+	idle := waitIdle(clock, end.Sub(clock.Now()), func() bool { return front.Busy() == 0 && front.Quiet() >= quietTime })
 	log.Info("left", "idle", idle, "busy", front.Busy(), "took", clock.Since(begun))
 }
 
--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -57,6 +57,9 @@
 // route, so that a stuck request outlasts it.
 const grace = 1500 * time.Millisecond
 
+// slowTime is how long the upstream takes for a slow request.
+const slowTime = 400 * time.Millisecond
+
 // daemon is a routed daemon in this process, on addresses of its own.
 type daemon struct {
 	callers, ready, lookup, peers string
@@ -166,6 +169,8 @@
 	store string
 	// stuck tells of requests that the upstream never answers.
 	stuck chan struct{}
+	// ran are the slow requests that the upstream began with.
+	ran sync.Map
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -176,6 +181,10 @@
 	f.store = strings.TrimPrefix(store.URL, "http://")
 	h := platform.Headers()
 	upstream := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if strings.HasSuffix(r.URL.Path, "/slow") {
+			f.ran.Store(r.Header.Get(h.Attempt), true)
+			time.Sleep(slowTime)
+		}
 		if strings.HasSuffix(r.URL.Path, "/stuck") {
 			f.stuck <- struct{}{}
 			<-r.Context().Done()
@@ -290,6 +299,76 @@
 	assert.Assert(t, took < grace, "the stop took %v", took)
 }
 
+// TestStopUnderLoad has callers send until the daemon is gone: whatever an upstream
+// began with is answered, and what can't be finished any more is refused as not run.
+func TestStopUnderLoad(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := start(t, "vm-1", f.store, "")
+	d.isReady(t)
+	var answered sync.Map
+	var callers sync.WaitGroup
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	for i := range 20 {
+		callers.Go(func() {
+			for n := 0; ctx.Err() == nil; n++ {
+				attempt := fmt.Sprintf("a%d-%d", i, n)
+				// Some requests may take as long as the route allows, others less.
+				remaining := []string{"700", "5000"}[n%2]
+				if status := callSlow(d.callers, attempt, remaining); status != 0 {
+					answered.Store(attempt, status)
+				}
+			}
+		})
+	}
+	time.Sleep(slowTime)
+	d.stop()
+	assert.NilError(t, <-d.done)
+	d.done <- nil
+	cancel()
+	callers.Wait()
+	ran, refused := 0, 0
+	f.ran.Range(func(attempt, _ any) bool {
+		status, ok := answered.Load(attempt)
+		assert.Check(t, ok && status == http.StatusOK, "%v ran and its caller got %v", attempt, status)
+		ran++
+		return true
+	})
+	answered.Range(func(_, status any) bool {
+		if status == http.StatusServiceUnavailable {
+			refused++
+		}
+		return true
+	})
+	assert.Assert(t, ran > 0 && refused > 0, "ran %d refused %d", ran, refused)
+}
+
+// callSlow sends one slow request on a connection of its own, and returns the status
+// of a whole answer or 0.
+func callSlow(address, attempt, remaining string) int {
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	req, err := http.NewRequest(http.MethodGet, "http://"+address+"/stock/slow", nil)
+	if err != nil {
+		return 0
+	}
+	req.Host = "shop.example"
+	h := platform.Headers()
+	req.Header.Set(h.Attempt, attempt)
+	req.Header.Set(h.Remaining, remaining)
+	resp, err := client.Do(req)
+	if err != nil {
+		// The daemon has gone; its end is waited for.
+		time.Sleep(time.Millisecond)
+		return 0
+	}
+	defer func() { _ = resp.Body.Close() }()
+	if _, err := io.ReadAll(resp.Body); err != nil {
+		return 0
+	}
+	return resp.StatusCode
+}
+
 // TestPlacementIsRestored has a daemon take over the placement that was noted
 // before it was restarted, and start all the same when a note can't be read.
 func TestPlacementIsRestored(t *testing.T) {
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -75,7 +75,10 @@
 		limit = min(limit, r.Remaining)
 	}
 	a := &attempts{request: r, route: route, service: service, due: r.Arrived.Add(limit)}
-	result := s.run(ctx, a)
+	result := leaving()
+	if s.staysUntil(a.due) {
+		result = s.run(ctx, a)
+	}
 	result.Route = route.Name
 	result.Sent = a.sent
 	s.note(result)
@@ -154,9 +157,17 @@
 	if a.ran {
 		return s.giveUp(a)
 	}
+	if !s.staysUntil(a.due) {
+		return leaving()
+	}
 	return failure(http.StatusServiceUnavailable, CodeRefused, string(d.Reason), d.RetryAfter)
 }
 
+// leaving is the result of a request that other VMs can serve at once.
+func leaving() Result {
+	return failure(http.StatusServiceUnavailable, CodeLeaving, "this VM stops before the request's time limit", freeRetry)
+}
+
 func (s *Steerer) retryAfter(a *attempts) time.Duration {
 	if a.free {
 		return freeRetry
--- a/internal/route/steerer/queue.go
+++ b/internal/route/steerer/queue.go
@@ -68,7 +68,7 @@
 		Service: a.service,
 		Object:  object,
 		Ideal:   a.request.Arrived.Add(a.route.Target),
-		Due:     a.due,
+		Due:     s.bounded(a.due),
 		Tried:   a.tried,
 	}
 }
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -47,6 +47,7 @@
 	CodeUnknown   Code = "unknown"
 	CodeBusy      Code = "busy"
 	CodeMalformed Code = "malformed"
+	CodeLeaving   Code = "leaving"
 )
 
 type (
@@ -119,6 +120,8 @@
 		ticking    bool
 		measuring  map[namer.Zone]bool
 		counts     Counts
+		// end is when this VM's process ends, zero while it stays.
+		end time.Time
 	}
 
 	// Counts is what became of requests so far.
@@ -197,6 +200,35 @@
 	s.log.Info("way measured", "zone", string(zone), "upstream", string(t.Upstream), "took", took, "pooled", s.selector.Pooled())
 }
 
+// Leave has the steerer take only requests whose time limit is over before the
+// process ends. What waits and is expected to be answered later is refused.
+func (s *Steerer) Leave(end time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.end = end
+	for _, q := range s.waiting {
+		for _, w := range q.waiters {
+			w.ask.Due = s.bounded(w.ask.Due)
+		}
+	}
+	s.pump()
+}
+
+// bounded returns a time, or the process's end where that comes first.
+func (s *Steerer) bounded(t time.Time) time.Time {
+	if !s.end.IsZero() && s.end.Before(t) {
+		return s.end
+	}
+	return t
+}
+
+// staysUntil reports whether the process is there until a time.
+func (s *Steerer) staysUntil(t time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.bounded(t).Equal(t)
+}
+
 // SetMembers takes over how many VMs there are, and this VM's place among them
 // for an upstream.
 func (s *Steerer) SetMembers(vms int, rank func(namer.Upstream) int) {
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -381,3 +381,35 @@
 		return poll.Success()
 	}
 }
+
+// TestLeave has a VM that ends soon take what it can finish, and refuse the rest as
+// not run, also what has waited since before.
+func TestLeave(t *testing.T) {
+	t.Parallel()
+	up := &upstreams{fates: []fate{hangs, hangs, hangs}, free: make(chan struct{})}
+	s := newSteerer(t, up, 1, 2)
+	waited := make(chan steerer.Result, 4)
+	for range 3 {
+		go s.Steer(t.Context(), request("/order/"))
+	}
+	poll.WaitOn(t, up.count(3))
+	go func() { waited <- s.Steer(t.Context(), request("/order/")) }()
+	poll.WaitOn(t, waiting(s, 1))
+	begun := time.Now()
+	s.Leave(begun.Add(500 * time.Millisecond))
+	result := <-waited
+	assert.Equal(t, result.Status, http.StatusServiceUnavailable)
+	assert.Assert(t, time.Since(begun) < time.Second, "the limit of the request is later")
+	close(up.free)
+
+	result = s.Steer(t.Context(), request("/order/"))
+	assert.Equal(t, result.Code, steerer.CodeLeaving)
+	assert.Equal(t, result.Status, http.StatusServiceUnavailable)
+	assert.Assert(t, result.RetryAfter > 0 && result.RetryAfter < 50*time.Millisecond, "another VM serves it at once")
+	assert.Equal(t, result.Sent, 0)
+	s.Leave(time.Now().Add(500 * time.Millisecond))
+	short := request("/order/")
+	short.Remaining = 300 * time.Millisecond
+	result = s.Steer(t.Context(), short)
+	assert.Equal(t, result.Status, http.StatusOK)
+}
