Members are told by changes and sums; one VM of all asks the store; changes are applied together

And needs of other zones were summed over the three VMs known there, so zones disagreed on placement. Now: heartbeats leave out what the receiver knows; gateways alone tell news of other zones, bounded; a zone is told as a sum (VMs, needs); told members keep six times as long, and their silence is news; a VM takes itself for a gateway after three heartbeats; lines of changes only; records that come together are applied together. Calls to the store no longer grow with regions (Guide: a lead of all). The place for a cold upstream's rate comes from the zone's names and the sums, so it is exact in a large fleet. TestGuide now asks for one lead in all, where it asked for one a region; the wire of news within a zone is gone.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -83,8 +83,8 @@
 	Handler interface {
 		// Reset takes all records of the kind.
 		Reset(records []storer.Record)
-		// Apply takes one change.
-		Apply(c storer.Change)
+		// Apply takes changes that were learned together, in their order.
+		Apply(changes []storer.Change)
 		// Lost and Regained tell of the source's failures.
 		Lost()
 		Regained()
@@ -251,8 +251,8 @@
 		return err
 	}
 	f.regained()
-	for _, c := range changes.List {
-		f.handler.Apply(c)
+	if len(changes.List) > 0 {
+		f.handler.Apply(changes.List)
 	}
 	if len(changes.List) > 0 {
 		// An answer without changes may come of a watch that heard nothing, so
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -113,8 +113,8 @@
 		f.feed.replace(records, f.since, fresh)
 		return
 	}
-	for _, c := range u.Changes {
-		f.handler.Apply(c)
+	if len(u.Changes) > 0 {
+		f.handler.Apply(u.Changes)
 	}
 	f.sees(u.Seen)
 	f.feed.add(u.Changes, f.since, fresh)
--- a/internal/document/importer/importer.go
+++ b/internal/document/importer/importer.go
@@ -45,13 +45,19 @@
 // Reset implements follower.Handler.
 func (i *Importer) Reset(records []storer.Record) {
 	for _, r := range records {
-		i.Apply(storer.Change{Record: r})
+		i.take(storer.Change{Record: r})
 	}
 }
 
 // Apply implements follower.Handler. A document that is removed or can't be
 // read leaves the last one in force.
-func (i *Importer) Apply(c storer.Change) {
+func (i *Importer) Apply(changes []storer.Change) {
+	for _, c := range changes {
+		i.take(c)
+	}
+}
+
+func (i *Importer) take(c storer.Change) {
 	if c.Record.Name != i.name || c.Removed {
 		return
 	}
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -208,26 +208,45 @@
 	})
 }
 
-// countMembers tells the steerer how many VMs there are. A VM that knows few
-// others takes it that each zone has at least one.
+// countMembers tells the steerer how many VMs there are. A zone of which nothing is
+// known is taken to have one.
 func countMembers(st *steerer.Steerer, members *heartbeater.Heartbeater, s loader.Settings) {
-	others := members.Members()
-	names := make([]namer.VM, 0, len(others))
-	for _, m := range others {
-		if m.State != tracker.Dead {
-			names = append(names, m.VM)
+	zones := make(map[namer.Zone]int, len(s.Regions))
+	for zone := range s.Regions {
+		zones[zone] = 1
+	}
+	for _, summary := range members.Summaries() {
+		zones[summary.Zone] = max(summary.VMs, 1)
+	}
+	var near []namer.VM
+	for _, m := range members.Members() {
+		if m.Zone == s.Zone && m.State != tracker.Dead {
+			near = append(near, m.VM)
 		}
 	}
-	st.SetMembers(max(len(names)+1, len(s.Regions)), func(u namer.Upstream) int {
-		own := xxhash.Sum64String(string(s.VM) + "/" + string(u))
-		place := 0
-		for _, name := range names {
-			if xxhash.Sum64String(string(name)+"/"+string(u)) < own {
-				place++
-			}
+	all := 0
+	for _, vms := range zones {
+		all += vms
+	}
+	st.SetMembers(all, func(u namer.Upstream) int { return placeFor(u, s.VM, s.Zone, near, zones) })
+}
+
+// placeFor returns a VM's place among all VMs in an order of an upstream's own: zone by
+// zone, since a VM knows the names in its zone and the number in others.
+func placeFor(u namer.Upstream, self namer.VM, own namer.Zone, near []namer.VM, zones map[namer.Zone]int) int {
+	order := func(name string) uint64 { return xxhash.Sum64String(name + "/" + string(u)) }
+	place := 0
+	for _, vm := range near {
+		if order(string(vm)) < order(string(self)) {
+			place++
 		}
-		return place
-	})
+	}
+	for zone, vms := range zones {
+		if order(string(zone)) < order(string(own)) {
+			place += vms
+		}
+	}
+	return place
 }
 
 func registerRoutedFront(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
--- a/internal/kernel/runner/spread.go
+++ b/internal/kernel/runner/spread.go
@@ -122,15 +122,12 @@
 
 func (s *spread) needs() map[namer.Service]map[namer.Zone]float64 {
 	needs := make(map[namer.Service]map[namer.Zone]float64)
-	for _, m := range withSelf(s.members) {
-		if m.State == tracker.Dead {
-			continue
-		}
-		for _, n := range m.Needs {
+	for _, summary := range s.members.Summaries() {
+		for _, n := range summary.Needs {
 			if needs[n.Service] == nil {
 				needs[n.Service] = make(map[namer.Zone]float64)
 			}
-			needs[n.Service][m.Zone] += n.Slots
+			needs[n.Service][summary.Zone] = n.Slots
 		}
 	}
 	return needs
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -1,7 +1,11 @@
 // Package heartbeater keeps the view of members fresh and spreads what is in
-// force. Each heartbeat carries the sender's generation and whom it knows;
-// whoever is behind pulls the document. The platform's list is a hint for the
-// first contact and is read by a zone's gateways only.
+// force. VMs of a zone exchange heartbeats with each other, gateways also with those
+// of other zones; whoever is behind pulls the document. The platform's list is a
+// hint for the first contact and is read by a zone's gateways only.
+//
+// It answers the pattern in which hundreds of VMs start at once: a heartbeat tells of
+// its sender, of members that changed and of other zones as sums, each bounded, so
+// that a VM's messages grow with its zone and not with the square of the fleet.
 //
 // # Usage
 //
@@ -14,8 +18,9 @@
 
 import (
 	"context"
-	"encoding/json"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -32,18 +37,32 @@
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
-// othersTold is how many members of each other zone a heartbeat tells of.
-const othersTold = 3
-
 const (
-	// digestEvery is how many heartbeats pass between two that tell of other
-	// members while nothing changes.
-	digestEvery = 10
-	// newsBeats is how many heartbeats after a change tell of other members.
+	// othersTold is how many members of each other zone a VM knows: the gateways, which
+	// its own zone's gateways hear.
+	othersTold = Gateways
+	// newsBeats is how many heartbeats after a change tell of it, and newsMost
+	// bounds the members that one of them tells of.
 	newsBeats = 3
+	newsMost  = 16
+	// wholeBeats is how many heartbeats pass between two that tell all of a VM that
+	// the receiver knows.
+	wholeBeats = 20
+	// informBeats is how many heartbeats pass between two that tell a VM of other
+	// zones, and informMost bounds the zones that one of them tells of.
+	informBeats = 6
+	informMost  = 16
+	// farBeats is how many heartbeats of a zone pass between two to another zone.
+	farBeats = 2
 	// quietBeats is how many heartbeats a VM waits for one from the peer whose
 	// turn it is to send.
 	quietBeats = 1.5
+	// settleBeats is how many heartbeats a VM that has just started waits for those
+	// of its zone before it takes itself for a gateway.
+	settleBeats = 3
+	// listAfter is how many heartbeats a VM that knows nobody waits for its seeds
+	// before it reads the platform's list.
+	listAfter = 2
 )
 
 type (
@@ -97,22 +116,28 @@
 		clock    clockwork.Clock
 		log      *slog.Logger
 		kick     chan struct{}
-		beats    sync.WaitGroup
+		running  sync.WaitGroup
 
 		mu       sync.Mutex
 		self     tracker.Member
+		begun    time.Time
 		tracker  *tracker.Tracker
 		listed   []storer.ListedVM
 		inFlight map[string]bool
 		met      map[string]time.Time
-		news     time.Time
-		changed  func()
-		rooms    func() []tracker.Room
-		needs    func() []tracker.Need
-		seen     func() []tracker.Seen
-		told     func([]tracker.Seen)
-		away     func() bool
-		pulling  bool
+		// news is when each member changed last, informed what each peer was told.
+		news      map[namer.VM]time.Time
+		informed  map[namer.VM]informed
+		states    map[namer.VM]string
+		summaries map[namer.Zone]tracker.Summary
+		beats     uint64
+		changed   func()
+		rooms     func() []tracker.Room
+		needs     func() []tracker.Need
+		seen      func() []tracker.Seen
+		told      func([]tracker.Seen)
+		away      func() bool
+		pulling   bool
 	}
 )
 
@@ -120,22 +145,27 @@
 // that it asks while it knows no other.
 func New(self tracker.Member, s Services, seeds []string, timing Timing, clock clockwork.Clock, log *slog.Logger) *Heartbeater {
 	return &Heartbeater{
-		services: s,
-		seeds:    seeds,
-		timing:   timing,
-		clock:    clock,
-		log:      log,
-		kick:     make(chan struct{}, 1),
-		self:     self,
-		tracker:  tracker.New(self.VM, timing.Tracker),
-		inFlight: make(map[string]bool),
-		met:      make(map[string]time.Time),
-		changed:  func() {},
-		rooms:    func() []tracker.Room { return nil },
-		needs:    func() []tracker.Need { return nil },
-		seen:     func() []tracker.Seen { return nil },
-		told:     func([]tracker.Seen) {},
-		away:     func() bool { return false },
+		services:  s,
+		seeds:     seeds,
+		timing:    timing,
+		clock:     clock,
+		log:       log,
+		kick:      make(chan struct{}, 1),
+		self:      self,
+		begun:     clock.Now(),
+		tracker:   tracker.New(self.VM, timing.Tracker),
+		inFlight:  make(map[string]bool),
+		met:       make(map[string]time.Time),
+		news:      make(map[namer.VM]time.Time),
+		informed:  make(map[namer.VM]informed),
+		states:    make(map[namer.VM]string),
+		summaries: make(map[namer.Zone]tracker.Summary),
+		changed:   func() {},
+		rooms:     func() []tracker.Room { return nil },
+		needs:     func() []tracker.Need { return nil },
+		seen:      func() []tracker.Seen { return nil },
+		told:      func([]tracker.Seen) {},
+		away:      func() bool { return false },
 	}
 }
 
@@ -222,8 +252,9 @@
 
 // Gateway reports whether this VM is one of its zone's gateways.
 func (h *Heartbeater) Gateway() bool {
-	members := h.Members()
-	return IsGateway(h.self.VM, h.self.Zone, members)
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.gateway(h.tracker.View(h.clock.Now()))
 }
 
 // Guide returns the member from which this VM hears of the store's records, or
@@ -243,24 +274,24 @@
 	defer h.mu.Unlock()
 	self := h.self
 	self.Away = h.away()
-	return lead(self, h.tracker.View(h.clock.Now()), "", func(tracker.Member) bool { return true }).VM == self.VM
+	_, follows := Guide(self, h.tracker.View(h.clock.Now()))
+	return !follows
 }
 
 // Serve sends heartbeats until ctx ends.
 func (h *Heartbeater) Serve(ctx context.Context) error {
-	defer h.beats.Wait()
+	defer h.running.Wait()
 	beat := h.clock.NewTicker(h.timing.Heartbeat)
 	defer beat.Stop()
 	var polled time.Time
-	states := ""
 	kicked := true
 	for {
-		if h.clock.Since(polled) >= h.timing.Poll {
+		if h.polls(polled) {
 			polled = h.clock.Now()
-			h.beats.Go(func() { h.poll(ctx) })
+			h.running.Go(func() { h.poll(ctx) })
 		}
 		h.beat(ctx, kicked)
-		states = h.compare(states)
+		h.compare()
 		select {
 		case <-ctx.Done():
 			return nil
@@ -272,40 +303,81 @@
 	}
 }
 
-// Answer takes a heartbeat and returns this VM's own.
-func (h *Heartbeater) Answer(ctx context.Context, hb *encoder.Heartbeat) *encoder.Heartbeat {
-	h.take(ctx, hb)
-	return h.compose()
+// gateway reports whether this VM is a gateway in the view of members. One that has just
+// started can tell only when it has had time to meet the VMs of its zone, or has met
+// nobody.
+func (h *Heartbeater) gateway(members []tracker.Member) bool {
+	settled := h.clock.Since(h.begun) >= settleBeats*h.timing.Heartbeat || len(h.states) == 0
+	return settled && IsGateway(h.self.VM, h.self.Zone, members)
 }
 
-// compare calls the change hook when any state differs from the last look.
-func (h *Heartbeater) compare(last string) string {
-	raw, _ := json.Marshal(statesOf(h.Members()))
-	if string(raw) != last {
-		h.mu.Lock()
-		changed := h.changed
-		h.news = h.clock.Now()
-		h.mu.Unlock()
-		changed()
-		h.log.Info("members", "view", string(raw))
+// polls reports whether it is time to read the platform's list.
+func (h *Heartbeater) polls(polled time.Time) bool {
+	if h.clock.Since(polled) < h.timing.Poll {
+		return false
 	}
-	return string(raw)
+	h.mu.Lock()
+	alone := len(h.seeds) > 0 && len(h.tracker.View(h.clock.Now())) == 0
+	h.mu.Unlock()
+	return !alone || h.clock.Since(h.begun) >= listAfter*h.timing.Heartbeat
 }
 
-func statesOf(members []tracker.Member) []string {
-	states := make([]string, len(members))
-	for i, m := range members {
-		states[i] = string(m.VM) + "/" + m.Incarnation.String() + "=" + m.State.String()
+// Answer takes a heartbeat and returns this VM's own. A peer that was not known is
+// told of all members that it may need.
+func (h *Heartbeater) Answer(ctx context.Context, hb *encoder.Heartbeat) *encoder.Heartbeat {
+	peer, known := h.take(ctx, hb)
+	return h.compose(peer, known && hb.GetSender().GetPeers() == "", !known)
+}
+
+// compare notes which states differ from the last look, and calls the change hook.
+func (h *Heartbeater) compare() {
+	now := h.clock.Now()
+	h.mu.Lock()
+	members := h.tracker.View(now)
+	var changed []string
+	members = h.prune(members)
+	states := make(map[namer.VM]string, len(members))
+	for _, m := range members {
+		state := m.Incarnation.String() + "=" + m.State.String()
+		states[m.VM] = state
+		if h.states[m.VM] != state {
+			h.news[m.VM] = now
+			changed = append(changed, string(m.VM)+"/"+state)
+		}
+	}
+	for vm := range h.states {
+		if _, ok := states[vm]; !ok {
+			delete(h.news, vm)
+			delete(h.informed, vm)
+			changed = append(changed, string(vm)+"=forgotten")
+		}
+	}
+	h.states = states
+	hook := h.changed
+	h.mu.Unlock()
+	if len(changed) == 0 {
+		return
 	}
-	return states
+	hook()
+	slices.Sort(changed)
+	told := changed[:min(len(changed), newsMost)]
+	h.log.Info("members changed", "known", len(members), "count", len(changed), "changes", strings.Join(told, " "))
 }
 
 // beat sends one heartbeat to every target that has answered the last one. Of
 // two VMs the one with the lower name sends, and the other only when it has not
 // heard it for a while, or has news.
 func (h *Heartbeater) beat(ctx context.Context, news bool) {
-	hb := h.compose()
+	h.mu.Lock()
+	if !news {
+		h.beats++
+	}
+	far := news || h.beats%farBeats == 0
+	h.mu.Unlock()
 	for _, t := range h.targets() {
+		if !far && t.zone != h.self.Zone && t.vm != "" {
+			continue
+		}
 		h.mu.Lock()
 		skip := h.inFlight[t.address] || !news && h.waitsFor(t)
 		if !skip {
@@ -313,7 +385,7 @@
 		}
 		h.mu.Unlock()
 		if !skip {
-			h.beats.Go(func() { h.send(ctx, t.address, hb) })
+			h.running.Go(func() { h.send(ctx, t) })
 		}
 	}
 }
@@ -323,22 +395,27 @@
 	if t.vm == "" || h.self.VM < t.vm {
 		return false
 	}
+	beats := 1.0
+	if t.zone != h.self.Zone {
+		beats = farBeats
+	}
 	quiet := h.clock.Since(h.met[t.address])
-	return quiet < time.Duration(quietBeats*float64(h.timing.Heartbeat))
+	return quiet < time.Duration((beats-1+quietBeats)*float64(h.timing.Heartbeat))
 }
 
-func (h *Heartbeater) send(ctx context.Context, address string, hb *encoder.Heartbeat) {
+func (h *Heartbeater) send(ctx context.Context, t target) {
 	defer func() {
 		h.mu.Lock()
-		delete(h.inFlight, address)
+		delete(h.inFlight, t.address)
 		h.mu.Unlock()
 	}()
 	ctx, cancel := context.WithTimeout(ctx, h.timing.Tracker.Suspect)
 	defer cancel()
+	hb := h.compose(tracker.Member{VM: t.vm, Zone: t.zone}, t.vm != "", false)
 	req := &encoder.Request{Kind: &encoder.Request_Heartbeat{Heartbeat: hb}}
-	reply, err := h.services.Peers.Ask(ctx, address, namer.Incarnation{}, req)
+	reply, err := h.services.Peers.Ask(ctx, t.address, namer.Incarnation{}, req)
 	if err != nil {
-		h.log.Debug("heartbeat lost", "address", address, "reason", err.Error())
+		h.log.Debug("heartbeat lost", "address", t.address, "reason", err.Error())
 		return
 	}
 	if got := reply.GetHeartbeat(); got != nil {
@@ -346,22 +423,6 @@
 	}
 }
 
-func (h *Heartbeater) compose() *encoder.Heartbeat {
-	now := h.clock.Now()
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	h.self.Sequence++
-	self := h.describe()
-	hb := &encoder.Heartbeat{Sender: converter.Member(self, now)}
-	if h.self.Sequence%digestEvery != 0 && now.Sub(h.news) > newsBeats*h.timing.Heartbeat {
-		return hb
-	}
-	for _, m := range Digest(self, h.tracker.View(now), othersTold) {
-		hb.Members = append(hb.Members, converter.Member(m, now))
-	}
-	return hb
-}
-
 func (h *Heartbeater) describe() tracker.Member {
 	self := h.self
 	self.Heard = h.clock.Now()
@@ -373,27 +434,36 @@
 	return self
 }
 
-// take learns from a heartbeat, and pulls the document when the sender's is
-// higher.
-func (h *Heartbeater) take(ctx context.Context, hb *encoder.Heartbeat) {
+// take learns from a heartbeat, and pulls the document when the sender's is higher.
+// It returns the sender, and whether its process was known before.
+func (h *Heartbeater) take(ctx context.Context, hb *encoder.Heartbeat) (tracker.Member, bool) {
 	now := h.clock.Now()
 	sender, ok := converter.MemberFrom(hb.GetSender(), now)
 	if !ok {
-		return
+		return tracker.Member{}, false
 	}
-	sender.Heard = now
 	h.mu.Lock()
+	known, met := h.tracker.Find(now, sender.Incarnation)
+	if sender.Peers == "" {
+		if !met {
+			h.mu.Unlock()
+			return tracker.Member{}, false
+		}
+		sender.Zone, sender.Region, sender.Started = known.Zone, known.Region, known.Started
+		sender.Callers, sender.Peers, sender.Operators = known.Callers, known.Peers, known.Operators
+	}
+	sender.Heard = now
+	sender.State = tracker.Alive
+	// Only gateways hear VMs of other zones all the time.
+	sender.Told = sender.Zone != h.self.Zone && !h.gateway(h.tracker.View(now))
 	h.tracker.Hear(now, sender)
 	h.met[sender.Peers] = now
+	h.hearOthers(now, hb)
 	told := h.told
-	for _, raw := range hb.GetMembers() {
-		if m, ok := converter.MemberFrom(raw, now); ok {
-			h.tracker.Hear(now, m)
-		}
-	}
 	h.mu.Unlock()
 	told(sender.Seen)
 	h.catchUp(ctx, sender)
+	return sender, met
 }
 
 // catchUp pulls the document of a peer whose generation is higher. Where the
@@ -479,6 +549,7 @@
 // target is where a heartbeat goes. The VM is empty while it is not known.
 type target struct {
 	vm      namer.VM
+	zone    namer.Zone
 	address string
 }
 
@@ -494,13 +565,17 @@
 		known[m.VM] = true
 	}
 	var out []target
-	for _, m := range Targets(h.self, members) {
-		out = append(out, target{vm: m.VM, address: m.Peers})
+	for _, m := range Targets(h.self, members, h.gateway(members)) {
+		out = append(out, target{vm: m.VM, zone: m.Zone, address: m.Peers})
 	}
+	asked := make(map[namer.Zone]int)
 	for _, l := range h.listed {
-		if !known[l.VM] {
-			out = append(out, target{address: l.Peers})
+		// One of another zone that answers tells of the others.
+		if known[l.VM] || l.Zone != h.self.Zone && asked[l.Zone] >= Gateways {
+			continue
 		}
+		asked[l.Zone]++
+		out = append(out, target{address: l.Peers})
 	}
 	if len(out) > 0 {
 		return out
--- a/internal/member/heartbeater/topology.go
+++ b/internal/member/heartbeater/topology.go
@@ -29,40 +29,49 @@
 }
 
 // Guide returns the member from which a VM hears of the store's records, in the
-// view of members without it: the lead of its zone, from that one the lead of its
-// region, and none on the lead of a region, which asks the store itself. So the
-// calls grow with regions, and records cross into a zone once. Views that differ
-// cost calls, not safety.
+// view of members without it, or none on the one VM that asks the store itself. Each
+// VM follows its zone's lead, that one the lead of its region, and that one the lead
+// of all. So the calls do not grow with the fleet, and records cross into a zone and
+// a region once. Views that differ cost calls, not safety.
 func Guide(self tracker.Member, members []tracker.Member) (tracker.Member, bool) {
-	region := lead(self, members, namer.Zone(self.Region), func(m tracker.Member) bool { return m.Region == self.Region })
-	if region.VM == self.VM {
-		return tracker.Member{}, false
-	}
-	if region.Zone == self.Zone {
-		return region, true
+	leads := zoneLeads(self, members)
+	zone := leads[self.Zone]
+	if zone.VM != self.VM {
+		return zone, true
 	}
-	zone := lead(self, members, self.Zone, func(m tracker.Member) bool { return m.Zone == self.Zone })
-	if zone.VM == self.VM {
+	region := firstLead(leads, func(m tracker.Member) bool { return m.Region == self.Region })
+	if region.VM != self.VM {
 		return region, true
 	}
-	return zone, true
+	all := firstLead(leads, func(tracker.Member) bool { return true })
+	return all, all.VM != self.VM
 }
 
-// lead returns the first of those that fit, by a name's order. One that the store
-// does not answer comes after all others.
-func lead(self tracker.Member, members []tracker.Member, name namer.Zone, fits func(tracker.Member) bool) tracker.Member {
-	first := self
+// zoneLeads returns the lead of each zone, which is one of its first gateways: those
+// are the VMs that other zones know.
+func zoneLeads(self tracker.Member, members []tracker.Member) map[namer.Zone]tracker.Member {
+	leads := map[namer.Zone]tracker.Member{self.Zone: self}
 	for _, m := range members {
-		if !fits(m) || m.VM == self.VM || m.State != tracker.Alive {
+		if m.VM == self.VM || m.State != tracker.Alive {
 			continue
 		}
-		if m.Away != first.Away {
-			if first.Away {
-				first = m
-			}
+		first, ok := leads[m.Zone]
+		if !ok || first.Away && !m.Away || first.Away == m.Away && rank(m.VM, m.Zone) < rank(first.VM, first.Zone) {
+			leads[m.Zone] = m
+		}
+	}
+	return leads
+}
+
+// firstLead returns the first of the leads that fit, by the order of their zones. One
+// that the store does not answer comes after all others.
+func firstLead(leads map[namer.Zone]tracker.Member, fits func(tracker.Member) bool) tracker.Member {
+	var first tracker.Member
+	for _, m := range leads {
+		if !fits(m) {
 			continue
 		}
-		if rank(m.VM, name) < rank(first.VM, name) {
+		if first.VM == "" || first.Away && !m.Away || first.Away == m.Away && rank("", m.Zone) < rank("", first.Zone) {
 			first = m
 		}
 	}
@@ -71,8 +80,7 @@
 
 // Targets returns the members to send heartbeats to: every one of this zone,
 // and from a gateway the gateways of the other zones.
-func Targets(self tracker.Member, members []tracker.Member) []tracker.Member {
-	gateway := IsGateway(self.VM, self.Zone, members)
+func Targets(self tracker.Member, members []tracker.Member, gateway bool) []tracker.Member {
 	var targets []tracker.Member
 	for _, m := range members {
 		own := m.Zone == self.Zone
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -35,6 +35,10 @@
 // from the view.
 const forgetAfter = 60
 
+// toldFactor is how many times as long a member may be silent that is known from
+// others only: its age is told every few seconds, and its silence at once.
+const toldFactor = 6
+
 type (
 	// State is a member's state as this VM judges it.
 	State int
@@ -73,15 +77,28 @@
 		// Away says that the store does not answer the member.
 		Away       bool
 		Generation namer.Generation
-		Rooms      []Room
-		Needs      []Need
-		Seen       []Seen
-		Heard      time.Time
-		State      State
+		// Near is how many VMs of its zone the member knows to run, with itself.
+		Near  int
+		Rooms []Room
+		Needs []Need
+		Seen  []Seen
+		Heard time.Time
+		// Told says that the member is known from others only.
+		Told  bool
+		State State
 
 		doubted time.Time
 	}
 
+	// Summary is what the VMs of a zone are and need together, as a VM of the zone
+	// told it.
+	Summary struct {
+		Zone  namer.Zone
+		VMs   int
+		Needs []Need
+		At    time.Time
+	}
+
 	// Timing says after which silence a member is suspect and dead.
 	Timing struct {
 		Suspect time.Duration
@@ -123,12 +140,14 @@
 		return false
 	}
 	if ok && m.Incarnation == known.Incarnation {
+		m.Told = m.Told && (known.Told || m.Heard.Sub(known.Heard) > t.timing.Suspect)
 		m.Heard = namer.Later(m.Heard, known.Heard)
 		// Leaving is never taken back by the same incarnation.
 		m.Leaving = m.Leaving || known.Leaving
 		if m.Sequence == known.Sequence {
 			known.Heard = m.Heard
 			known.Leaving = m.Leaving
+			known.Told = m.Told
 			t.members[m.VM] = known
 			return false
 		}
@@ -157,6 +176,24 @@
 	return false
 }
 
+// Refresh takes another VM's word on when an incarnation was last heard.
+func (t *Tracker) Refresh(now time.Time, inc namer.Incarnation, heard time.Time) {
+	t.now = namer.Later(t.now, now)
+	for name, m := range t.members {
+		if m.Incarnation != inc || !heard.After(m.Heard) {
+			continue
+		}
+		m.Told = m.Told || heard.Sub(m.Heard) > t.timing.Suspect
+		m.Heard = heard
+		t.members[name] = m
+	}
+}
+
+// Forget drops a member until it is heard of again.
+func (t *Tracker) Forget(vm namer.VM) {
+	delete(t.members, vm)
+}
+
 // View returns every member but this VM in the order of names, each with its
 // state at the time.
 func (t *Tracker) View(now time.Time) []Member {
@@ -188,6 +225,9 @@
 
 func (t *Tracker) state(m Member) State {
 	silence := t.now.Sub(m.Heard)
+	if m.Told {
+		silence /= toldFactor
+	}
 	switch {
 	case silence > t.timing.Dead:
 		return Dead
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -145,8 +145,11 @@
 // Member returns a member as a message. Age is the time since it was heard.
 func Member(m tracker.Member, now time.Time) *encoder.Member {
 	state := encoder.State_STATE_ALIVE
-	if m.Leaving {
+	switch {
+	case m.Leaving:
 		state = encoder.State_STATE_LEAVING
+	case m.State == tracker.Suspect || m.State == tracker.Dead:
+		state = encoder.State_STATE_SUSPECT
 	}
 	out := &encoder.Member{
 		Vm:          string(m.VM),
@@ -162,10 +165,9 @@
 		Generation:  uint64(m.Generation),
 		Age:         now.Sub(m.Heard).Milliseconds(),
 		Away:        m.Away,
+		Near:        int64(m.Near),
 	}
-	for _, n := range m.Needs {
-		out.Need = append(out.Need, &encoder.Need{Service: string(n.Service), Slots: n.Slots})
-	}
+	out.Need = needs(m.Needs)
 	for _, seen := range m.Seen {
 		out.Seen = append(out.Seen, &encoder.Seen{Kind: string(seen.Kind), Version: uint64(seen.Version)})
 	}
@@ -194,12 +196,14 @@
 		Sequence:    m.GetSequence(),
 		Leaving:     m.GetState() == encoder.State_STATE_LEAVING,
 		Away:        m.GetAway(),
+		Near:        int(m.GetNear()),
 		Generation:  namer.Generation(m.GetGeneration()),
 		Heard:       now.Add(-time.Duration(max(m.GetAge(), 0)) * time.Millisecond),
 	}
-	for _, n := range m.GetNeed() {
-		out.Needs = append(out.Needs, tracker.Need{Service: namer.Service(n.GetService()), Slots: n.GetSlots()})
+	if m.GetState() == encoder.State_STATE_SUSPECT {
+		out.State = tracker.Suspect
 	}
+	out.Needs = needsFrom(m.GetNeed())
 	for _, seen := range m.GetSeen() {
 		out.Seen = append(out.Seen, tracker.Seen{Kind: storer.Kind(seen.GetKind()), Version: storer.Version(seen.GetVersion())})
 	}
@@ -212,6 +216,46 @@
 	return out, true
 }
 
+// Known returns a member's word of itself for peers that know its process, without
+// what does not change during its life.
+func Known(m tracker.Member, now time.Time) *encoder.Member {
+	m.Zone, m.Region, m.Callers, m.Peers, m.Operators, m.Started = "", "", "", "", "", time.UnixMilli(0)
+	return Member(m, now)
+}
+
+// Summary returns what is known of a zone as a message.
+func Summary(s tracker.Summary, now time.Time) *encoder.Summary {
+	return &encoder.Summary{Zone: string(s.Zone), Vms: int64(s.VMs), Need: needs(s.Needs), Age: now.Sub(s.At).Milliseconds()}
+}
+
+// SummaryFrom returns the summary held in a message.
+func SummaryFrom(m *encoder.Summary, now time.Time) tracker.Summary {
+	return tracker.Summary{
+		Zone:  namer.Zone(m.GetZone()),
+		VMs:   int(max(m.GetVms(), 0)),
+		Needs: needsFrom(m.GetNeed()),
+		At:    now.Add(-time.Duration(max(m.GetAge(), 0)) * time.Millisecond),
+	}
+}
+
+func needs(ns []tracker.Need) []*encoder.Need {
+	var out []*encoder.Need
+	for _, n := range ns {
+		out = append(out, &encoder.Need{Service: string(n.Service), Slots: n.Slots})
+	}
+	return out
+}
+
+func needsFrom(ns []*encoder.Need) []tracker.Need {
+	var out []tracker.Need
+	for _, n := range ns {
+		if n.GetSlots() >= 0 && !math.IsInf(n.GetSlots(), 0) {
+			out = append(out, tracker.Need{Service: namer.Service(n.GetService()), Slots: n.GetSlots()})
+		}
+	}
+	return out
+}
+
 // Upstreams adds what is known of upstreams to a document. Cold times travel as
 // what is left of them.
 func Upstreams(out *encoder.Document, v *cataloger.View, now time.Time) {
--- a/internal/stand/assessor/assessor.go
+++ b/internal/stand/assessor/assessor.go
@@ -224,7 +224,7 @@
 		}
 	}
 	row(out, "VMs that watch the head and read the list", "%d of %d", gateways, nodes)
-	row(out, "targets of a gateway's heartbeats", "%d", len(heartbeater.Targets(gateway(all), all)))
+	row(out, "targets of a gateway's heartbeats", "%d", len(heartbeater.Targets(gateway(all), all, true)))
 }
 
 func gateway(all []tracker.Member) tracker.Member {
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -153,15 +153,17 @@
 }
 
 // Apply implements follower.Handler.
-func (u *upstreams) Apply(c storer.Change) {
+func (u *upstreams) Apply(changes []storer.Change) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.clock.Now()
-	if c.Removed {
-		u.log.Info("upstream removed", "upstream", c.Record.Name, "version", uint64(c.Record.Version))
-		u.catalog.Remove(now, namer.Upstream(c.Record.Name))
-	} else if !u.put(now, c.Record) {
-		u.catalog.Remove(now, namer.Upstream(c.Record.Name))
+	for _, c := range changes {
+		if c.Removed {
+			u.log.Info("upstream removed", "upstream", c.Record.Name, "version", uint64(c.Record.Version))
+		}
+		if c.Removed || !u.put(now, c.Record) {
+			u.catalog.Remove(now, namer.Upstream(c.Record.Name))
+		}
 	}
 	u.changed(u.catalog.View())
 }
@@ -203,14 +205,16 @@
 }
 
 // Apply implements follower.Handler.
-func (d *drains) Apply(c storer.Change) {
+func (d *drains) Apply(changes []storer.Change) {
 	d.mu.Lock()
 	zones := maps.Clone(d.drained)
 	d.mu.Unlock()
-	if c.Removed {
-		delete(zones, namer.Zone(c.Record.Name))
-	} else {
-		zones[namer.Zone(c.Record.Name)] = true
+	for _, c := range changes {
+		if c.Removed {
+			delete(zones, namer.Zone(c.Record.Name))
+		} else {
+			zones[namer.Zone(c.Record.Name)] = true
+		}
 	}
 	d.set(zones)
 }
