Zones keep copies of a route's objects only where a copy pays

Whether zones share was decided by the distance of regions, a ratio fitted to two sites. Now share/copier weighs, for each route, one cold run against the way and the bytes that the copy saves in 15 s, from the requests, objects, work, ways and sizes that the VM measures. Until that is known, and where it does not pay, a region's zones share.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -228,7 +228,7 @@
 	for _, vms := range zones {
 		all += vms
 	}
-	st.SetMembers(all, func(u namer.Upstream) int { return placeFor(u, s.VM, s.Zone, near, zones) })
+	st.SetMembers(all, len(near)+1, func(u namer.Upstream) int { return placeFor(u, s.VM, s.Zone, near, zones) })
 }
 
 // placeFor returns a VM's place among all VMs in an order of an upstream's own: zone by
--- a/internal/route/selector/need.go
+++ b/internal/route/selector/need.go
@@ -3,8 +3,11 @@
 import (
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/share/copier"
 	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
 )
 
@@ -24,20 +27,29 @@
 		at    time.Time
 		begun time.Time
 		work  time.Duration
+
+		// copier counts the objects, bytes is the size of a request with its answer.
+		copier  *copier.Copier
+		bytes   float64
+		apart   bool
+		decided time.Time
 	}
 )
 
-// Arrive counts a caller's request.
-func (s *Selector) Arrive(now time.Time, r *parser.Route, service namer.Service) {
+// Arrive counts a caller's request. Object is empty where it is about none.
+func (s *Selector) Arrive(now time.Time, r *parser.Route, service namer.Service, object string) {
 	key := rateKey{route: r.Name, service: service}
 	known := s.rates[key]
 	if known == nil {
-		known = &rate{at: now, begun: now}
+		known = &rate{at: now, begun: now, copier: copier.New()}
 		s.rates[key] = known
 	}
 	known.fade(now)
 	known.count++
 	known.work = s.work(r)
+	if object != "" {
+		known.copier.Count(now, xxhash.Sum64String(object))
+	}
 }
 
 // Needs returns the slots that this VM's callers need, as far as objects are
--- a/internal/route/selector/node.go
+++ b/internal/route/selector/node.go
@@ -90,6 +90,8 @@
 	// Load is the upstream's own count of running and waiting requests, and
 	// negative when it told none.
 	Load int
+	// Bytes is the size of the request and its answer, 0 when it is not known.
+	Bytes int
 }
 
 // End takes over what came of a sent request.
@@ -118,12 +120,24 @@
 	n.failures = 0
 	n.until = time.Time{}
 	n.judge(now, true)
+	s.learnBytes(d, r.Bytes)
 	if r.Opening > 0 {
 		s.LearnWay(n.Zone, r.Opening)
 	}
 	s.learn(now, d, r.Latency-r.Opening-s.way(n))
 }
 
+func (s *Selector) learnBytes(d Decision, size int) {
+	known := s.rates[rateKey{route: d.route, service: d.node.Service}]
+	switch {
+	case known == nil || size <= 0:
+	case known.bytes == 0:
+		known.bytes = float64(size)
+	default:
+		known.bytes += latencyGain * (float64(size) - known.bytes)
+	}
+}
+
 // learn takes a latency into the route's expectation and the upstream's speed.
 func (s *Selector) learn(now time.Time, d Decision, latency time.Duration) {
 	if latency <= 0 || !d.warm || !d.idle || d.node.cold(now) {
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -76,7 +76,7 @@
 // of the next zone, which keeps the object for its own callers, then the rest.
 func (s *Selector) candidates(now time.Time, svc *service, a Ask) []*node {
 	key := xxhash.Sum64String(a.Object)
-	zones := s.zoneOrder(svc, key)
+	zones := s.zoneOrder(now, svc, a.Route.Name, key)
 	list := make([]placed, 0, len(svc.nodes))
 	for _, n := range svc.nodes {
 		if s.usable(now, n, a) {
@@ -109,8 +109,8 @@
 
 // zoneOrder returns each zone's place for an object: zones that hold a part of
 // this zone's objects by that part, then those of the own region, then others.
-func (s *Selector) zoneOrder(svc *service, key uint64) map[namer.Zone]int {
-	parts := s.parts(svc)
+func (s *Selector) zoneOrder(now time.Time, svc *service, route namer.Route, key uint64) map[namer.Zone]int {
+	parts := s.parts(now, svc, route)
 	zones := make([]zoned, 0, len(svc.slots))
 	for name, slots := range svc.slots {
 		z := zoned{name: name, tier: farTier, score: draw(xxhash.Sum64String(string(name)), key, slots)}
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -109,15 +109,14 @@
 		nodes    map[namer.Upstream]*node
 		latency  map[namer.Route]time.Duration
 		ways     ways
-		// pooled says that the zones of the region share copies; sharing are
-		// these zones in the order of their names.
-		pooled  bool
+		// sharing are the zones of the region in the order of their names.
 		sharing []namer.Zone
 		rates   map[rateKey]*rate
 		drained map[namer.Zone]bool
 		spreads map[namer.Service]*spreader.Spreader
 		drift   drift
 		vms     int
+		near    int
 		rank    func(namer.Upstream) int
 	}
 
@@ -141,6 +140,7 @@
 		rates:    make(map[rateKey]*rate),
 		spreads:  make(map[namer.Service]*spreader.Spreader),
 		vms:      1,
+		near:     1,
 		rank:     func(namer.Upstream) int { return 0 },
 	}
 }
@@ -157,10 +157,11 @@
 	return out
 }
 
-// SetMembers takes over how many VMs there are, and a function that gives this
-// VM's place among them for an upstream.
-func (s *Selector) SetMembers(vms int, rank func(namer.Upstream) int) {
+// SetMembers takes over how many VMs there are in all and in this VM's zone, and a
+// function that gives this VM's place among them for an upstream.
+func (s *Selector) SetMembers(vms, near int, rank func(namer.Upstream) int) {
 	s.vms = max(vms, 1)
+	s.near = max(near, 1)
 	s.rank = rank
 }
 
--- a/internal/route/selector/way.go
+++ b/internal/route/selector/way.go
@@ -4,17 +4,13 @@
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/share/copier"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
 const (
 	// wayGain is the weight of a new sample that is longer than what is known.
 	wayGain = 0.02
-	// regionRatio is how many times as far as the other zones of the own region
-	// the nearest other region must be for the region to count as one place. In
-	// the deployments that the brief names, regions are about four or about twelve
-	// times as far; with the first, each zone keeps its own copies.
-	regionRatio = 7
 )
 
 // ways is what is known of the time to each zone and back.
@@ -37,15 +33,9 @@
 	least, ok := s.ways.least[zone]
 	if !ok || opening < least {
 		s.ways.least[zone] = opening
-		s.pooled = s.isPooled()
 	}
 }
 
-// Pooled reports whether the zones of the region share the copies of objects.
-func (s *Selector) Pooled() bool {
-	return s.pooled
-}
-
 // Unmeasured returns an upstream of each zone to which the way is not known.
 func (s *Selector) Unmeasured() map[namer.Zone]cataloger.Target {
 	out := make(map[namer.Zone]cataloger.Target)
@@ -57,32 +47,49 @@
 	return out
 }
 
-// isPooled reports whether the zones of the own region are so near to each other,
-// compared with other regions, that they share the copies of their objects.
-func (s *Selector) isPooled() bool {
-	var near, far time.Duration
+// nearWay returns the time to the farthest other zone of the region and back.
+func (s *Selector) nearWay() time.Duration {
+	var near time.Duration
 	for zone, way := range s.ways.least {
-		switch {
-		case zone == s.self.Zone:
-		case s.self.Regions[zone] == s.self.Region:
+		if zone != s.self.Zone && s.self.Regions[zone] == s.self.Region {
 			near = max(near, way)
-		case far == 0 || way < far:
-			far = way
 		}
 	}
-	return near > 0 && far > regionRatio*near
+	return near
+}
+
+// Shares reports whether the zones of the region share the copies of a route's
+// objects, which they do until copies of their own are known to pay. What is decided
+// holds for a while, since a change costs cold runs.
+func (s *Selector) Shares(now time.Time, route namer.Route, service namer.Service) bool {
+	r := s.rates[rateKey{route: route, service: service}]
+	if r == nil {
+		return true
+	}
+	if now.Sub(r.decided) < copier.Horizon {
+		return !r.apart
+	}
+	rate, objects, ok := r.copier.Estimate(now)
+	if !ok {
+		return !r.apart
+	}
+	r.decided = now
+	r.apart = copier.Pays(copier.Demand{
+		Rate: rate * float64(s.near), Objects: objects, Work: r.work, Way: s.nearWay(), Bytes: r.bytes,
+	})
+	return !r.apart
 }
 
 // parts returns which part of the objects of this VM's callers belongs to which
 // zone. VMs whose zones share copies all return the same.
-func (s *Selector) parts(svc *service) map[namer.Zone]float64 {
+func (s *Selector) parts(now time.Time, svc *service, route namer.Route) map[namer.Zone]float64 {
 	parts := make(map[namer.Zone]float64)
 	sp := s.spreads[svc.Name]
 	if sp == nil {
 		return parts
 	}
 	zones := []namer.Zone{s.self.Zone}
-	if s.pooled {
+	if s.Shares(now, route, svc.Name) {
 		zones = s.sharing
 	}
 	for _, zone := range zones {
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -230,7 +230,7 @@
 	a *attempts, d selector.Decision, took time.Duration, answer exchanger.Answer,
 ) (Result, verdict) {
 	requests, slots := loadOf(answer.Header.Get(s.headers.Load))
-	report := selector.Report{Latency: took, Opening: answer.Opening, Load: requests}
+	report := selector.Report{Latency: took, Opening: answer.Opening, Load: requests, Bytes: sizeOf(a, answer)}
 	result := Result{
 		Status: answer.Status, Header: answer.Header, Body: answer.Body, Rest: answer.Rest, Length: answer.Length,
 	}
@@ -263,6 +263,19 @@
 	return result, finished
 }
 
+// sizeOf returns the bytes of a request and its answer.
+func sizeOf(a *attempts, answer exchanger.Answer) int {
+	size := len(a.request.Target) + len(a.request.Body) + max(len(answer.Body), int(answer.Length))
+	for _, header := range []http.Header{a.request.Header, answer.Header} {
+		for name, values := range header {
+			for _, v := range values {
+				size += len(name) + len(v)
+			}
+		}
+	}
+	return size
+}
+
 func closeRest(answer exchanger.Answer) {
 	if answer.Rest != nil {
 		_ = answer.Rest.Close()
--- a/internal/route/steerer/queue.go
+++ b/internal/route/steerer/queue.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 )
@@ -59,20 +60,24 @@
 }
 
 func (s *Steerer) ask(a *attempts) selector.Ask {
-	object := a.request.Object
-	if !a.route.Affinity {
-		object = ""
-	}
 	return selector.Ask{
 		Route:   a.route,
 		Service: a.service,
-		Object:  object,
+		Object:  objectOf(a.route, a.request),
 		Ideal:   a.request.Arrived.Add(a.route.Target),
 		Due:     s.bounded(a.due),
 		Tried:   a.tried,
 	}
 }
 
+// objectOf returns what a request is about, or nothing where upstreams remember none.
+func objectOf(route *parser.Route, r Request) string {
+	if !route.Affinity {
+		return ""
+	}
+	return r.Object
+}
+
 // await waits for the request's turn, until its time is over or its caller has
 // gone.
 func (s *Steerer) await(ctx context.Context, a *attempts, w *waiter) selector.Decision {
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -197,7 +197,7 @@
 		return
 	}
 	s.selector.LearnWay(zone, took)
-	s.log.Info("way measured", "zone", string(zone), "upstream", string(t.Upstream), "took", took, "pooled", s.selector.Pooled())
+	s.log.Info("way measured", "zone", string(zone), "upstream", string(t.Upstream), "took", took)
 }
 
 // Leave has the steerer take only requests whose time limit is over before the
@@ -229,12 +229,12 @@
 	return s.bounded(t).Equal(t)
 }
 
-// SetMembers takes over how many VMs there are, and this VM's place among them
-// for an upstream.
-func (s *Steerer) SetMembers(vms int, rank func(namer.Upstream) int) {
+// SetMembers takes over how many VMs there are in all and in this VM's zone, and this
+// VM's place among them for an upstream.
+func (s *Steerer) SetMembers(vms, near int, rank func(namer.Upstream) int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.selector.SetMembers(vms, rank)
+	s.selector.SetMembers(vms, near, rank)
 	s.update()
 }
 
@@ -331,7 +331,7 @@
 	service := pick(route.Parts)
 	now := s.clock.Now()
 	s.budgetOf(service).Request(now)
-	s.selector.Arrive(now, route, service)
+	s.selector.Arrive(now, route, service, objectOf(route, r))
 	return route, service, Result{}
 }
 
