VMs that start together wait for peers' records; lists of VMs and notes may be seconds old

Now a VM that has just started waits for a peer's first word (0.5 s at most) and for the records of a peer that it reached (1 s) before it reads them itself; the list of VMs and the notes are read as the store has them within the last seconds, which costs it less. TestStartWaitsForAPeer and TestMeet fail before. The loops of storer.VMs and storer.Notes are one.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -67,6 +67,9 @@
 	// before it reads them from the store; it is two round trips of the longest
 	// way that the brief names.
 	firstTime = 250 * time.Millisecond
+	// firstWait is how long it waits for the records of a peer that it has reached: the
+	// peer may be reading many pages, or wait for a peer of its own.
+	firstWait = time.Second
 	// awayTime is how long the source must have failed before this VM says so to
 	// its peers; a single failed call is tried again well before.
 	awayTime = 300 * time.Millisecond
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -36,6 +36,8 @@
 
 	// Relay opens another VM's updates.
 	Relay interface {
+		// Meet waits until this VM knows a peer, or has had the time to.
+		Meet(ctx context.Context)
 		// Open returns the updates of a kind after a version. It returns ErrLead
 		// on a VM that is to ask the store itself.
 		Open(ctx context.Context, kind storer.Kind, since storer.Version) (Updates, error)
@@ -56,6 +58,9 @@
 	if f.relay == nil {
 		return leads
 	}
+	if !f.listed {
+		f.relay.Meet(parent)
+	}
 	ctx, cancel := context.WithCancel(parent)
 	defer cancel()
 	if !f.beginFollow(cancel) {
@@ -73,6 +78,10 @@
 		return f.unfollow(err)
 	}
 	defer updates.Close()
+	if !f.listed {
+		stale.Stop()
+		stale = f.clock.AfterFunc(firstWait, cancel)
+	}
 	for {
 		u, err := updates.Next()
 		if err != nil {
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -36,6 +36,9 @@
 	p.gone = true
 }
 
+// Meet implements follower.Relay.
+func (p *peer) Meet(context.Context) {}
+
 // Open implements follower.Relay.
 func (p *peer) Open(ctx context.Context, _ storer.Kind, since storer.Version) (follower.Updates, error) {
 	p.mu.Lock()
@@ -295,3 +298,33 @@
 		assert.Equal(t, len(u.Changes), tc.want)
 	}
 }
+
+// TestStartWaitsForAPeer has a VM that starts with its peer wait for the peer's records:
+// where a whole fleet starts, one VM reads all pages and not each of them. It reads them
+// itself when the peer stays silent.
+func TestStartWaitsForAPeer(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	src := newSource(clock)
+	src.put("first")
+	p := newPeer()
+	f := follower.New(src, kind, &copied{}, clock, slog.New(slog.DiscardHandler), follower.WithRelay(p), follower.WithBound(tightest))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- f.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	<-p.opened
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(500 * time.Millisecond)
+	assert.Equal(t, src.calls(), 0)
+	clock.Advance(time.Second)
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if src.calls() > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not listed")
+	})
+}
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -60,6 +60,10 @@
 	// settleBeats is how many heartbeats a VM that has just started waits for those
 	// of its zone before it takes itself for a gateway.
 	settleBeats = 3
+	// meetTime is how long a VM that has just started waits for the first answer of a
+	// peer before it does what the first of all does. It is over the time that seeds
+	// take to answer hundreds of VMs that start at once.
+	meetTime = 500 * time.Millisecond
 	// listAfter is how many heartbeats a VM that knows nobody waits for its seeds
 	// before it reads the platform's list.
 	listAfter = 2
@@ -116,7 +120,9 @@
 		clock    clockwork.Clock
 		log      *slog.Logger
 		kick     chan struct{}
-		running  sync.WaitGroup
+		// first is closed when a peer is heard for the first time.
+		first   chan struct{}
+		running sync.WaitGroup
 
 		mu       sync.Mutex
 		self     tracker.Member
@@ -151,6 +157,7 @@
 		clock:     clock,
 		log:       log,
 		kick:      make(chan struct{}, 1),
+		first:     make(chan struct{}),
 		self:      self,
 		begun:     clock.Now(),
 		tracker:   tracker.New(self.VM, timing.Tracker),
@@ -322,6 +329,24 @@
 	return !alone || h.clock.Since(h.begun) >= listAfter*h.timing.Heartbeat
 }
 
+// Meet waits until a peer is known, or a VM that has just started has had the time to
+// meet one.
+func (h *Heartbeater) Meet(ctx context.Context) {
+	h.mu.Lock()
+	others := slices.ContainsFunc(h.seeds, func(seed string) bool { return seed != h.self.Peers })
+	h.mu.Unlock()
+	if !others {
+		return
+	}
+	timer := h.clock.NewTimer(max(0, meetTime-h.clock.Since(h.begun)))
+	defer timer.Stop()
+	select {
+	case <-h.first:
+	case <-timer.Chan():
+	case <-ctx.Done():
+	}
+}
+
 // Answer takes a heartbeat and returns this VM's own. A peer that was not known is
 // told of all members that it may need.
 func (h *Heartbeater) Answer(ctx context.Context, hb *encoder.Heartbeat) *encoder.Heartbeat {
@@ -457,7 +482,12 @@
 	// Only gateways hear VMs of other zones all the time.
 	sender.Told = sender.Zone != h.self.Zone && !h.gateway(h.tracker.View(now))
 	h.tracker.Hear(now, sender)
-	h.met[sender.Peers] = now
+	if len(h.met) == 0 && sender.VM != h.self.VM {
+		close(h.first)
+	}
+	if sender.VM != h.self.VM {
+		h.met[sender.Peers] = now
+	}
 	h.hearOthers(now, hb)
 	told := h.told
 	h.mu.Unlock()
--- a/internal/member/heartbeater/heartbeater_test.go
+++ b/internal/member/heartbeater/heartbeater_test.go
@@ -165,3 +165,34 @@
 		return poll.Continue("not leaving")
 	})
 }
+
+// TestMeet has a VM that has just started wait for the first word of a peer, and no
+// longer than a peer may take.
+func TestMeet(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	log := slog.New(slog.DiscardHandler)
+	self := tracker.Member{VM: "a", Zone: "z", Region: "r", Peers: "a", Incarnation: namer.Incarnation{1}}
+	timing := heartbeater.Timing{Heartbeat: beat, Poll: time.Hour, Tracker: tracker.Timing{Suspect: 3 * beat, Dead: 10 * beat}}
+	services := heartbeater.Services{Peers: end{&wire{}, "a"}, Lister: nobody{}, Documents: keeper.New(log)}
+	begin := func(seeds ...string) (*heartbeater.Heartbeater, chan struct{}) {
+		h := heartbeater.New(self, services, seeds, timing, clock, log)
+		met := make(chan struct{})
+		go func() {
+			defer close(met)
+			h.Meet(t.Context())
+		}()
+		return h, met
+	}
+	_, alone := begin("a")
+	<-alone
+	h, told := begin("a", "b")
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	inc := namer.Incarnation{2}
+	h.Answer(t.Context(), &encoder.Heartbeat{Sender: &encoder.Member{Vm: "b", Zone: "z", Region: "r", Peers: "b", Incarnation: inc[:]}})
+	<-told
+	_, silent := begin("a", "b")
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	clock.Advance(time.Second)
+	<-silent
+}
--- a/internal/peer/relayer/relayer.go
+++ b/internal/peer/relayer/relayer.go
@@ -6,7 +6,7 @@
 //
 // # Usage
 //
-//	r := relayer.New(messenger, members.Guide)
+//	r := relayer.New(messenger, members)
 //	f := follower.New(calls, kind, handler, clock, log, follower.WithRelay(r))
 package relayer
 
@@ -33,13 +33,18 @@
 		Open(ctx context.Context, address string, want namer.Incarnation) (*messenger.Stream, error)
 	}
 
-	// Guide returns the peer to follow, or false on a VM that follows nobody.
-	Guide func() (tracker.Member, bool)
+	// Guides knows the peers.
+	Guides interface {
+		// Guide returns the peer to follow, or false on a VM that follows nobody.
+		Guide() (tracker.Member, bool)
+		// Meet waits until a peer is known, or there was the time for it.
+		Meet(ctx context.Context)
+	}
 
 	// Relayer opens updates.
 	Relayer struct {
 		opener Opener
-		guide  Guide
+		guides Guides
 	}
 
 	// updates are one peer's words on one kind.
@@ -52,14 +57,19 @@
 
 var _ follower.Relay = (*Relayer)(nil)
 
-// New returns a relayer that follows the guide's peer.
-func New(o Opener, g Guide) *Relayer {
-	return &Relayer{opener: o, guide: g}
+// New returns a relayer that follows the peer that it is guided to.
+func New(o Opener, g Guides) *Relayer {
+	return &Relayer{opener: o, guides: g}
+}
+
+// Meet implements follower.Relay.
+func (r *Relayer) Meet(ctx context.Context) {
+	r.guides.Meet(ctx)
 }
 
 // Open implements follower.Relay.
 func (r *Relayer) Open(ctx context.Context, kind storer.Kind, since storer.Version) (follower.Updates, error) {
-	peer, ok := r.guide()
+	peer, ok := r.guides.Guide()
 	if !ok {
 		return nil, follower.ErrLead
 	}
@@ -89,7 +99,7 @@
 
 // From implements follower.Updates.
 func (u *updates) From() (namer.VM, bool) {
-	peer, ok := u.relayer.guide()
+	peer, ok := u.relayer.guides.Guide()
 	return u.peer.VM, ok && peer.Incarnation == u.peer.Incarnation
 }
 
--- a/internal/platform/storer/records.go
+++ b/internal/platform/storer/records.go
@@ -66,6 +66,8 @@
 	Calls interface {
 		Read(ctx context.Context, kind Kind, name string) (Record, error)
 		List(ctx context.Context, kind Kind, after string) (Page, error)
+		// Glance is a list that may be some seconds old. It costs the platform less.
+		Glance(ctx context.Context, kind Kind, after string) (Page, error)
 		Changes(ctx context.Context, kind Kind, since Version, wait time.Duration) (Changes, error)
 		Create(ctx context.Context, kind Kind, name string, spec json.RawMessage) (Version, error)
 		Replace(ctx context.Context, kind Kind, name string, spec json.RawMessage, version Version) (Version, error)
--- a/internal/platform/storer/storer.go
+++ b/internal/platform/storer/storer.go
@@ -122,27 +122,17 @@
 	return version, errors.Wrapf(err, "writing %s", key)
 }
 
-// VMs returns the platform's list of live and leaving VMs. A record that can't
-// be read names no VM.
+// VMs returns the platform's list of live and leaving VMs, which may be some seconds
+// old: it is a hint for the first contact. A record that can't be read names no VM.
 func (s *Storer) VMs(ctx context.Context) ([]ListedVM, error) {
 	var vms []ListedVM
-	after := ""
-	for {
-		page, err := s.calls.List(ctx, VMKind, after)
-		if err != nil {
-			return nil, errors.Wrap(err, "listing VMs")
-		}
-		for _, r := range page.Records {
-			after = r.Name
-			var vm ListedVM
-			if json.Unmarshal(r.Spec, &vm) == nil && vm.VM != "" {
-				vms = append(vms, vm)
-			}
-		}
-		if !page.More || len(page.Records) == 0 {
-			return vms, nil
+	err := s.glance(ctx, VMKind, func(r Record) {
+		var vm ListedVM
+		if json.Unmarshal(r.Spec, &vm) == nil && vm.VM != "" {
+			vms = append(vms, vm)
 		}
-	}
+	})
+	return vms, errors.Wrap(err, "listing VMs")
 }
 
 // Enroll writes a VM into the list, in place of an earlier process of it.
@@ -173,23 +163,11 @@
 	return err
 }
 
-// Notes returns all notes by name.
+// Notes returns all notes by name, as they were within the last seconds.
 func (s *Storer) Notes(ctx context.Context) (map[string]json.RawMessage, error) {
 	notes := make(map[string]json.RawMessage)
-	after := ""
-	for {
-		page, err := s.calls.List(ctx, NoteKind, after)
-		if err != nil {
-			return nil, errors.Wrap(err, "listing notes")
-		}
-		for _, r := range page.Records {
-			after = r.Name
-			notes[r.Name] = r.Spec
-		}
-		if !page.More || len(page.Records) == 0 {
-			return notes, nil
-		}
-	}
+	err := s.glance(ctx, NoteKind, func(r Record) { notes[r.Name] = r.Spec })
+	return notes, errors.Wrap(err, "listing notes")
 }
 
 // Note writes a note in place of an earlier one. The last writer wins.
@@ -202,6 +180,24 @@
 	return err
 }
 
+// glance takes all records of a kind, as they were within the last seconds.
+func (s *Storer) glance(ctx context.Context, kind Kind, take func(Record)) error {
+	after := ""
+	for {
+		page, err := s.calls.Glance(ctx, kind, after)
+		if err != nil {
+			return err
+		}
+		for _, r := range page.Records {
+			after = r.Name
+			take(r)
+		}
+		if !page.More || len(page.Records) == 0 {
+			return nil
+		}
+	}
+}
+
 // names reports whether any change is of the object with a name.
 func (c Changes) names(name string) bool {
 	for _, change := range c.List {
