Answers whose head does not end are given up

Cause: an answer's head was read without bound, so an upstream that sends bytes without end where a head is due took memory at the speed of its link until the request's deadline. Bodies were bounded already (held to 256 KB, then handed on as they come, broken off at the deadline), trailers and chunk sizes by the HTTP library.

--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -171,10 +171,12 @@
 // answer reads until the answer to this request.
 func (l *link) answer(r Request) (Answer, error) {
 	for range foreignAnswers {
+		l.meter.head, l.meter.left = true, headBytes
 		resp, err := http.ReadResponse(l.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // the connection is closed or kept as a whole
 		if err != nil {
 			return Answer{}, errors.Wrap(err, "reading an answer")
 		}
+		l.meter.head = false
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -179,6 +179,97 @@
 	}
 }
 
+// endless sends a beginning and then a part again and again, until the caller closes. It
+// returns where it listens, and what tells how many bytes it could send.
+func endless(t *testing.T, begin, again string) (cataloger.Target, <-chan int) {
+	t.Helper()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	sent := make(chan int, 1)
+	go func() {
+		conn, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = http.ReadRequest(bufio.NewReader(conn))
+		total, _ := conn.Write([]byte(begin))
+		part := []byte(strings.Repeat(again, 1+4096/len(again)))
+		for {
+			n, err := conn.Write(part)
+			total += n
+			if err != nil {
+				sent <- total
+				return
+			}
+		}
+	}()
+	t.Cleanup(func() { _ = ln.Close() })
+	return cataloger.Target{Upstream: "u", Address: ln.Addr().String(), Conns: 4}, sent
+}
+
+// TestBytesWithoutEnd gives up an upstream whose head does not end long before the
+// request's time is over, and holds little of it.
+func TestBytesWithoutEnd(t *testing.T) {
+	t.Parallel()
+	// socketBytes is what the kernel may hold of a connection on both sides.
+	const socketBytes = 16 << 20
+	for _, tc := range []struct{ name, begin, again string }{
+		{"no protocol", "", "garbage"},
+		{"one line of the head", "HTTP/1.1 200 OK\r\nX-Long: ", "x"},
+		{"lines of the head", "HTTP/1.1 200 OK\r\nAttempt: a1\r\n", "X-More: x\r\n"},
+		{"interim answers", "", "HTTP/1.1 103 Early Hints\r\n\r\n"},
+		{"another's answers", "", "HTTP/1.1 200 OK\r\nAttempt: old\r\nContent-Length: 0\r\n\r\n"},
+		{"trailer", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: x\r\n"},
+		{"size of a chunk", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			target, sent := endless(t, tc.begin, tc.again)
+			r := request("a1")
+			r.Deadline = time.Now().Add(time.Minute)
+			begun := time.Now()
+			_, err := newExchanger(t).Exchange(t.Context(), target, r)
+			assert.Assert(t, err != nil)
+			assert.Assert(t, !errors.Is(err, exchanger.ErrUnsent), "what was sent may have run")
+			assert.Assert(t, time.Since(begun) < 10*time.Second)
+			n := <-sent
+			assert.Assert(t, n < socketBytes, "%d bytes were taken", n)
+		})
+	}
+}
+
+// TestEndlessBody hands a body without end on as it comes, and breaks it off at the
+// request's deadline.
+func TestEndlessBody(t *testing.T) {
+	t.Parallel()
+	target, sent := endless(t, "HTTP/1.1 200 OK\r\nAttempt: a1\r\n\r\n", "x")
+	r := request("a1")
+	r.Deadline = time.Now().Add(200 * time.Millisecond)
+	answer, err := newExchanger(t).Exchange(t.Context(), target, r)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, answer.Rest)
+	assert.Assert(t, err != nil, "what broke off is not complete")
+	assert.NilError(t, answer.Rest.Close())
+	<-sent
+}
+
+// TestLateSecondAnswer sends a second copy of an answer on a connection that is in use
+// again: the next caller gets its own answer.
+func TestLateSecondAnswer(t *testing.T) {
+	t.Parallel()
+	u := serve(t, whole, "HTTP/1.1 200 OK\r\nAttempt: a1\r\nContent-Length: 5\r\n\r\nfirst"+whole)
+	x := newExchanger(t)
+	_, err := x.Exchange(t.Context(), u.target(), request("a1"))
+	assert.NilError(t, err)
+	answer, err := x.Exchange(t.Context(), u.target(), request("a2"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(answer.Body), "body")
+	assert.Equal(t, answer.Header.Get(attemptHeader), "a2")
+	conns, _ := u.seen()
+	assert.Equal(t, conns, 1, "the connection was in use again")
+}
+
 // TestConnections holds how many connections two exchanges take.
 func TestConnections(t *testing.T) {
 	t.Parallel()
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -34,8 +34,14 @@
 	// smallBody is the largest body that is written together with its head.
 	smallBody   = 4 << 10
 	readerBytes = 4 << 10
+	// headBytes is the largest head of an answer that is read. An upstream in trouble
+	// may send bytes without end where a head is due.
+	headBytes = 64 << 10
 )
 
+// errLongHead is why an answer is given up whose head does not end.
+var errLongHead = errors.Newf("the head has over %d bytes", headBytes)
+
 type (
 	poolKey struct {
 		address string
@@ -51,6 +57,7 @@
 	// link is one connection, which serves one request at a time.
 	link struct {
 		conn    net.Conn
+		meter   *meter
 		reader  *bufio.Reader
 		until   time.Time
 		closing bool
@@ -58,6 +65,26 @@
 	}
 )
 
+// meter bounds what is read from a connection while a head is read.
+type meter struct {
+	conn net.Conn
+	head bool
+	left int
+}
+
+// Read implements io.Reader.
+func (m *meter) Read(p []byte) (int, error) {
+	if !m.head {
+		return m.conn.Read(p)
+	}
+	if m.left <= 0 {
+		return 0, errLongHead
+	}
+	n, err := m.conn.Read(p)
+	m.left -= n
+	return n, err
+}
+
 func keyOf(t cataloger.Target) poolKey {
 	return poolKey{address: t.Address, born: t.Born, name: string(t.Upstream)}
 }
@@ -85,7 +112,8 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	return &link{conn: conn, reader: newReader(conn)}, x.clock.Since(begun), nil
+	m := &meter{conn: conn}
+	return &link{conn: conn, meter: m, reader: newReader(m)}, x.clock.Since(begun), nil
 }
 
 // openWithin bounds the opening of a connection over a way. A request whose
