--- a/internal/route/selector/way.go
+++ b/internal/route/selector/way.go
@@ -80,6 +80,17 @@
 	return !r.apart
 }
 
+// Apart returns the routes to a service for whose objects zones keep copies of their own.
+func (s *Selector) Apart() map[namer.Route]namer.Service {
+	out := make(map[namer.Route]namer.Service)
+	for key, r := range s.rates {
+		if r.apart {
+			out[key.route] = key.service
+		}
+	}
+	return out
+}
+
 // parts returns which part of the objects of this VM's callers belongs to which
 // zone. VMs whose zones share copies all return the same.
 func (s *Selector) parts(now time.Time, svc *service, route namer.Route) map[namer.Zone]float64 {
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -120,6 +120,8 @@
 		ticking    bool
 		measuring  map[namer.Zone]bool
 		counts     Counts
+		// apart are the routes for whose objects zones keep copies of their own.
+		apart map[namer.Route]namer.Service
 		// end is when this VM's process ends, zero while it stays.
 		end time.Time
 	}
@@ -250,6 +252,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.selector.Spread(s.clock.Now(), needs)
+	s.logCopies()
+}
+
+// logCopies tells for which routes zones have begun or ended to keep copies of their own.
+func (s *Steerer) logCopies() {
+	apart := s.selector.Apart()
+	for route, service := range apart {
+		if _, ok := s.apart[route]; !ok {
+			s.log.Info("copies", "route", string(route), "service", string(service), "by", "zone")
+		}
+	}
+	for route, service := range s.apart {
+		if _, ok := apart[route]; !ok {
+			s.log.Info("copies", "route", string(route), "service", string(service), "by", "region")
+		}
+	}
+	s.apart = apart
 }
 
 // Placements returns where objects belong, by service.
