A VM that starts asks its seeds again soon, and waits for a peer's records although peers have seen more

Cause: in a start of the whole fleet the seeds are not up when they are asked first, and were asked again after a heartbeat only (0.5 s), when every VM had given up and read the store's records itself; and a peer's word that it had seen more ended the wait for its records. Now seeds are asked every 100 ms while nobody is known, for at most 1 s; a VM that knows nothing yet does not look by itself.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -190,11 +190,12 @@
 
 // catchUp ends the running watch if it has not brought a version by now. A look
 // that is under way goes on: the way to the store may take longer than the time
-// between two peers' words.
+// between two peers' words. A VM that has just started and knows nothing yet is about to
+// learn all.
 func (f *Follower) catchUp(version storer.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version <= f.seen || f.looking {
+	if version <= f.seen || f.looking || f.seen == 0 {
 		return
 	}
 	f.look = true
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -63,7 +63,10 @@
 	// meetTime is how long a VM that has just started waits for the first answer of a
 	// peer before it does what the first of all does. It is over the time that seeds
 	// take to answer hundreds of VMs that start at once.
-	meetTime = 500 * time.Millisecond
+	meetTime = time.Second
+	// helloAgain is how soon a VM that has just started asks its seeds again that did not
+	// answer, since they may start at the same time.
+	helloAgain = 100 * time.Millisecond
 	// listAfter is how many heartbeats a VM that knows nobody waits for its seeds
 	// before it reads the platform's list.
 	listAfter = 2
@@ -428,6 +431,15 @@
 	return quiet < time.Duration((beats-1+quietBeats)*float64(h.timing.Heartbeat))
 }
 
+// again has a VM that has just started and met nobody ask a seed soon once more.
+func (h *Heartbeater) again(t target) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if t.vm == "" && len(h.met) == 0 && h.clock.Since(h.begun) < meetTime {
+		h.clock.AfterFunc(helloAgain, h.Kick)
+	}
+}
+
 func (h *Heartbeater) send(ctx context.Context, t target) {
 	defer func() {
 		h.mu.Lock()
@@ -441,6 +453,7 @@
 	reply, err := h.services.Peers.Ask(ctx, t.address, namer.Incarnation{}, req)
 	if err != nil {
 		h.log.Debug("heartbeat lost", "address", t.address, "reason", err.Error())
+		h.again(t)
 		return
 	}
 	if got := reply.GetHeartbeat(); got != nil {
