--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -495,6 +495,10 @@
 	// Only gateways hear VMs of other zones all the time.
 	sender.Told = sender.Zone != h.self.Zone && !h.gateway(h.tracker.View(now))
 	h.tracker.Hear(now, sender)
+	if !met {
+		// A process that has just started knows nothing of what the one before was told.
+		delete(h.informed, sender.VM)
+	}
 	if len(h.met) == 0 && sender.VM != h.self.VM {
 		close(h.first)
 	}
--- a/internal/member/heartbeater/teller.go
+++ b/internal/member/heartbeater/teller.go
@@ -203,6 +203,9 @@
 	}
 	for _, raw := range hb.GetSummaries() {
 		s := converter.SummaryFrom(raw, now)
+		if s.At.After(now) {
+			s.At = now
+		}
 		if s.Zone != h.self.Zone && s.At.After(h.summaries[s.Zone].At) {
 			h.summaries[s.Zone] = s
 		}
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -179,6 +179,9 @@
 // Refresh takes another VM's word on when an incarnation was last heard.
 func (t *Tracker) Refresh(now time.Time, inc namer.Incarnation, heard time.Time) {
 	t.now = namer.Later(t.now, now)
+	if heard.After(t.now) {
+		heard = t.now
+	}
 	for name, m := range t.members {
 		if m.Incarnation != inc || !heard.After(m.Heard) {
 			continue
--- a/internal/member/tracker/tracker_test.go
+++ b/internal/member/tracker/tracker_test.go
@@ -118,3 +118,25 @@
 	tr.Hear(later, member(1, 9, 5, now))
 	assert.Equal(t, tr.View(later)[0].Incarnation, namer.Incarnation{2}, "an old copy of the first changes nothing")
 }
+
+// TestTold holds how members are judged that are known from others only: longer than
+// those that are heard, since they are told of seldom. A word from the future counts as
+// one of now, so that nobody is alive for good.
+func TestTold(t *testing.T) {
+	t.Parallel()
+	now := time.Unix(1000, 0)
+	told := member(1, 1, 1, now)
+	told.Told = true
+	tr := tracker.New("self", timing)
+	tr.Hear(now, told)
+	state := func(after time.Duration) tracker.State { return tr.View(now.Add(after))[0].State }
+	assert.Equal(t, state(5*time.Second), tracker.Alive)
+	assert.Equal(t, state(7*time.Second), tracker.Suspect)
+	tr.Refresh(now.Add(8*time.Second), told.Incarnation, now.Add(time.Hour))
+	assert.Equal(t, state(9*time.Second), tracker.Alive)
+	assert.Equal(t, state(time.Minute), tracker.Dead)
+
+	heard := member(1, 1, 2, now.Add(time.Minute))
+	tr.Hear(now.Add(time.Minute), heard)
+	assert.Equal(t, state(62*time.Second), tracker.Suspect, "one that is heard is judged by its own silence")
+}
