--- a/Makefile
+++ b/Makefile
@@ -6,7 +6,7 @@
 CHECKS = -rapid.seed=20261204 -rapid.checks=300
 MODELS = $(addprefix ./,$(sort $(dir $(shell grep -rl --include=*_test.go pgregory.net/rapid internal))))
 
-.PHONY: build test lint unit models demo bench explore capacity latency faults docs clean
+.PHONY: build test lint unit models demo bench explore capacity latency faults docs plots clean
 
 build:
 	go build -o bin/ ./cmd/...
@@ -51,6 +51,10 @@
 latency: build
 	{ ./bin/waxwingstand measure && ./bin/waxwingstand measure -once && ./bin/waxwingstand measure -kill && ./bin/waxwingstand measure -spread; } | tee docs/reports/latency.txt
 
+# Worth by score and site, from the journal of the users' bench.
+plots: build
+	./bin/waxwingstand plots
+
 $(LINT):
 	GOBIN=$(abspath $(TOOLS)) go install github.com/golangci/golangci-lint/v2/cmd/golangci-lint@$(LINT_VERSION)
 
--- a/cmd/waxwingstand/main.go
+++ b/cmd/waxwingstand/main.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/stand/commander"
 	"github.com/waxwingloom/waxwingloom/internal/stand/demonstrator"
 	"github.com/waxwingloom/waxwingloom/internal/stand/gauger"
+	"github.com/waxwingloom/waxwingloom/internal/stand/plotter"
 	"github.com/waxwingloom/waxwingloom/internal/stand/prover"
 	"github.com/waxwingloom/waxwingloom/internal/stand/worker"
 )
@@ -30,7 +31,7 @@
 	app := &cli.Command{
 		Name:     "waxwingstand",
 		Usage:    "stand-ins of the systems that waxwingloom serves, and a load of callers",
-		Commands: []*cli.Command{platform(), upstream(), caller(), demo(), measure(), capacity(), faults()},
+		Commands: []*cli.Command{platform(), upstream(), caller(), demo(), measure(), capacity(), faults(), plots()},
 	}
 	if err := app.Run(ctx, os.Args); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -153,3 +154,20 @@
 		},
 	}
 }
+
+func plots() *cli.Command {
+	return &cli.Command{
+		Name: "plots", Usage: "draw the scores in the journal of the users' bench, one file a site",
+		Flags: []cli.Flag{
+			&cli.StringFlag{Name: "journal", Usage: "the `DIRECTORY` of the journal", Value: "journal"},
+			&cli.StringFlag{Name: "to", Usage: "the `DIRECTORY` of the plots", Value: "docs/plots"},
+		},
+		Action: func(_ context.Context, c *cli.Command) error {
+			sites, err := plotter.Read(c.String("journal"))
+			if err != nil {
+				return err
+			}
+			return plotter.Draw(c.String("to"), sites)
+		},
+	}
+}
--- /dev/null
+++ b/internal/stand/plotter/plotter.go
@@ -0,0 +1,154 @@
+// Package plotter draws how well each deployment was served, score by score, from the
+// journal of the users' bench.
+//
+// # Usage
+//
+//	sites, err := plotter.Read("journal")
+//	err = plotter.Draw("docs/plots", sites)
+package plotter
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"gonum.org/v1/plot"
+	shapes "gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+)
+
+const (
+	// width and height are the size of one plot.
+	width  = 18 * vg.Centimeter
+	height = 9 * vg.Centimeter
+	// trial begins the reason of an entry whose code was not kept.
+	trial = "trial"
+	quiet = "quiet"
+)
+
+type (
+	// Score is what one score of a site's standard days gave.
+	Score struct {
+		At time.Time
+		// Worth is the mean over the days with trouble or high load.
+		Worth float64
+		Trial bool
+	}
+
+	// Sites are the scores of each site, the earliest first.
+	Sites map[string][]Score
+
+	entry struct {
+		// At is when the command began and, unless it was cut off, ended.
+		At   []string `json:"at"`
+		Cmd  string   `json:"cmd"`
+		Why  string   `json:"why"`
+		Site string   `json:"site"`
+		Days []struct {
+			Worth float64 `json:"G"`
+			Slot  string  `json:"slot"`
+			Name  string  `json:"name"`
+		} `json:"days"`
+	}
+)
+
+// Read returns the scores in a journal. An entry that can't be read is an error that
+// names it; entries of other commands are passed over.
+func Read(dir string) (Sites, error) {
+	files, err := filepath.Glob(filepath.Join(dir, "*.json"))
+	if err != nil {
+		return nil, errors.Wrap(err, "listing the journal")
+	}
+	sites := make(Sites)
+	for _, file := range files {
+		raw, err := os.ReadFile(file)
+		if err != nil {
+			return nil, errors.Wrap(err, "reading the journal")
+		}
+		var e entry
+		if err := json.Unmarshal(raw, &e); err != nil {
+			return nil, errors.Wrapf(err, "decoding %s", filepath.Base(file))
+		}
+		score, ok, err := e.score()
+		if err != nil {
+			return nil, errors.Wrapf(err, "reading %s", filepath.Base(file))
+		}
+		if ok {
+			sites[e.Site] = append(sites[e.Site], score)
+		}
+	}
+	for _, scores := range sites {
+		slices.SortFunc(scores, func(a, b Score) int { return a.At.Compare(b.At) })
+	}
+	return sites, nil
+}
+
+// Draw writes one SVG for each site.
+func Draw(dir string, sites Sites) error {
+	if err := os.MkdirAll(dir, 0o750); err != nil {
+		return errors.Wrap(err, "making the directory of plots")
+	}
+	for site, scores := range sites {
+		if err := draw(filepath.Join(dir, site+".svg"), site, scores); err != nil {
+			return errors.Wrapf(err, "drawing %s", site)
+		}
+	}
+	return nil
+}
+
+// score returns the mean worth of an entry's days that are not quiet.
+func (e *entry) score() (Score, bool, error) {
+	if e.Cmd != "score" || e.Site == "" || len(e.At) == 0 {
+		return Score{}, false, nil
+	}
+	at, err := time.Parse(time.RFC3339, e.At[0])
+	if err != nil {
+		return Score{}, false, errors.Wrap(err, "reading the time")
+	}
+	sum, n := 0.0, 0
+	for _, d := range e.Days {
+		if d.Slot != quiet && d.Slot != "" {
+			sum += d.Worth
+			n++
+		}
+	}
+	if n == 0 {
+		return Score{}, false, nil
+	}
+	return Score{At: at, Worth: sum / float64(n), Trial: strings.HasPrefix(e.Why, trial)}, true, nil
+}
+
+func draw(path, site string, scores []Score) error {
+	p := plot.New()
+	p.Title.Text = site + ": mean worth of the days with trouble"
+	p.X.Label.Text = "score"
+	p.Y.Label.Text = "worth"
+	var kept, trials shapes.XYs
+	for i, s := range scores {
+		at := shapes.XY{X: float64(i + 1), Y: s.Worth}
+		if s.Trial {
+			trials = append(trials, at)
+			continue
+		}
+		kept = append(kept, at)
+	}
+	line, points, err := shapes.NewLinePoints(kept)
+	if err != nil {
+		return errors.Wrap(err, "drawing the scores")
+	}
+	p.Add(shapes.NewGrid(), line, points)
+	p.Legend.Add("code that was kept", line, points)
+	if len(trials) > 0 {
+		marks, err := shapes.NewScatter(trials)
+		if err != nil {
+			return errors.Wrap(err, "drawing the trials")
+		}
+		p.Add(marks)
+		p.Legend.Add("trials", marks)
+	}
+	return errors.Wrap(p.Save(width, height, path), "writing a plot")
+}
