A planned stop waits for a second without requests

The process had seen no request for 300 ms and ended just when that one came. Now a second must pass; callers that keep old look-up answers are served or refused meanwhile.

--- a/internal/kernel/runner/leave.go
+++ b/internal/kernel/runner/leave.go
@@ -24,7 +24,8 @@
 	// waits for its last requests. Both leave a tenth of the grace for the rest.
 	lingerPart = 0.05
 	// quietTime is how long no request must have come before the process ends.
-	quietTime = 300 * time.Millisecond
+	// A caller that has just opened a connection may take that long to send its request.
+	quietTime = time.Second
 )
 
 // leaveRouted takes the daemon through its planned stop. Callers hear of it by
