--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -389,8 +389,9 @@
 	up := &upstreams{fates: []fate{hangs, hangs, hangs}, free: make(chan struct{})}
 	s := newSteerer(t, up, 1, 2)
 	waited := make(chan steerer.Result, 4)
+	var hung sync.WaitGroup
 	for range 3 {
-		go s.Steer(t.Context(), request("/order/"))
+		hung.Go(func() { s.Steer(t.Context(), request("/order/")) })
 	}
 	poll.WaitOn(t, up.count(3))
 	go func() { waited <- s.Steer(t.Context(), request("/order/")) }()
@@ -401,6 +402,7 @@
 	assert.Equal(t, result.Status, http.StatusServiceUnavailable)
 	assert.Assert(t, time.Since(begun) < time.Second, "the limit of the request is later")
 	close(up.free)
+	hung.Wait()
 
 	result = s.Steer(t.Context(), request("/order/"))
 	assert.Equal(t, result.Code, steerer.CodeLeaving)
@@ -408,7 +410,8 @@
 	assert.Assert(t, result.RetryAfter > 0 && result.RetryAfter < 50*time.Millisecond, "another VM serves it at once")
 	assert.Equal(t, result.Sent, 0)
 	s.Leave(time.Now().Add(500 * time.Millisecond))
-	short := request("/order/")
+	// Orders are expected to take as long as those that hung.
+	short := request("/urgent/")
 	short.Remaining = 300 * time.Millisecond
 	result = s.Steer(t.Context(), short)
 	assert.Equal(t, result.Status, http.StatusOK)
