--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -257,8 +257,6 @@
 	f.regained()
 	if len(changes.List) > 0 {
 		f.handler.Apply(changes.List)
-	}
-	if len(changes.List) > 0 {
 		// An answer without changes may come of a watch that heard nothing, so
 		// it does not move the place from which the next one begins.
 		f.since = max(f.since, changes.At)
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -361,9 +361,8 @@
 func (h *Heartbeater) compare() {
 	now := h.clock.Now()
 	h.mu.Lock()
-	members := h.tracker.View(now)
+	members := h.prune(h.tracker.View(now))
 	var changed []string
-	members = h.prune(members)
 	states := make(map[namer.VM]string, len(members))
 	for _, m := range members {
 		state := m.Incarnation.String() + "=" + m.State.String()
@@ -499,10 +498,10 @@
 		// A process that has just started knows nothing of what the one before was told.
 		delete(h.informed, sender.VM)
 	}
-	if len(h.met) == 0 && sender.VM != h.self.VM {
-		close(h.first)
-	}
 	if sender.VM != h.self.VM {
+		if len(h.met) == 0 {
+			close(h.first)
+		}
 		h.met[sender.Peers] = now
 	}
 	h.hearOthers(now, hb)
--- a/internal/member/heartbeater/topology.go
+++ b/internal/member/heartbeater/topology.go
@@ -56,22 +56,30 @@
 			continue
 		}
 		first, ok := leads[m.Zone]
-		if !ok || first.Away && !m.Away || first.Away == m.Away && rank(m.VM, m.Zone) < rank(first.VM, first.Zone) {
+		if !ok || leadsBefore(m, first, rank(m.VM, m.Zone) < rank(first.VM, first.Zone)) {
 			leads[m.Zone] = m
 		}
 	}
 	return leads
 }
 
-// firstLead returns the first of the leads that fit, by the order of their zones. One
-// that the store does not answer comes after all others.
+// leadsBefore reports whether a is to lead rather than b, where earlier says that it is
+// before b in their order. One that the store does not answer comes after all others.
+func leadsBefore(a, b tracker.Member, earlier bool) bool {
+	if a.Away != b.Away {
+		return b.Away
+	}
+	return earlier
+}
+
+// firstLead returns the first of the leads that fit, by the order of their zones.
 func firstLead(leads map[namer.Zone]tracker.Member, fits func(tracker.Member) bool) tracker.Member {
 	var first tracker.Member
 	for _, m := range leads {
 		if !fits(m) {
 			continue
 		}
-		if first.VM == "" || first.Away && !m.Away || first.Away == m.Away && rank("", m.Zone) < rank("", first.Zone) {
+		if first.VM == "" || leadsBefore(m, first, rank("", m.Zone) < rank("", first.Zone)) {
 			first = m
 		}
 	}
--- a/internal/route/selector/node.go
+++ b/internal/route/selector/node.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/share/copier"
 	"github.com/waxwingloom/waxwingloom/internal/share/pacer"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
@@ -12,9 +13,9 @@
 const (
 	// copies is how many upstreams keep an object warm.
 	copies = 2
-	// coldWork is how much more work an object is that an upstream has not
-	// handled lately. Measured on trials: 1/0.3.
-	coldWork = 3.3
+	// coldWork is the work of an object that an upstream has not handled lately, in
+	// parts of its warm work.
+	coldWork = 1 + copier.ColdExtra
 	// secondCost and overflowCost are what a second copy and a cold upstream
 	// must save, as parts of a warm request's work, before they are used.
 	secondCost   = 0.3
--- a/internal/share/copier/copier.go
+++ b/internal/share/copier/copier.go
@@ -27,9 +27,9 @@
 	// Horizon is the time in which a copy must pay for itself; upstreams that are
 	// replaced and demand that shifts leave it no longer life.
 	Horizon = 15 * time.Second
-	// coldExtra is how much more work an object is that an upstream has not handled
-	// lately, as a part of its warm work.
-	coldExtra = 2.3
+	// ColdExtra is how much more work an object is that an upstream has not handled
+	// lately, as a part of its warm work. Measured on trials: 1/0.3.
+	ColdExtra = 2.3
 	// kilobyteTime is what a kilobyte between two zones weighs, in time.
 	kilobyteTime = 5 * time.Millisecond
 	// shortest is the part of the horizon below which nothing is said.
@@ -78,7 +78,7 @@
 	}
 	served := d.Rate / d.Objects * Horizon.Seconds()
 	saved := d.Way + time.Duration(d.Bytes/1024*float64(kilobyteTime))
-	return served*saved.Seconds() > coldExtra*d.Work.Seconds()
+	return served*saved.Seconds() > ColdExtra*d.Work.Seconds()
 }
 
 // Count counts a request for an object, which is given by its hash.
