Tell how old the view of upstreams is, from whom it was learned, and what is used though removed

Now: a line learned for each batch of changes (from whom, versions, age of the store's confirmation), used=true in the line of a removed upstream that still gets requests, the names in upstreams gone, viewage in each line sent, and views on the metrics address (age by kind, and the oldest since the start). Decisions are as they were.

--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -38,8 +38,10 @@
 		at    storer.Version
 		seen  storer.Version
 		fresh time.Time
-		away  bool
-		news  chan struct{}
+		// oldest is the greatest age that a confirmation has reached before the next came.
+		oldest time.Duration
+		away   bool
+		news   chan struct{}
 	}
 
 	// step is the changes between two versions.
@@ -106,7 +108,7 @@
 
 // replace takes over all records. What differs from those before becomes a step,
 // so that peers need not be told of all.
-func (f *feed) replace(records []storer.Record, at storer.Version, fresh time.Time) {
+func (f *feed) replace(now time.Time, records []storer.Record, at storer.Version, fresh time.Time) {
 	f.mu.Lock()
 	known := f.records
 	listed := f.listed
@@ -131,11 +133,11 @@
 		changes = nil
 	}
 	f.mu.Unlock()
-	f.add(changes, at, fresh)
+	f.add(now, changes, at, fresh)
 }
 
 // add takes over changes up to a version, confirmed by the store at a time.
-func (f *feed) add(changes []storer.Change, at storer.Version, fresh time.Time) {
+func (f *feed) add(now time.Time, changes []storer.Change, at storer.Version, fresh time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	for _, c := range changes {
@@ -156,6 +158,9 @@
 		f.steps = f.steps[1:]
 	}
 	if fresh.After(f.fresh) {
+		if !f.fresh.IsZero() {
+			f.oldest = max(f.oldest, now.Sub(f.fresh))
+		}
 		f.fresh = fresh
 	}
 	f.wake()
@@ -174,6 +179,17 @@
 	return f.fresh
 }
 
+// ages returns how old the store's last confirmation is, and the most that one was.
+func (f *feed) ages(now time.Time) (age, oldest time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.fresh.IsZero() {
+		return 0, 0
+	}
+	age = now.Sub(f.fresh)
+	return age, max(age, f.oldest)
+}
+
 func (f *feed) setAway(away bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -180,6 +180,12 @@
 	return f.seen
 }
 
+// Age returns how long ago the store confirmed what is known here, and the longest that
+// it has been since the start; 0 before the first confirmation.
+func (f *Follower) Age() (age, oldest time.Duration) {
+	return f.feed.ages(f.clock.Now())
+}
+
 // Told takes over how far a peer has seen the kind.
 func (f *Follower) Told(version storer.Version) {
 	if version <= f.Seen() {
@@ -256,6 +262,7 @@
 	}
 	f.regained()
 	if len(changes.List) > 0 {
+		f.logLearned(len(changes.List), changes.At, f.clock.Since(begun))
 		f.handler.Apply(changes.List)
 		// An answer without changes may come of a watch that heard nothing, so
 		// it does not move the place from which the next one begins.
@@ -264,7 +271,7 @@
 	if len(changes.List) > 0 || looks {
 		f.sees(changes.At)
 	}
-	f.feed.add(changes.List, f.since, begun)
+	f.feed.add(f.clock.Now(), changes.List, f.since, begun)
 	if len(changes.List) > 0 && f.quiet && f.clock.Since(begun) < lateTime {
 		f.log.Info("changes were missed", "since", uint64(f.since), "count", len(changes.List), "reason", "the last watch heard nothing")
 		f.news()
@@ -337,13 +344,24 @@
 	f.regained()
 	f.since = first
 	f.listed = true
+	f.logLearned(len(records), first, f.clock.Since(begun))
 	f.handler.Reset(records)
 	f.sees(first)
-	f.feed.replace(records, first, begun)
+	f.feed.replace(f.clock.Now(), records, first, begun)
 	f.news()
 	return nil
 }
 
+// logLearned tells from whom records or changes were learned, up to which version, and how
+// long ago the store confirmed that.
+func (f *Follower) logLearned(count int, at storer.Version, age time.Duration) {
+	from := "store"
+	if f.followed != "" {
+		from = string(f.followed)
+	}
+	f.log.Info("learned", "from", from, "count", count, "since", uint64(f.since), "at", uint64(at), "age", age)
+}
+
 func (f *Follower) noteLost(err error) {
 	f.mu.Lock()
 	known := !f.lost.IsZero()
--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -374,3 +374,21 @@
 	close(src.gate)
 	poll.WaitOn(t, kept.has("missed"))
 }
+
+// TestAge tells how old a view is, and the oldest that it has been.
+func TestAge(t *testing.T) {
+	t.Parallel()
+	_, p, _, clock, f := startBehind(t)
+	clock.Advance(700 * time.Millisecond)
+	age, oldest := f.Age()
+	assert.Equal(t, age, 700*time.Millisecond)
+	assert.Equal(t, oldest, 700*time.Millisecond)
+	p.updates <- storer.Update{At: 2, Seen: 2, Age: 100 * time.Millisecond}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		age, oldest = f.Age()
+		if age == 100*time.Millisecond && oldest == 700*time.Millisecond {
+			return poll.Success()
+		}
+		return poll.Continue("age %s, oldest %s", age, oldest)
+	})
+}
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -109,7 +109,11 @@
 	} else {
 		f.regained()
 	}
-	fresh := f.clock.Now().Add(-u.Age)
+	now := f.clock.Now()
+	fresh := now.Add(-u.Age)
+	if u.All || len(u.Changes) > 0 {
+		f.logLearned(len(u.Changes), u.At, u.Age)
+	}
 	f.since = max(f.since, u.At)
 	if u.All {
 		records := make([]storer.Record, len(u.Changes))
@@ -119,14 +123,14 @@
 		f.listed = true
 		f.handler.Reset(records)
 		f.sees(u.Seen)
-		f.feed.replace(records, f.since, fresh)
+		f.feed.replace(now, records, f.since, fresh)
 		return
 	}
 	if len(u.Changes) > 0 {
 		f.handler.Apply(u.Changes)
 	}
 	f.sees(u.Seen)
-	f.feed.add(u.Changes, f.since, fresh)
+	f.feed.add(now, u.Changes, f.since, fresh)
 }
 
 // patience returns how long a peer may take to say something. What is known
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -179,13 +179,18 @@
 }
 
 func registerSteering(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
-	needs := []registrar.Name{clockName, documentsName, discoverName, membersName}
+	needs := []registrar.Name{clockName, documentsName, discoverName, membersName, upstreamsName}
 	r.Register(steerName, needs, func(f registrar.Finder) (any, func(), error) {
 		clock := f.Find(clockName).(clockwork.Clock)
 		links, cleanup := exchanger.New(clock)
 		self := selector.Self{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
 		budget := steerer.Budget{Ratio: s.Routing.Resend, Window: s.Routing.Window, Started: clock.Now()}
 		st := steerer.New(self, platform.Headers(), budget, links, clock, log)
+		upstreams := f.Find(upstreamsName).(*follower.Follower)
+		st.OnAge(func() time.Duration {
+			age, _ := upstreams.Age()
+			return age
+		})
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		members.OnChange(func() { countMembers(st, members, s) })
 		countMembers(st, members, s)
@@ -288,7 +293,8 @@
 		front := f.Find(callersName).(*receiver.Receiver)
 		return openAdmin(s, s.Routing.Ready, platform.Ready(func() bool { return st.Ready() && !front.Leaving() }))
 	})
-	r.Register(operatorsName, []registrar.Name{portsName, platformName, steerName, documentsName, callersName}, func(f registrar.Finder) (any, func(), error) {
+	needs := append([]registrar.Name{portsName, platformName, steerName, documentsName, callersName}, followed...)
+	r.Register(operatorsName, needs, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeaderTime}
 		return &webServer{server: server, listener: f.Find(portsName).(*ports).operators, linger: lingerOf(s)}, nil, nil
 	})
@@ -323,9 +329,26 @@
 	m.Set("needs", expvar.Func(func() any { return st.Needs() }))
 	store := f.Find(platformName).(*platform.Client)
 	m.Set("store", expvar.Func(func() any { return store.Counts() }))
+	m.Set("views", expvar.Func(func() any { return viewAges(f) }))
 	m.Set("generation", expvar.Func(func() any { return documents.Generation() }))
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(m.String()))
 	})
 }
+
+// viewAge is how old what is known of a kind is, and the oldest that it was since the start.
+type viewAge struct {
+	Age    time.Duration
+	Oldest time.Duration
+}
+
+func viewAges(f registrar.Finder) map[storer.Kind]viewAge {
+	ages := make(map[storer.Kind]viewAge, len(followed))
+	for _, name := range followed {
+		records := f.Find(name).(*follower.Follower)
+		age, oldest := records.Age()
+		ages[records.Kind()] = viewAge{Age: age, Oldest: oldest}
+	}
+	return ages
+}
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -340,5 +340,5 @@
 	}
 	s.log.Info("sent", "attempt", a.request.Attempt, "route", string(a.route.Name), "service", string(a.service),
 		"upstream", string(d.Target().Upstream), "zone", string(d.Zone), "by", string(d.Reason), "load", math.Round(10*d.Load)/10, "loadage", d.LoadAge,
-		"expected", d.Expected, "outcome", what, "status", status, "took", took, "reason", reason)
+		"expected", d.Expected, "viewage", s.age().Round(time.Millisecond), "outcome", what, "status", status, "took", took, "reason", reason)
 }
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -124,6 +124,8 @@
 		apart map[namer.Route]namer.Service
 		// end is when this VM's process ends, zero while it stays.
 		end time.Time
+		// age tells how long ago the store confirmed the view of upstreams.
+		age func() time.Duration
 	}
 
 	// Counts is what became of requests so far.
@@ -151,9 +153,16 @@
 		budgets:   make(map[namer.Service]*budgeter.Budgeter),
 		waiting:   make(map[namer.Service]*queue),
 		measuring: make(map[namer.Zone]bool),
+		age:       func() time.Duration { return 0 },
 	}
 }
 
+// OnAge sets what tells the age of the view of upstreams. It is called once, before the
+// first request.
+func (s *Steerer) OnAge(age func() time.Duration) {
+	s.age = age
+}
+
 // SetDocument takes over the steering document in force.
 func (s *Steerer) SetDocument(g namer.Generation, d *parser.Document) {
 	s.mu.Lock()
--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -107,21 +107,22 @@
 	return true
 }
 
-// Remove notes that an entry is missing. Its upstream stays in use for a short
-// time when the source has just been away.
-func (c *Cataloger) Remove(now time.Time, name namer.Upstream) {
+// Remove notes that an entry is missing, and reports whether its upstream is in use no
+// longer. It stays in use for a short time when the source has just been away.
+func (c *Cataloger) Remove(now time.Time, name namer.Upstream) bool {
 	known, ok := c.entries[name]
 	if !ok {
-		return
+		return true
 	}
 	if !now.Before(c.holdTill) {
 		delete(c.entries, name)
-		return
+		return true
 	}
 	if known.gone.IsZero() {
 		known.gone = c.holdTill
 		c.entries[name] = known
 	}
+	return false
 }
 
 // Keep removes every entry whose name is not among those listed.
@@ -148,16 +149,16 @@
 	c.lost = time.Time{}
 }
 
-// Expire drops upstreams whose entries stayed missing, and reports whether any
-// was dropped.
-func (c *Cataloger) Expire(now time.Time) bool {
-	dropped := false
+// Expire drops upstreams whose entries stayed missing, and returns their names.
+func (c *Cataloger) Expire(now time.Time) []namer.Upstream {
+	var dropped []namer.Upstream
 	for name, h := range c.entries {
 		if !h.gone.IsZero() && !now.Before(h.gone) {
 			delete(c.entries, name)
-			dropped = true
+			dropped = append(dropped, name)
 		}
 	}
+	slices.Sort(dropped)
 	return dropped
 }
 
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -82,8 +82,8 @@
 		case <-ticker.Chan():
 		}
 		d.mu.Lock()
-		if d.catalog.Expire(d.clock.Now()) {
-			d.log.Info("upstreams gone", "reason", "their entries did not come back after an outage")
+		if gone := d.catalog.Expire(d.clock.Now()); len(gone) > 0 {
+			d.log.Info("upstreams gone", "upstreams", gone, "reason", "their entries did not come back after an outage")
 			d.changed(d.catalog.View())
 		}
 		d.mu.Unlock()
@@ -158,12 +158,11 @@
 	defer u.mu.Unlock()
 	now := u.clock.Now()
 	for _, c := range changes {
-		if c.Removed {
-			u.log.Info("upstream removed", "upstream", c.Record.Name, "version", uint64(c.Record.Version))
-		}
-		if c.Removed || !u.put(now, c.Record) {
-			u.catalog.Remove(now, namer.Upstream(c.Record.Name))
+		if !c.Removed && u.put(now, c.Record) {
+			continue
 		}
+		used := !u.catalog.Remove(now, namer.Upstream(c.Record.Name))
+		u.log.Info("upstream removed", "upstream", c.Record.Name, "version", uint64(c.Record.Version), "used", used)
 	}
 	u.changed(u.catalog.View())
 }
