Removed upstreams wait only after outages of the store in which entries may lapse

Cause: entries that go missing within 2 s of a regained contact are taken for lapsed ones and their upstreams stay in use. Contact counted as lost after 500 ms without the store, by a VM's own calls or by the word of the peer that it follows. Where the store refuses one VM for a second, all others waited 2 s with removals they knew of, counted anew from their own return, while the store had served everybody else. Ruled out for these: a late view (p50 of learning 0.3 s on VMs that were served), the way to the upstream (5 to 60 ms). Now: VMs pass on since when the store has answered somebody without a gap of two of the upstreams' reports, the least in which an entry can lapse (setting beat). Overlapping spans are joined, so a VM that was alone in its loss learns with its peer's first word that there was no outage, and one that lost contact a second has none. After a true outage entries wait 2 s from its end, no matter when a VM hears of that.

--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -40,8 +40,13 @@
 		fresh time.Time
 		// oldest is the greatest age that a confirmation has reached before the next came.
 		oldest time.Duration
-		away   bool
-		news   chan struct{}
+		// The store is known to have answered without an outage from steady to reached. A
+		// longer time than lapse without an answer is an outage.
+		steady  time.Time
+		reached time.Time
+		lapse   time.Duration
+		away    bool
+		news    chan struct{}
 	}
 
 	// step is the changes between two versions.
@@ -69,8 +74,9 @@
 	}
 }
 
-func newFeed() *feed {
-	return &feed{records: make(map[string]storer.Record), news: make(chan struct{})}
+// newFeed returns a feed that knows nothing, as of now.
+func newFeed(now time.Time, lapse time.Duration) *feed {
+	return &feed{records: make(map[string]storer.Record), steady: now, reached: now, lapse: lapse, news: make(chan struct{})}
 }
 
 // after returns what lies after a position, or what to wait for.
@@ -80,7 +86,7 @@
 	if !f.listed || p.At >= f.at && !f.fresh.After(p.Fresh) && f.away == p.Away {
 		return storer.Update{}, p, f.news, false
 	}
-	u := storer.Update{At: f.at, Seen: f.seen, Away: f.away}
+	u := storer.Update{At: f.at, Seen: f.seen, Away: f.away, Steady: max(0, f.fresh.Sub(f.steady))}
 	u.Changes, u.All = f.lacking(p.At)
 	return u, Position{At: max(p.At, f.at), Fresh: f.fresh, Away: f.away}, nil, true
 }
@@ -166,6 +172,24 @@
 	f.wake()
 }
 
+// reach takes over that the store answered somebody without an outage between two times.
+// It returns since when it is known to have done so until now, and whether that is news.
+func (f *feed) reach(steady, reached time.Time) (time.Time, bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	before := f.steady
+	switch {
+	case steady.Sub(f.reached) > f.lapse:
+		f.steady = steady
+	case f.steady.Sub(reached) <= f.lapse && steady.Before(f.steady):
+		f.steady = steady
+	}
+	if reached.After(f.reached) {
+		f.reached = reached
+	}
+	return f.steady, !f.steady.Equal(before)
+}
+
 func (f *feed) sees(version storer.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -35,10 +35,16 @@
 	// defaultBound is the time within which a change must be known, where none is
 	// set.
 	defaultBound = 2 * time.Second
+	// defaultLapse is the least outage of the store in which records may lapse, where
+	// none is set.
+	defaultLapse = 2 * time.Second
 	// leadPart is how long a lead's watch waits, as a part of the bound; each
 	// costs one call. A watch that heard nothing proves only that nothing had
 	// changed when it began, so a confirmation can be two watches old.
 	leadPart = 0.3
+	// lapsePart is the longest such wait, as a part of the least outage in which records
+	// lapse: a long watch must not look like an outage.
+	lapsePart = 0.5
 	// stalePart is the age of the store's last confirmation, as a part of the
 	// bound, at which a VM asks the store itself. It is over two watches and a
 	// slow answer, and leaves time for the VM's own call.
@@ -88,9 +94,9 @@
 		Reset(records []storer.Record)
 		// Apply takes changes that were learned together, in their order.
 		Apply(changes []storer.Change)
-		// Lost and Regained tell of the source's failures.
-		Lost()
-		Regained()
+		// Steady tells since when the store is known to have answered without an outage
+		// in which records may lapse. It comes before what was learned by then.
+		Steady(since time.Time)
 	}
 
 	// Follower follows one kind.
@@ -103,6 +109,7 @@
 
 		relay  Relay
 		bound  time.Duration
+		lapse  time.Duration
 		news   func()
 		feed   *feed
 		since  storer.Version
@@ -143,6 +150,12 @@
 	return func(f *Follower) { f.bound = d }
 }
 
+// WithLapse sets the least outage of the store in which records may lapse although those
+// who write them live.
+func WithLapse(d time.Duration) Option {
+	return func(f *Follower) { f.lapse = d }
+}
+
 // New returns a follower of a kind.
 func New(s Source, kind storer.Kind, h Handler, clock clockwork.Clock, log *slog.Logger, opts ...Option) *Follower {
 	f := &Follower{
@@ -152,12 +165,13 @@
 		clock:   clock,
 		log:     log.With("kind", string(kind)),
 		bound:   defaultBound,
+		lapse:   defaultLapse,
 		news:    func() {},
-		feed:    newFeed(),
 	}
 	for _, opt := range opts {
 		opt(f)
 	}
+	f.feed = newFeed(clock.Now(), f.lapse)
 	return f
 }
 
@@ -261,6 +275,7 @@
 		return err
 	}
 	f.regained()
+	f.reach(begun, begun)
 	if len(changes.List) > 0 {
 		f.logLearned(len(changes.List), changes.At, f.clock.Since(begun))
 		f.handler.Apply(changes.List)
@@ -285,7 +300,7 @@
 
 // begin returns how long the next watch is to wait, and whether it only looks.
 func (f *Follower) begin(ctx context.Context) (context.Context, time.Duration, bool) {
-	wait := time.Duration(leadPart * float64(f.bound))
+	wait := time.Duration(min(leadPart*float64(f.bound), lapsePart*float64(f.lapse)))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	looks := f.look
@@ -342,6 +357,7 @@
 		after = page.Records[len(page.Records)-1].Name
 	}
 	f.regained()
+	f.reach(begun, begun)
 	f.since = first
 	f.listed = true
 	f.logLearned(len(records), first, f.clock.Since(begun))
@@ -374,7 +390,14 @@
 	}
 	f.feed.setAway(true)
 	f.log.Warn("store lost", "since", uint64(f.since), "reason", err.Error())
-	f.handler.Lost()
+}
+
+// reach takes over that the store answered somebody without an outage between two times.
+func (f *Follower) reach(steady, reached time.Time) {
+	since, news := f.feed.reach(steady, reached)
+	if news {
+		f.handler.Steady(since)
+	}
 }
 
 func (f *Follower) regained() {
@@ -387,7 +410,6 @@
 	}
 	f.feed.setAway(false)
 	f.log.Info("store regained", "since", uint64(f.since), "away", f.clock.Since(lost))
-	f.handler.Regained()
 }
 
 // pause waits, or until ctx ends.
--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -32,6 +32,7 @@
 	page    int
 	deaf    bool
 	failing error
+	failed  int
 	lists   int
 	watches int
 	// gate holds up looks, as a long way to the store does.
@@ -131,6 +132,7 @@
 		s.mu.Lock()
 		if s.failing != nil {
 			defer s.mu.Unlock()
+			s.failed++
 			return storer.Changes{}, s.failing
 		}
 		if since < s.first {
@@ -165,8 +167,8 @@
 type copied struct {
 	mu    sync.Mutex
 	names map[string]bool
-	lost  int
-	back  int
+	// steady is since when the source has answered without an outage, as it was told.
+	steady []time.Time
 }
 
 func (c *copied) Reset(records []storer.Record) {
@@ -186,16 +188,22 @@
 	}
 }
 
-func (c *copied) Lost() {
+func (c *copied) Steady(since time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.lost++
+	c.steady = append(c.steady, since)
 }
 
-func (c *copied) Regained() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.back++
+// steadySince checks what the handler was told last.
+func (c *copied) steadySince(since time.Time) poll.Check {
+	return func(poll.LogT) poll.Result {
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		if n := len(c.steady); n > 0 && c.steady[n-1].Equal(since) {
+			return poll.Success()
+		}
+		return poll.Continue("steady since %v, not %v", c.steady, since)
+	}
 }
 
 func (c *copied) has(name string) poll.Check {
@@ -278,29 +286,48 @@
 	poll.WaitOn(t, kept.has("missed"))
 }
 
+// TestOutage has the source fail for as long as records may lapse, or for less.
 func TestOutage(t *testing.T) {
 	t.Parallel()
-	src, kept, clock := start(t)
-	wait(t, clock, 0)
-	src.fail(storer.ErrBusy)
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		kept.mu.Lock()
-		defer kept.mu.Unlock()
-		if kept.lost == 1 {
-			return poll.Success()
-		}
-		return poll.Continue("lost %d times", kept.lost)
-	})
-	kept.mu.Lock()
-	assert.Assert(t, kept.names["first"], "an outage changes nothing that is known")
-	kept.mu.Unlock()
-	src.fail(nil)
-	src.put("later")
-	wait(t, clock, time.Second)
-	poll.WaitOn(t, kept.has("later"))
-	kept.mu.Lock()
-	defer kept.mu.Unlock()
-	assert.Equal(t, kept.back, 1)
+	const lapse = 3 * time.Second
+	for _, tc := range []struct {
+		name string
+		away time.Duration
+		told bool
+	}{
+		{"short", lapse - time.Second, false},
+		{"long", lapse + time.Second, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			src, kept, clock := start(t, follower.WithLapse(lapse))
+			wait(t, clock, 0)
+			src.fail(storer.ErrBusy)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				src.mu.Lock()
+				defer src.mu.Unlock()
+				if src.failed > 0 {
+					return poll.Success()
+				}
+				return poll.Continue("no call failed")
+			})
+			clock.Advance(tc.away)
+			kept.mu.Lock()
+			assert.Assert(t, kept.names["first"], "an outage changes nothing that is known")
+			kept.mu.Unlock()
+			src.fail(nil)
+			src.put("later")
+			back := clock.Now()
+			poll.WaitOn(t, func(l poll.LogT) poll.Result {
+				clock.Advance(10 * time.Millisecond)
+				return kept.has("later")(l)
+			})
+			kept.mu.Lock()
+			defer kept.mu.Unlock()
+			assert.Equal(t, len(kept.steady) > 0, tc.told)
+			assert.Assert(t, !tc.told || !kept.steady[0].Before(back))
+		})
+	}
 }
 
 func TestPages(t *testing.T) {
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -111,6 +111,7 @@
 	}
 	now := f.clock.Now()
 	fresh := now.Add(-u.Age)
+	f.reach(fresh.Add(-u.Steady), fresh)
 	if u.All || len(u.Changes) > 0 {
 		f.logLearned(len(u.Changes), u.At, u.Age)
 	}
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -83,14 +83,15 @@
 }
 
 // startBehind starts a follower of a peer that has told it of all records.
-func startBehind(t *testing.T) (*source, *peer, *copied, *clockwork.FakeClock, *follower.Follower) {
+func startBehind(t *testing.T, opts ...follower.Option) (*source, *peer, *copied, *clockwork.FakeClock, *follower.Follower) {
 	t.Helper()
 	clock := clockwork.NewFakeClock()
 	src := newSource(clock)
 	src.put("first")
 	kept := &copied{}
 	p := newPeer()
-	f := follower.New(src, kind, kept, clock, slog.New(slog.DiscardHandler), follower.WithRelay(p), follower.WithBound(tightest))
+	opts = append([]follower.Option{follower.WithRelay(p), follower.WithBound(tightest)}, opts...)
+	f := follower.New(src, kind, kept, clock, slog.New(slog.DiscardHandler), opts...)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f.Serve(ctx) }()
@@ -201,21 +202,55 @@
 	f.Told(2)
 }
 
-// TestPeerTellsOfAnOutage has the outage of the store that a peer notices count
-// here too, since entries lapse meanwhile.
+// TestPeerTellsOfAnOutage has a VM hear nothing for some time. Whether records may have lapsed
+// meanwhile depends on whether the store answered others, as its peer tells.
 func TestPeerTellsOfAnOutage(t *testing.T) {
 	t.Parallel()
-	_, p, kept, _, _ := startBehind(t)
-	p.updates <- storer.Update{At: 1, Seen: 1, Away: true}
-	p.updates <- storer.Update{At: 1, Seen: 1}
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		kept.mu.Lock()
-		defer kept.mu.Unlock()
-		if kept.lost == 1 && kept.back == 1 {
-			return poll.Success()
-		}
-		return poll.Continue("lost %d, back %d", kept.lost, kept.back)
-	})
+	const lapse = 3 * time.Second
+	for _, tc := range []struct {
+		name   string
+		silent time.Duration
+		steady time.Duration
+		// want is for how long the store is known to have answered, 0 when nothing is told.
+		want time.Duration
+	}{
+		{"short silence", time.Second, 0, 0},
+		{"the peer noticed the same", 6 * time.Second, 0, 100 * time.Millisecond},
+		{"the peer came back before", 6 * time.Second, time.Second, time.Second + 100*time.Millisecond},
+		{"the store answered the peer all the time", 6 * time.Second, time.Minute, time.Minute + 100*time.Millisecond},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			_, p, kept, clock, f := startBehind(t, follower.WithBound(time.Minute), follower.WithLapse(lapse))
+			clock.Advance(tc.silent)
+			p.updates <- storer.Update{At: 1, Seen: 2, Age: 100 * time.Millisecond, Steady: tc.steady}
+			poll.WaitOn(t, sees(f, 2))
+			if tc.want > 0 {
+				poll.WaitOn(t, kept.steadySince(clock.Now().Add(-tc.want)))
+				return
+			}
+			kept.mu.Lock()
+			defer kept.mu.Unlock()
+			assert.Equal(t, len(kept.steady), 0)
+		})
+	}
+}
+
+// TestAwaitTellsOfOutages has an outage end: peers are told for how long the store has
+// answered since.
+func TestAwaitTellsOfOutages(t *testing.T) {
+	t.Parallel()
+	_, p, kept, clock, f := startBehind(t, follower.WithBound(time.Minute), follower.WithLapse(3*time.Second))
+	clock.Advance(6 * time.Second)
+	p.updates <- storer.Update{At: 1, Seen: 2}
+	poll.WaitOn(t, kept.steadySince(clock.Now()))
+	clock.Advance(time.Second)
+	p.updates <- storer.Update{At: 1, Seen: 3}
+	poll.WaitOn(t, sees(f, 3))
+	p.updates <- storer.Update{At: 1, Seen: 3}
+	u, _, err := f.Await(t.Context(), follower.Position{})
+	assert.NilError(t, err)
+	assert.Equal(t, u.Steady, time.Second)
 }
 
 // TestAwait tells peers what they lack from where they are.
--- a/internal/document/importer/importer.go
+++ b/internal/document/importer/importer.go
@@ -9,6 +9,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
@@ -76,8 +77,5 @@
 	}
 }
 
-// Lost implements follower.Handler.
-func (i *Importer) Lost() {}
-
-// Regained implements follower.Handler.
-func (i *Importer) Regained() {}
+// Steady implements follower.Handler. The configuration does not lapse.
+func (i *Importer) Steady(time.Time) {}
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -56,6 +56,9 @@
 var followed = []registrar.Name{configName, upstreamsName, drainsName}
 
 const (
+	// lapseBeats is how many reports of an upstream an outage of the platform's store
+	// takes at least where an entry lapses: entries lapse after three that are missing.
+	lapseBeats = 2
 	// pullAfter is how long a document may take to come by way of the records
 	// before it is pulled from a peer: two round trips of the longest way that the
 	// brief names.
@@ -130,7 +133,7 @@
 			members := f.Find(membersName).(*heartbeater.Heartbeater)
 			relay := relayer.New(f.Find(peersName).(*messenger.Messenger), members)
 			return follower.New(f.Find(platformName).(*platform.Client), kind, handler(f), f.Find(clockName).(clockwork.Clock), log,
-				follower.WithRelay(relay), follower.WithNews(members.Kick), follower.WithBound(min(s.Routing.Apply, s.Routing.Drain))), nil, nil
+				follower.WithRelay(relay), follower.WithNews(members.Kick), follower.WithBound(min(s.Routing.Apply, s.Routing.Drain)), follower.WithLapse(lapseBeats*s.Beat)), nil, nil
 		})
 	}
 	follow(configName, platform.ConfigKind, documentsName, func(f registrar.Finder) follower.Handler {
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -306,11 +306,12 @@
 // Update returns the message that tells of a kind's records.
 func Update(u storer.Update) *encoder.Update {
 	out := &encoder.Update{
-		All:  u.All,
-		At:   uint64(u.At),
-		Seen: uint64(u.Seen),
-		Age:  u.Age.Milliseconds(),
-		Away: u.Away,
+		All:    u.All,
+		At:     uint64(u.At),
+		Seen:   uint64(u.Seen),
+		Age:    u.Age.Milliseconds(),
+		Away:   u.Away,
+		Steady: u.Steady.Milliseconds(),
 	}
 	for _, c := range u.Changes {
 		out.Changes = append(out.Changes, &encoder.Change{
@@ -327,11 +328,12 @@
 // UpdateFrom reads what a message tells of a kind's records.
 func UpdateFrom(in *encoder.Update) storer.Update {
 	u := storer.Update{
-		All:  in.GetAll(),
-		At:   storer.Version(in.GetAt()),
-		Seen: storer.Version(in.GetSeen()),
-		Age:  time.Duration(max(in.GetAge(), 0)) * time.Millisecond,
-		Away: in.GetAway(),
+		All:    in.GetAll(),
+		At:     storer.Version(in.GetAt()),
+		Seen:   storer.Version(in.GetSeen()),
+		Age:    time.Duration(max(in.GetAge(), 0)) * time.Millisecond,
+		Away:   in.GetAway(),
+		Steady: time.Duration(max(in.GetSteady(), 0)) * time.Millisecond,
 	}
 	for _, c := range in.GetChanges() {
 		u.Changes = append(u.Changes, storer.Change{
--- a/internal/platform/storer/records.go
+++ b/internal/platform/storer/records.go
@@ -57,6 +57,8 @@
 		Seen Version
 		// Age is how long ago the platform itself confirmed this.
 		Age time.Duration
+		// Steady is for how long before that it had answered without an outage.
+		Steady time.Duration
 		// Away says that the platform does not answer the teller.
 		Away bool
 	}
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -35,6 +35,8 @@
 		Operators string
 		Peers     string
 		Platform  string
+		// Beat is the interval at which upstreams report to the platform.
+		Beat      time.Duration
 		Keys      [][]byte
 		Seeds     []string
 		Advertise string
@@ -120,6 +122,7 @@
 		s.Peers = e.Text("peers")
 	case "platform":
 		s.Platform = e.Text("address")
+		s.Beat = e.Duration("beat")
 	case "peers":
 		s.Advertise = e.Text("advertise")
 		return append(s.addKeys(e), s.addSeeds(e)...)
--- a/internal/settings/loader/schema.go
+++ b/internal/settings/loader/schema.go
@@ -32,6 +32,7 @@
 func platformGroup() checker.Group {
 	return checker.Group{Kind: "platform", Required: true, Doc: "the platform's object API", Keys: []checker.Key{
 		{Name: "address", Kind: checker.Address, Required: true, Doc: "where the object API answers"},
+		{Name: "beat", Kind: checker.Duration, Default: "1s", Min: int64(10 * time.Millisecond), Max: int64(time.Minute), Doc: "the interval at which upstreams report there; an entry outlives the loss of two reports"},
 	}}
 }
 
--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -10,8 +10,8 @@
 //
 //	c := cataloger.New()
 //	c.Put(now, version, entry)
-//	c.Lost(now)
-//	c.Regained(later)
+//	c.Steady(since)
+//	used := !c.Remove(now, name)
 //	view := c.View()
 package cataloger
 
@@ -29,9 +29,6 @@
 	// source before its upstream is taken as gone. The platform promises that
 	// living upstreams are back about two seconds after an outage.
 	returnTime = 2 * time.Second
-	// outageTime is the least loss of contact that counts as an outage; entries
-	// lapse only after several heartbeats, and heartbeats take over a second.
-	outageTime = 500 * time.Millisecond
 )
 
 type (
@@ -75,16 +72,15 @@
 
 	// Cataloger collects entries.
 	Cataloger struct {
-		entries  map[namer.Upstream]held
-		drained  map[namer.Zone]bool
-		lost     time.Time
-		holdTill time.Time
+		entries map[namer.Upstream]held
+		drained map[namer.Zone]bool
+		// steady is since when the source has answered without an outage.
+		steady time.Time
 	}
 
 	held struct {
 		upstream Upstream
-		// gone is when a missing entry's upstream is taken as gone.
-		gone time.Time
+		missing  bool
 	}
 )
 
@@ -108,20 +104,18 @@
 }
 
 // Remove notes that an entry is missing, and reports whether its upstream is in use no
-// longer. It stays in use for a short time when the source has just been away.
+// longer. It stays in use for a short time after an outage of the source.
 func (c *Cataloger) Remove(now time.Time, name namer.Upstream) bool {
 	known, ok := c.entries[name]
 	if !ok {
 		return true
 	}
-	if !now.Before(c.holdTill) {
+	if c.settled(now) {
 		delete(c.entries, name)
 		return true
 	}
-	if known.gone.IsZero() {
-		known.gone = c.holdTill
-		c.entries[name] = known
-	}
+	known.missing = true
+	c.entries[name] = known
 	return false
 }
 
@@ -134,26 +128,19 @@
 	}
 }
 
-// Lost notes that the source stopped answering.
-func (c *Cataloger) Lost(now time.Time) {
-	if c.lost.IsZero() {
-		c.lost = now
-	}
-}
-
-// Regained notes that the source answers again.
-func (c *Cataloger) Regained(now time.Time) {
-	if !c.lost.IsZero() && now.Sub(c.lost) >= outageTime {
-		c.holdTill = now.Add(returnTime)
-	}
-	c.lost = time.Time{}
+// Steady notes since when the source has answered without an outage.
+func (c *Cataloger) Steady(since time.Time) {
+	c.steady = since
 }
 
 // Expire drops upstreams whose entries stayed missing, and returns their names.
 func (c *Cataloger) Expire(now time.Time) []namer.Upstream {
+	if !c.settled(now) {
+		return nil
+	}
 	var dropped []namer.Upstream
 	for name, h := range c.entries {
-		if !h.gone.IsZero() && !now.Before(h.gone) {
+		if h.missing {
 			delete(c.entries, name)
 			dropped = append(dropped, name)
 		}
@@ -162,6 +149,12 @@
 	return dropped
 }
 
+// settled reports whether living upstreams had the time to come back since the last
+// outage.
+func (c *Cataloger) settled(now time.Time) bool {
+	return now.Sub(c.steady) >= returnTime
+}
+
 // Drain replaces the zones that get no new work.
 func (c *Cataloger) Drain(zones map[namer.Zone]bool) {
 	c.drained = zones
--- a/internal/upstream/cataloger/cataloger_test.go
+++ b/internal/upstream/cataloger/cataloger_test.go
@@ -39,9 +39,8 @@
 	c := cataloger.New()
 	c.Put(noon, 1, entry("back"))
 	c.Put(noon, 2, entry("gone"))
-	c.Lost(noon)
 	back := noon.Add(5 * time.Second)
-	c.Regained(back)
+	c.Steady(back)
 	c.Keep(back, map[namer.Upstream]bool{})
 	assert.DeepEqual(t, names(c), []string{"back", "gone"})
 	c.Put(back.Add(time.Second), 9, entry("back"))
@@ -52,14 +51,18 @@
 	assert.DeepEqual(t, names(c), []string{})
 }
 
-// TestShortLossIsNoOutage, since a removal just after it is a real one.
-func TestShortLossIsNoOutage(t *testing.T) {
+// TestOutageThatWasNone has an upstream removed after what was taken for an outage; once it
+// is known that the source answered others all the time, the removal counts.
+func TestOutageThatWasNone(t *testing.T) {
 	t.Parallel()
 	c := cataloger.New()
 	c.Put(noon, 1, entry("a"))
-	c.Lost(noon)
-	c.Regained(noon.Add(100 * time.Millisecond))
-	c.Remove(noon.Add(200*time.Millisecond), "a")
+	back := noon.Add(5 * time.Second)
+	c.Steady(back)
+	assert.Assert(t, !c.Remove(back, "a"))
+	assert.DeepEqual(t, names(c), []string{"a"})
+	c.Steady(noon)
+	assert.DeepEqual(t, c.Expire(back.Add(100*time.Millisecond)), []namer.Upstream{"a"})
 	assert.DeepEqual(t, names(c), []string{})
 }
 
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -180,18 +180,11 @@
 	return true
 }
 
-// Lost implements follower.Handler.
-func (u *upstreams) Lost() {
+// Steady implements follower.Handler.
+func (u *upstreams) Steady(since time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.catalog.Lost(u.clock.Now())
-}
-
-// Regained implements follower.Handler.
-func (u *upstreams) Regained() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.catalog.Regained(u.clock.Now())
+	u.catalog.Steady(since)
 }
 
 // Reset implements follower.Handler.
@@ -231,8 +224,5 @@
 	d.changed(d.catalog.View())
 }
 
-// Lost implements follower.Handler.
-func (d *drains) Lost() {}
-
-// Regained implements follower.Handler.
-func (d *drains) Regained() {}
+// Steady implements follower.Handler. Records that name zones do not lapse.
+func (d *drains) Steady(time.Time) {}
