A VM that the store turns away goes on hearing its peer

Cause: three ways to hear no peer. The time that a peer had for its first word was what was left until the view was stale: negative for a stale view, so each attempt was ended before it began. A peer's word older than three quarters of the bound was thrown away with the news in it. A look that other peers' heartbeats ask for came before following, so a VM that was refused and behind never followed; and pauses between calls were slept through. Ruled out: the peers' streams and links (other kinds were followed on them all the time). Now a stale view gives a peer two round trips, old words count where they hold news, and between calls that failed the VM follows instead of sleeping; looks wait as long. Tests, both failed before: TestStaleViewFollowsPeer, TestRefusedVMHearsPeer.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -69,9 +69,9 @@
 	// retryFollower is the longest pause of a VM that follows a peer; it hears
 	// from there that the source is back.
 	retryFollower = 2 * time.Second
-	// firstTime is how long a VM that has just started waits for a peer's records
-	// before it reads them from the store; it is two round trips of the longest
-	// way that the brief names.
+	// firstTime is how long a VM that has just started, or knows nothing fresh, waits for a
+	// peer's word before it asks the store; it is two round trips of the longest way that
+	// the brief names.
 	firstTime = 250 * time.Millisecond
 	// firstWait is how long it waits for the records of a peer that it has reached: the
 	// peer may be reading many pages, or wait for a peer of its own.
@@ -118,12 +118,12 @@
 		quiet bool
 		// followed is the peer whose updates are taken, or empty.
 		followed namer.VM
-		// longest is the longest pause between calls that fail.
-		longest time.Duration
 
 		mu   sync.Mutex
 		lost time.Time
 		seen storer.Version
+		// rested is when the store may be asked again after a call that failed.
+		rested time.Time
 		// look asks for a look, and looking says that one is under way.
 		look    bool
 		looking bool
@@ -211,11 +211,11 @@
 // catchUp ends the running watch if it has not brought a version by now. A look
 // that is under way goes on: the way to the store may take longer than the time
 // between two peers' words. A VM that has just started and knows nothing yet is about to
-// learn all.
+// learn all. One that the store has just turned away goes on hearing its peer.
 func (f *Follower) catchUp(version storer.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version <= f.seen || f.looking || f.seen == 0 {
+	if version <= f.seen || f.looking || f.seen == 0 || f.clock.Now().Before(f.rested) {
 		return
 	}
 	f.look = true
@@ -228,7 +228,21 @@
 func (f *Follower) Serve(ctx context.Context) error {
 	pause := retryFirst
 	for ctx.Err() == nil {
-		err := f.step(ctx)
+		longest := retryFollower
+		switch f.follow(ctx) {
+		case switches:
+			continue
+		case leads:
+			longest = retryMost
+		}
+		if left := f.resting(); left > 0 {
+			// A peer may be heard again before the store is asked again.
+			f.pause(ctx, min(left, retryMost))
+			if f.resting() > 0 {
+				continue
+			}
+		}
+		err := f.ask(ctx)
 		switch {
 		case err == nil:
 			f.regained()
@@ -238,30 +252,36 @@
 			f.listed = false
 		case ctx.Err() == nil:
 			f.noteLost(err)
-			f.pause(ctx, pause/2+rand.N(pause))
-			pause = min(2*pause, f.longest)
+			f.rest(pause/2 + rand.N(pause))
+			pause = min(2*pause, longest)
 		}
 	}
 	return nil
 }
 
-// step learns from a peer for as long as one tells what is fresh, and otherwise
-// calls the store once.
-func (f *Follower) step(ctx context.Context) error {
-	turn := f.follow(ctx)
-	if turn == switches {
-		return nil
-	}
-	f.longest = retryFollower
-	if turn == leads {
-		f.longest = retryMost
-	}
+// ask calls the store once.
+func (f *Follower) ask(ctx context.Context) error {
 	if !f.listed {
 		return f.list(ctx)
 	}
 	return f.watch(ctx)
 }
 
+// rest puts off the next call to the store after one that failed.
+func (f *Follower) rest(d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.rested = f.clock.Now().Add(d)
+	f.look = false
+}
+
+// resting returns how long the store is not to be asked.
+func (f *Follower) resting() time.Duration {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.rested.Sub(f.clock.Now())
+}
+
 // watch waits for changes once.
 func (f *Follower) watch(parent context.Context) error {
 	ctx, wait, looks := f.begin(parent)
--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -84,6 +84,16 @@
 	s.kick = make(chan struct{})
 }
 
+// turnedAway checks that a call has failed.
+func (s *source) turnedAway(poll.LogT) poll.Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.failed > 0 {
+		return poll.Success()
+	}
+	return poll.Continue("no call failed")
+}
+
 func (s *source) List(_ context.Context, _ storer.Kind, after string) (storer.Page, error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -303,14 +313,7 @@
 			src, kept, clock := start(t, follower.WithLapse(lapse))
 			wait(t, clock, 0)
 			src.fail(storer.ErrBusy)
-			poll.WaitOn(t, func(poll.LogT) poll.Result {
-				src.mu.Lock()
-				defer src.mu.Unlock()
-				if src.failed > 0 {
-					return poll.Success()
-				}
-				return poll.Continue("no call failed")
-			})
+			poll.WaitOn(t, src.turnedAway)
 			clock.Advance(tc.away)
 			kept.mu.Lock()
 			assert.Assert(t, kept.names["first"], "an outage changes nothing that is known")
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -87,15 +87,15 @@
 		if err != nil {
 			return f.unfollow(err)
 		}
+		peer, current := updates.From()
+		f.noteFollowed(peer)
+		f.take(u)
 		left := f.staleTime() - u.Age
 		if left <= 0 {
 			return f.unfollow(errStale)
 		}
 		stale.Stop()
 		stale = f.clock.AfterFunc(left, cancel)
-		peer, current := updates.From()
-		f.noteFollowed(peer)
-		f.take(u)
 		if !current {
 			return switches
 		}
@@ -134,13 +134,14 @@
 	f.feed.add(now, u.Changes, f.since, fresh)
 }
 
-// patience returns how long a peer may take to say something. What is known
-// must not become stale meanwhile.
+// patience returns how long a peer may take to say something. What is known must not
+// become stale meanwhile; where it is stale already, a peer may still know more than the
+// store tells this VM.
 func (f *Follower) patience() time.Duration {
 	if !f.listed {
 		return firstTime
 	}
-	return f.staleTime() - f.clock.Since(f.feed.confirmed())
+	return max(firstTime, f.staleTime()-f.clock.Since(f.feed.confirmed()), f.resting())
 }
 
 func (f *Follower) staleTime() time.Duration {
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -22,12 +22,16 @@
 	// opened tells from which versions it was followed.
 	opened chan storer.Version
 
+	clock clockwork.Clock
+
 	mu   sync.Mutex
 	gone bool
+	// way is how long an update takes from the peer.
+	way time.Duration
 }
 
-func newPeer() *peer {
-	return &peer{updates: make(chan storer.Update), opened: make(chan storer.Version, 64)}
+func newPeer(clock clockwork.Clock) *peer {
+	return &peer{clock: clock, updates: make(chan storer.Update), opened: make(chan storer.Version, 64)}
 }
 
 func (p *peer) leave() {
@@ -58,6 +62,16 @@
 
 // Next implements follower.Updates.
 func (w *words) Next() (storer.Update, error) {
+	w.peer.mu.Lock()
+	way := w.peer.way
+	w.peer.mu.Unlock()
+	if way > 0 {
+		select {
+		case <-w.peer.clock.After(way):
+		case <-w.ctx.Done():
+			return storer.Update{}, w.ctx.Err()
+		}
+	}
 	select {
 	case u := <-w.peer.updates:
 		return u, nil
@@ -89,7 +103,7 @@
 	src := newSource(clock)
 	src.put("first")
 	kept := &copied{}
-	p := newPeer()
+	p := newPeer(clock)
 	opts = append([]follower.Option{follower.WithRelay(p), follower.WithBound(tightest)}, opts...)
 	f := follower.New(src, kind, kept, clock, slog.New(slog.DiscardHandler), opts...)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -163,6 +177,68 @@
 	}
 }
 
+// TestStaleViewFollowsPeer has a VM that the store turns away lose its peer for longer than its
+// view stays fresh. It learns from the peer, once that one is back, what the store does not tell it.
+func TestStaleViewFollowsPeer(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name string
+		age  time.Duration
+	}{
+		{"fresh word", 0},
+		{"old word", tightest},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			src, p, kept, clock, _ := startBehind(t)
+			src.fail(storer.ErrBusy)
+			p.mu.Lock()
+			p.way = 100 * time.Millisecond
+			p.mu.Unlock()
+			clock.Advance(tightest)
+			poll.WaitOn(t, src.turnedAway)
+			u := storer.Update{Changes: []storer.Change{change("news", 2)}, At: 2, Seen: 2, Age: tc.age}
+			poll.WaitOn(t, func(l poll.LogT) poll.Result {
+				clock.Advance(10 * time.Millisecond)
+				select {
+				case p.updates <- u:
+				default:
+				}
+				return kept.has("news")(l)
+			}, poll.WithDelay(time.Millisecond))
+		})
+	}
+}
+
+// TestRefusedVMHearsPeer has the store turn a VM away while other peers tell that they have seen
+// more: it goes on hearing the peer that it follows, and does not ask the store all the time.
+func TestRefusedVMHearsPeer(t *testing.T) {
+	t.Parallel()
+	src, p, kept, clock, f := startBehind(t)
+	src.fail(storer.ErrBusy)
+	p.mu.Lock()
+	p.way = 100 * time.Millisecond
+	p.mu.Unlock()
+	// Peers tell it all the time, as many of them do together.
+	for range 100 {
+		f.Told(2)
+		clock.Advance(10 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+	}
+	poll.WaitOn(t, src.turnedAway)
+	begun := clock.Now()
+	poll.WaitOn(t, func(l poll.LogT) poll.Result {
+		clock.Advance(10 * time.Millisecond)
+		f.Told(2)
+		select {
+		case p.updates <- storer.Update{Changes: []storer.Change{change("news", 2)}, At: 2, Seen: 2}:
+		default:
+		}
+		return kept.has("news")(l)
+	}, poll.WithDelay(time.Millisecond))
+	assert.Assert(t, clock.Since(begun) < tightest, "learned after %s", clock.Since(begun))
+}
+
 // TestPeerIsFollowedAgain has a VM return to its peer once that one's word is
 // fresh, from where it has come to itself.
 func TestPeerIsFollowedAgain(t *testing.T) {
@@ -342,7 +418,7 @@
 	clock := clockwork.NewFakeClock()
 	src := newSource(clock)
 	src.put("first")
-	p := newPeer()
+	p := newPeer(clock)
 	f := follower.New(src, kind, &copied{}, clock, slog.New(slog.DiscardHandler), follower.WithRelay(p), follower.WithBound(tightest))
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
