A peer's failure to reach the store is not one's own

Cause: a VM whose peer said that the store did not answer it took that for its own experience and told it on. Within 0.1 s all VMs were away, so the one that the store refused stayed the first in the order of leads, and nobody asked the store until all views were stale. Evidence: 'store lost ... the store does not answer the peer' on VMs that were never refused, 'learned' 1.3 s late on all. Now only a VM's own calls count. One whose peer is not answered asks the store itself, once, and goes on as the answer says; one that is refused as well listens to the peer until it may ask again. Tests, both failed before: TestPeersFailureIsNotOwn, TestPeersWordWhileTurnedAway.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -180,7 +180,8 @@
 	return f.kind
 }
 
-// Away reports whether the store has not answered for some time.
+// Away reports whether the store has not answered this VM's own calls for some time. What a
+// peer says of its calls is not counted: another VM may be answered.
 func (f *Follower) Away() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -26,7 +26,6 @@
 	ErrLead = errors.New("this VM asks the store itself")
 
 	errStale = errors.New("the peer's word is too old")
-	// errPeerAway is why a VM takes the store for lost.
 	errPeerAway = errors.New("the store does not answer the peer")
 )
 
@@ -89,14 +88,18 @@
 		}
 		peer, current := updates.From()
 		f.noteFollowed(peer)
-		f.take(u)
 		left := f.staleTime() - u.Age
-		if left <= 0 {
-			return f.unfollow(errStale)
+		if left > 0 && !u.Away {
+			stale.Stop()
+			stale = f.clock.AfterFunc(left, cancel)
 		}
-		stale.Stop()
-		stale = f.clock.AfterFunc(left, cancel)
-		if !current {
+		f.take(u)
+		switch {
+		case left <= 0:
+			return f.unfollow(errStale)
+		case u.Away && f.resting() <= 0:
+			return f.unfollow(errPeerAway)
+		case !current:
 			return switches
 		}
 	}
@@ -104,10 +107,8 @@
 
 // take applies a peer's update.
 func (f *Follower) take(u storer.Update) {
-	if u.Away {
-		f.noteLost(errPeerAway)
-	} else {
-		f.regained()
+	if !u.Away {
+		f.feed.setAway(false)
 	}
 	now := f.clock.Now()
 	fresh := now.Add(-u.Age)
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -278,6 +278,37 @@
 	f.Told(2)
 }
 
+// TestPeersFailureIsNotOwn has the store turn away the peer that is followed, and nobody else. The
+// VM asks the store itself, long before its view is stale, and is not taken for turned away.
+func TestPeersFailureIsNotOwn(t *testing.T) {
+	t.Parallel()
+	src, p, kept, clock, f := startBehind(t, follower.WithBound(time.Minute))
+	src.put("missed")
+	p.updates <- storer.Update{At: 1, Seen: 1, Away: true}
+	poll.WaitOn(t, kept.has("missed"))
+	clock.Advance(time.Second)
+	assert.Assert(t, !f.Away())
+}
+
+// TestPeersWordWhileTurnedAway has the store turn away a VM and its peer: the VM listens to the
+// peer until it may ask again, and hears at once that the peer is answered.
+func TestPeersWordWhileTurnedAway(t *testing.T) {
+	t.Parallel()
+	src, p, kept, _, f := startBehind(t, follower.WithBound(time.Minute))
+	src.fail(storer.ErrBusy)
+	p.updates <- storer.Update{At: 1, Seen: 1, Away: true}
+	poll.WaitOn(t, src.turnedAway)
+	for range 3 {
+		p.updates <- storer.Update{At: 1, Seen: 1, Away: true}
+	}
+	p.updates <- storer.Update{Changes: []storer.Change{change("news", 2)}, At: 2, Seen: 2}
+	poll.WaitOn(t, kept.has("news"))
+	poll.WaitOn(t, sees(f, 2))
+	src.mu.Lock()
+	defer src.mu.Unlock()
+	assert.Equal(t, src.failed, 1)
+}
+
 // TestPeerTellsOfAnOutage has a VM hear nothing for some time. Whether records may have lapsed
 // meanwhile depends on whether the store answered others, as its peer tells.
 func TestPeerTellsOfAnOutage(t *testing.T) {
