All records of a peer that knows less are refused

A VM that the store tells that its history is gone reads all records anew, from the peer that it follows where there is one. That one may know less, since it is followed just after its word was too old. What the VM knew to be removed came back, and stayed until the peer learned of it on that same stream; on another stream, opened from the VM's own version, nobody would have told it again. Now such an answer is refused, and the VM reads the records from the store. Test: TestOlderPeerAfterLostHistory; before: 'what was removed is back'.

--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -25,7 +25,8 @@
 	// ErrLead says that a VM follows nobody and asks the store itself.
 	ErrLead = errors.New("this VM asks the store itself")
 
-	errStale = errors.New("the peer's word is too old")
+	errBehind   = errors.New("the peer knows less than this VM")
+	errStale    = errors.New("the peer's word is too old")
 	errPeerAway = errors.New("the store does not answer the peer")
 )
 
@@ -88,6 +89,10 @@
 		}
 		peer, current := updates.From()
 		f.noteFollowed(peer)
+		if u.All && u.At < f.since {
+			// All of its records would bring back what was removed since.
+			return f.unfollow(errBehind)
+		}
 		left := f.staleTime() - u.Age
 		if left > 0 && !u.Away {
 			stale.Stop()
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
@@ -343,6 +344,47 @@
 	}
 }
 
+// TestOlderPeerAfterLostHistory has the store drop its history while a VM follows a peer that
+// knows less than the VM itself. What the VM knows to be removed does not come back.
+func TestOlderPeerAfterLostHistory(t *testing.T) {
+	t.Parallel()
+	src, p, kept, clock, f := startBehind(t)
+	p.updates <- storer.Update{Changes: []storer.Change{change("gone", 2)}, At: 2, Seen: 2}
+	poll.WaitOn(t, kept.has("gone"))
+	removed := change("gone", 5)
+	removed.Removed = true
+	p.updates <- storer.Update{Changes: []storer.Change{removed}, At: 5, Seen: 5}
+	poll.WaitOn(t, sees(f, 5))
+	src.mu.Lock()
+	src.first, src.at = 10, 12
+	src.mu.Unlock()
+	for len(p.opened) > 0 {
+		<-p.opened
+	}
+	f.Told(12)
+	older := storer.Update{All: true, Changes: []storer.Change{change("first", 1), change("gone", 2)}, At: 3, Seen: 3}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		clock.Advance(10 * time.Millisecond)
+		select {
+		case since := <-p.opened:
+			if since == 0 {
+				return poll.Success()
+			}
+		default:
+		}
+		return poll.Continue("not opened anew")
+	}, poll.WithDelay(time.Millisecond))
+	p.updates <- older
+	poll.WaitOn(t, func(l poll.LogT) poll.Result {
+		kept.mu.Lock()
+		defer kept.mu.Unlock()
+		if kept.names["gone"] {
+			return poll.Error(errors.New("what was removed is back"))
+		}
+		return sees(f, 12)(l)
+	})
+}
+
 // TestAwaitTellsOfOutages has an outage end: peers are told for how long the store has
 // answered since.
 func TestAwaitTellsOfOutages(t *testing.T) {
