An upstream is checked again right before the first byte

Opening a connection may take up to 1.5 s, and a process with 0.16 of a core may come to it late; one that said meanwhile that it leaves, was removed, was replaced by another process, or whose zone was drained, got the request all the same. Now the request asks again once it has a connection, new or kept, and goes to another upstream. That nothing was sent is known, so it may, of any kind. The one that left is not counted as unreachable. Tests: TestDrainWhileConnecting (draining, removed, replaced, zone drained) and TestUpstreamLeftWhileConnecting; with the check switched off they fail: the request is sent to the first upstream.

--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -149,7 +149,7 @@
 }
 
 func (s *Selector) usable(now time.Time, n *node, a Ask) bool {
-	if n.Draining || s.drained[n.Zone] || now.Before(n.until) || !a.Route.Allows(n.region) {
+	if s.leaves(n) || now.Before(n.until) || !a.Route.Allows(n.region) {
 		return false
 	}
 	if slices.Contains(a.Tried, n.Upstream.Upstream) {
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -270,6 +270,17 @@
 	}
 }
 
+// Usable reports whether the upstream of a decision is still there, as the same process, and
+// gets new work.
+func (s *Selector) Usable(d Decision) bool {
+	return s.nodes[d.target.Upstream] == d.node && !s.leaves(d.node)
+}
+
+// leaves reports whether an upstream, or its zone, is to get no new work.
+func (s *Selector) leaves(n *node) bool {
+	return n.Draining || s.drained[n.Zone]
+}
+
 // Target returns the upstream of a decision as it was when that was made.
 func (d Decision) Target() cataloger.Target {
 	return d.target
--- a/internal/route/selector/way.go
+++ b/internal/route/selector/way.go
@@ -40,7 +40,7 @@
 func (s *Selector) Unmeasured() map[namer.Zone]cataloger.Target {
 	out := make(map[namer.Zone]cataloger.Target)
 	for _, n := range s.nodes {
-		if _, ok := s.ways.least[n.Zone]; !ok && !n.Draining && !s.drained[n.Zone] {
+		if _, ok := s.ways.least[n.Zone]; !ok && !s.leaves(n) {
 			out[n.Zone] = n.target()
 		}
 	}
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -197,11 +197,14 @@
 			AttemptHeader: s.headers.Attempt,
 			Attempt:       a.request.Attempt,
 			Deadline:      a.due,
+			Usable:        func() bool { return s.usable(d) },
 		})
 	a.tried = append(a.tried, target.Upstream)
 	took := s.clock.Since(begun)
 	if errors.Is(err, exchanger.ErrUnsent) {
-		s.release(d, selector.Report{Unreached: ctx.Err() == nil, Unknown: ctx.Err() != nil, Load: -1})
+		// A caller or an upstream that has left says nothing of how the upstream is reached.
+		left := ctx.Err() != nil || !s.usable(d)
+		s.release(d, selector.Report{Unreached: !left, Unknown: left, Load: -1})
 		s.logAttempt(a, d, 0, "unreached", took, err)
 		return failure(http.StatusServiceUnavailable, CodeRefused, err.Error(), 0), unreached
 	}
@@ -212,6 +215,13 @@
 	return s.answered(a, d, took, answer)
 }
 
+// usable reports whether the upstream of a decision may still be sent to.
+func (s *Steerer) usable(d selector.Decision) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.Usable(d)
+}
+
 // broken judges a send that got no whole answer.
 func (s *Steerer) broken(
 	ctx context.Context, a *attempts, d selector.Decision, took time.Duration, err error,
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"testing"
@@ -67,6 +68,8 @@
 	// sheds refuses although slots are free, full since none is.
 	sheds
 	full
+	// connects waits before it sends, as where opening a connection takes time.
+	connects
 )
 
 // mayRun reports whether the upstream may have run a request of this fate.
@@ -125,6 +128,12 @@
 		return exchanger.Answer{Status: http.StatusOK, Header: http.Header{}}, nil
 	case unreachable:
 		return exchanger.Answer{}, errors.Mark(errors.New("refused"), exchanger.ErrUnsent)
+	case connects:
+		<-u.free
+		if !r.Usable() {
+			return exchanger.Answer{}, errors.Mark(errors.New("left"), exchanger.ErrUnsent)
+		}
+		return exchanger.Answer{Status: http.StatusOK, Header: header, Body: []byte("ok")}, nil
 	case hangs:
 		select {
 		case <-u.free:
@@ -148,6 +157,12 @@
 		t.Fatal(err)
 	}
 	s.SetDocument(1, doc)
+	s.SetUpstreams(viewOf(count, slots))
+	return s
+}
+
+// viewOf returns a view of upstreams in one zone.
+func viewOf(count, slots int) *cataloger.View {
 	view := &cataloger.View{}
 	for i := range count {
 		name := fmt.Sprintf("u%d", i)
@@ -155,8 +170,7 @@
 			Upstream: namer.Upstream(name), Service: "desk", Zone: "z", Address: name, Slots: slots,
 		}})
 	}
-	s.SetUpstreams(view)
-	return s
+	return view
 }
 
 func request(path string) steerer.Request {
@@ -221,6 +235,48 @@
 	}
 }
 
+// TestDrainWhileConnecting has the upstream of a request leave while the connection to it
+// is opened: the request goes to another one.
+func TestDrainWhileConnecting(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name  string
+		leave func(v *cataloger.View, at int)
+	}{
+		{"draining", func(v *cataloger.View, at int) { v.Upstreams[at].Draining = true }},
+		{"removed", func(v *cataloger.View, at int) { v.Upstreams = slices.Delete(v.Upstreams, at, at+1) }},
+		{"replaced", func(v *cataloger.View, at int) { v.Upstreams[at].Born++ }},
+		{"zone drained", func(v *cataloger.View, at int) {
+			v.Drained = map[namer.Zone]bool{"z": true}
+			for i := range v.Upstreams {
+				if i != at {
+					v.Upstreams[i].Zone = "y"
+				}
+			}
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			up := &upstreams{fates: []fate{connects}, free: make(chan struct{})}
+			s := newSteerer(t, up, 2, 4)
+			done := make(chan steerer.Result, 1)
+			go func() { done <- s.Steer(context.Background(), request("/order/")) }()
+			poll.WaitOn(t, up.count(1))
+			view := viewOf(2, 4)
+			up.mu.Lock()
+			first := up.to[0]
+			up.mu.Unlock()
+			tc.leave(view, slices.IndexFunc(view.Upstreams, func(u cataloger.Upstream) bool { return u.Upstream == first }))
+			s.SetUpstreams(view)
+			close(up.free)
+			result := <-done
+			assert.Equal(t, result.Status, http.StatusOK)
+			assert.Equal(t, len(up.to), 2)
+			assert.Assert(t, up.to[1] != first || tc.name == "replaced")
+		})
+	}
+}
+
 // TestRetryAfterRefusal has a caller come back at once when upstreams refused it
 // although they had free slots, and after some time when they were full.
 func TestRetryAfterRefusal(t *testing.T) {
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -45,11 +45,14 @@
 var (
 	ErrUnsent  = errors.New("nothing was sent to the upstream")
 	ErrForeign = errors.New("the answer belongs to another request")
+
+	errLeft = errors.New("the upstream left before the request was sent")
 )
 
 type (
 	// Request is one request as it is written. Attempt must come back in the
-	// header that is named AttemptHeader.
+	// header that is named AttemptHeader. Usable tells whether the upstream may still be
+	// sent to; it is asked right before the first byte, and nil stands for yes.
 	Request struct {
 		Method        string
 		Head          []byte
@@ -57,6 +60,7 @@
 		AttemptHeader string
 		Attempt       string
 		Deadline      time.Time
+		Usable        func() bool
 	}
 
 	// Answer is an upstream's answer. Rest is nil when Body is whole, and must
@@ -126,6 +130,10 @@
 		link.close()
 		return Answer{}, errors.Mark(errors.Wrap(err, "setting a deadline"), ErrUnsent)
 	}
+	if r.Usable != nil && !r.Usable() {
+		link.close()
+		return Answer{}, errors.Mark(errLeft, ErrUnsent)
+	}
 	written := link.write(r)
 	answer, err := link.answer(r)
 	if err != nil {
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
@@ -142,6 +143,32 @@
 
 const whole = "HTTP/1.1 200 OK\r\nAttempt: ID\r\nContent-Length: 4\r\n\r\nbody"
 
+// TestUpstreamLeftWhileConnecting sends nothing to an upstream that may not be used any more once
+// there is a connection to it, be it a new or a kept one.
+func TestUpstreamLeftWhileConnecting(t *testing.T) {
+	t.Parallel()
+	u := serve(t, whole)
+	x := newExchanger(t)
+	r := request("a1")
+	r.Usable = func() bool {
+		conns, _ := u.seen()
+		return conns == 0
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		_, err := x.Open(t.Context(), u.target())
+		if conns, _ := u.seen(); err == nil && conns > 0 {
+			return poll.Success()
+		}
+		return poll.Continue("not connected")
+	})
+	for range 2 {
+		_, err := x.Exchange(t.Context(), u.target(), r)
+		assert.Assert(t, errors.Is(err, exchanger.ErrUnsent), "%v", err)
+	}
+	_, arrivals := u.seen()
+	assert.Equal(t, len(arrivals), 0)
+}
+
 // TestAnswers holds what one exchange returns for what an upstream sends.
 func TestAnswers(t *testing.T) {
 	t.Parallel()
