How old a view is counts by the clock of the VM that is told

What it spent on a slow link, or in a process that stood still, was counted as no time, at each of up to three hops, so a view passed for fresher than it was and the VM asked the store late. Not seen by callers as a broken rule by itself: it adds to the others. Now a VM tells its peer a moment of its own clock with the request and after each update; the peer answers with the last one and the time between the store's confirmation and its receipt. So only the way of the mark is counted too much, and nothing too little. So a lead's watch lasts a quarter of the bound in place of three tenths, and a view is stale at 0.8 of the bound: two watches, three ways there and back, and a fifth for the own call.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -41,14 +41,14 @@
 	// leadPart is how long a lead's watch waits, as a part of the bound; each
 	// costs one call. A watch that heard nothing proves only that nothing had
 	// changed when it began, so a confirmation can be two watches old.
-	leadPart = 0.3
+	leadPart = 0.25
 	// lapsePart is the longest such wait, as a part of the least outage in which records
 	// lapse: a long watch must not look like an outage.
 	lapsePart = 0.5
 	// stalePart is the age of the store's last confirmation, as a part of the
-	// bound, at which a VM asks the store itself. It is over two watches and a
-	// slow answer, and leaves time for the VM's own call.
-	stalePart = 0.75
+	// bound, at which a VM asks the store itself. It is over two watches and the ways
+	// over three peers, and leaves time for the VM's own call.
+	stalePart = 0.8
 	// behindTime is how long a peer may have seen more before this VM looks
 	// again, since the watches of all hear of a change at about the same time. It
 	// is over twice the longest round trip to the store that the brief names.
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -131,7 +131,7 @@
 		needs := []registrar.Name{platformName, clockName, peersName, membersName, need}
 		r.Register(name, needs, func(f registrar.Finder) (any, func(), error) {
 			members := f.Find(membersName).(*heartbeater.Heartbeater)
-			relay := relayer.New(f.Find(peersName).(*messenger.Messenger), members)
+			relay := relayer.New(f.Find(peersName).(*messenger.Messenger), members, f.Find(clockName).(clockwork.Clock))
 			return follower.New(f.Find(platformName).(*platform.Client), kind, handler(f), f.Find(clockName).(clockwork.Clock), log,
 				follower.WithRelay(relay), follower.WithNews(members.Kick), follower.WithBound(min(s.Routing.Apply, s.Routing.Drain)), follower.WithLapse(lapseBeats*s.Beat)), nil, nil
 		})
--- a/internal/peer/answerer/answerer.go
+++ b/internal/peer/answerer/answerer.go
@@ -10,7 +10,9 @@
 	"context"
 	"io"
 	"log/slog"
+	"sync"
 	"sync/atomic"
+	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
@@ -198,10 +200,11 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	m := &marks{}
+	m.note(f.GetMark(), a.clock.Now())
 	go func() {
-		// A peer sends nothing more; the read ends when it closes the stream.
-		_, _ = s.Receive()
-		cancel()
+		defer cancel()
+		a.readMarks(s, m)
 	}()
 	position := follower.Position{At: storer.Version(f.GetSince())}
 	for {
@@ -210,12 +213,45 @@
 			return err
 		}
 		position = next
+		if mark, received := m.last(); mark > 0 {
+			update.Mark, update.Age = mark, received.Sub(next.Fresh)
+		}
 		if err := s.Reply(&encoder.Reply{Kind: &encoder.Reply_Update{Update: converter.Update(update)}}); err != nil {
 			return err
 		}
 	}
 }
 
+// readMarks notes what a peer says on a stream of updates until it closes the stream.
+func (a *Answerer) readMarks(s *messenger.Stream, m *marks) {
+	for {
+		req, err := s.Request()
+		if err != nil {
+			return
+		}
+		m.note(req.GetFollow().GetMark(), a.clock.Now())
+	}
+}
+
+// marks is the last moment that a peer has told of, and when that was received.
+type marks struct {
+	mu       sync.Mutex
+	mark     uint64
+	received time.Time
+}
+
+func (m *marks) note(mark uint64, received time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.mark, m.received = mark, received
+}
+
+func (m *marks) last() (uint64, time.Time) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.mark, m.received
+}
+
 func (a *Answerer) document(s *messenger.Stream, upstreams bool) error {
 	force := a.services.Documents.Current()
 	if force == nil {
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -312,6 +312,7 @@
 		Age:    u.Age.Milliseconds(),
 		Away:   u.Away,
 		Steady: u.Steady.Milliseconds(),
+		Mark:   u.Mark,
 	}
 	for _, c := range u.Changes {
 		out.Changes = append(out.Changes, &encoder.Change{
@@ -331,7 +332,8 @@
 		All:    in.GetAll(),
 		At:     storer.Version(in.GetAt()),
 		Seen:   storer.Version(in.GetSeen()),
-		Age:    time.Duration(max(in.GetAge(), 0)) * time.Millisecond,
+		Age:    time.Duration(in.GetAge()) * time.Millisecond,
+		Mark:   in.GetMark(),
 		Away:   in.GetAway(),
 		Steady: time.Duration(max(in.GetSteady(), 0)) * time.Millisecond,
 	}
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -184,8 +184,8 @@
 	defer cancel()
 	s := newStream(ctx, raw)
 	defer s.Close()
-	req := &encoder.Request{}
-	if err := encoder.Read(s.reader, req); err != nil {
+	req, err := s.Request()
+	if err != nil {
 		return
 	}
 	h.Handle(ctx, remote, req, s)
@@ -266,6 +266,16 @@
 	return reply, nil
 }
 
+// Request returns the next request that the peer sends on the same stream, or io.EOF when it
+// closed the stream.
+func (s *Stream) Request() (*encoder.Request, error) {
+	req := &encoder.Request{}
+	if err := encoder.Read(s.reader, req); err != nil {
+		return nil, err
+	}
+	return req, nil
+}
+
 // Close ends the stream.
 func (s *Stream) Close() {
 	s.stop()
--- a/internal/peer/relayer/relayer.go
+++ b/internal/peer/relayer/relayer.go
@@ -2,18 +2,22 @@
 // follow a peer in place of the store.
 //
 // It answers the pattern in which every VM watches the store: its calls would grow
-// with the VMs, while its rates do not.
+// with the VMs, while its rates do not. Updates may take long on a slow link or in a
+// slow process, so how old one is counts from a moment that this VM has told the peer
+// before, by this VM's own clock.
 //
 // # Usage
 //
-//	r := relayer.New(messenger, members)
+//	r := relayer.New(messenger, members, clock)
 //	f := follower.New(calls, kind, handler, clock, log, follower.WithRelay(r))
 package relayer
 
 import (
 	"context"
+	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/follower"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
@@ -24,6 +28,9 @@
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 )
 
+// markUnit is the unit of marks.
+const markUnit = time.Millisecond
+
 // errNoUpdate is returned when a peer's reply is something else.
 var errNoUpdate = errors.New("the peer's reply is no update")
 
@@ -45,6 +52,9 @@
 	Relayer struct {
 		opener Opener
 		guides Guides
+		clock  clockwork.Clock
+		// begun is when marks begin to count.
+		begun time.Time
 	}
 
 	// updates are one peer's words on one kind.
@@ -52,14 +62,16 @@
 		relayer *Relayer
 		peer    tracker.Member
 		stream  *messenger.Stream
+		// owes says that the peer was told no mark since its last update.
+		owes bool
 	}
 )
 
 var _ follower.Relay = (*Relayer)(nil)
 
 // New returns a relayer that follows the peer that it is guided to.
-func New(o Opener, g Guides) *Relayer {
-	return &Relayer{opener: o, guides: g}
+func New(o Opener, g Guides, clock clockwork.Clock) *Relayer {
+	return &Relayer{opener: o, guides: g, clock: clock, begun: clock.Now()}
 }
 
 // Meet implements follower.Relay.
@@ -77,16 +89,35 @@
 	if err != nil {
 		return nil, err
 	}
-	req := &encoder.Request{Kind: &encoder.Request_Follow{Follow: &encoder.Follow{Kind: string(kind), Since: uint64(since)}}}
-	if err := stream.Send(req); err != nil {
+	u := &updates{relayer: r, peer: peer, stream: stream}
+	if err := u.tell(&encoder.Follow{Kind: string(kind), Since: uint64(since)}); err != nil {
 		stream.Close()
 		return nil, err
 	}
-	return &updates{relayer: r, peer: peer, stream: stream}, nil
+	return u, nil
+}
+
+// mark returns this moment, which is never 0.
+func (r *Relayer) mark() uint64 {
+	return uint64(r.clock.Since(r.begun)/markUnit) + 1
+}
+
+// age returns how long ago the store confirmed an update, by this VM's clock.
+func (r *Relayer) age(u storer.Update) time.Duration {
+	if u.Mark == 0 {
+		return max(0, u.Age)
+	}
+	marked := r.begun.Add(time.Duration(u.Mark-1) * markUnit)
+	return max(0, r.clock.Since(marked)+u.Age)
 }
 
 // Next implements follower.Updates.
 func (u *updates) Next() (storer.Update, error) {
+	if u.owes {
+		if err := u.tell(&encoder.Follow{}); err != nil {
+			return storer.Update{}, err
+		}
+	}
 	reply, err := u.stream.Receive()
 	if err != nil {
 		return storer.Update{}, err
@@ -94,7 +125,17 @@
 	if reply.GetUpdate() == nil {
 		return storer.Update{}, errNoUpdate
 	}
-	return converter.UpdateFrom(reply.GetUpdate()), nil
+	u.owes = true
+	update := converter.UpdateFrom(reply.GetUpdate())
+	update.Age, update.Mark = u.relayer.age(update), 0
+	return update, nil
+}
+
+// tell sends what the peer is to know, with a mark.
+func (u *updates) tell(f *encoder.Follow) error {
+	f.Mark = u.relayer.mark()
+	u.owes = false
+	return u.stream.Send(&encoder.Request{Kind: &encoder.Request_Follow{Follow: f}})
 }
 
 // From implements follower.Updates.
--- a/internal/platform/storer/records.go
+++ b/internal/platform/storer/records.go
@@ -55,8 +55,11 @@
 		At      Version
 		// Seen is the version of the whole platform up to which the kind is known.
 		Seen Version
-		// Age is how long ago the platform itself confirmed this.
+		// Age is how long ago the platform itself confirmed this. Where a Mark is set, it counts
+		// up to when the teller received that, and is negative when the confirmation came later.
 		Age time.Duration
+		// Mark is a moment of the receiver's own clock that it had told before, or 0.
+		Mark uint64
 		// Steady is for how long before that it had answered without an outage.
 		Steady time.Duration
 		// Away says that the platform does not answer the teller.
