A call to the store that gets no answer is given up after a quarter of the bound

Where that call goes silent, as on connections that go silent without a reset, it was given up only after its wait and 2 s, which is as long as the tightest bound. Now a watch is given up a quarter of the bound after its wait; that doubles with each call that fails, so that large answers on slow links come through. The VM hears its peer then, and asks again on a new connection. Tests: TestSilentCall, which failed before (nothing known after any time: the fake calls end only when given up).

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -49,6 +49,12 @@
 	// bound, at which a VM asks the store itself. It is over two watches and the ways
 	// over three peers, and leaves time for the VM's own call.
 	stalePart = 0.8
+	// answerPart is how long an answer may take beyond the wait of a watch, as a part of
+	// the bound. It doubles with each call that fails, since large answers take longer on
+	// slow links.
+	answerPart = 0.25
+	// answerDoubles bounds how often that doubles; the calls have a limit of their own.
+	answerDoubles = 4
 	// behindTime is how long a peer may have seen more before this VM looks
 	// again, since the watches of all hear of a change at about the same time. It
 	// is over twice the longest round trip to the store that the brief names.
@@ -114,6 +120,8 @@
 		feed   *feed
 		since  storer.Version
 		listed bool
+		// failed counts the calls that failed since the last one that was answered.
+		failed int
 		// quiet says that the last watch ended without changes.
 		quiet bool
 		// followed is the peer whose updates are taken, or empty.
@@ -247,12 +255,14 @@
 		switch {
 		case err == nil:
 			f.regained()
+			f.failed = 0
 			pause = retryFirst
 		case errors.Is(err, storer.ErrHistory):
 			f.log.Info("history gone", "since", uint64(f.since), "reason", "listing again")
 			f.listed = false
 		case ctx.Err() == nil:
 			f.noteLost(err)
+			f.failed++
 			f.rest(pause/2 + rand.N(pause))
 			pause = min(2*pause, longest)
 		}
@@ -287,6 +297,8 @@
 func (f *Follower) watch(parent context.Context) error {
 	ctx, wait, looks := f.begin(parent)
 	defer f.end()
+	limit := f.clock.AfterFunc(wait+f.answerTime(), f.cancelCall)
+	defer limit.Stop()
 	begun := f.clock.Now()
 	changes, err := f.source.Changes(ctx, f.kind, f.since, wait)
 	if err != nil {
@@ -334,6 +346,20 @@
 	return ctx, wait, looks
 }
 
+// answerTime returns how long an answer may take beyond the wait of a watch.
+func (f *Follower) answerTime() time.Duration {
+	return time.Duration(answerPart*float64(f.bound)) << min(f.failed, answerDoubles)
+}
+
+// cancelCall ends the call, or the following, that is under way.
+func (f *Follower) cancelCall() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.cancel != nil {
+		f.cancel()
+	}
+}
+
 func (f *Follower) end() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -279,6 +280,34 @@
 	f.Told(2)
 }
 
+// TestSilentCall has a VM's peer fall silent, and then its own calls, as where connections go silent
+// and new ones work. It does not wait for the calls' own limit, which is as long as the bound.
+func TestSilentCall(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		calls int
+		most  time.Duration
+	}{
+		{1, 3 * tightest / 2},
+		{2, 5 * tightest / 2},
+	} {
+		t.Run(fmt.Sprint(tc.calls), func(t *testing.T) {
+			t.Parallel()
+			src, _, kept, clock, _ := startBehind(t)
+			src.mu.Lock()
+			src.silent = tc.calls
+			src.mu.Unlock()
+			src.put("missed")
+			begun := clock.Now()
+			poll.WaitOn(t, func(l poll.LogT) poll.Result {
+				clock.Advance(10 * time.Millisecond)
+				return kept.has("missed")(l)
+			}, poll.WithDelay(time.Millisecond))
+			assert.Assert(t, clock.Since(begun) < tc.most, "known after %s", clock.Since(begun))
+		})
+	}
+}
+
 // TestPeersFailureIsNotOwn has the store turn away the peer that is followed, and nobody else. The
 // VM asks the store itself, long before its view is stale, and is not taken for turned away.
 func TestPeersFailureIsNotOwn(t *testing.T) {
