A call that is ended by a peer's word is no answer of the store

Found on reading the change. A watch that was ended because a peer had seen more counted as a call that went well, so a VM that the store had turned away took itself for answered, could become the one that asks for all, and asked again soon. Not seen by callers. Now only an answer counts. Test: TestInterruptedCallIsNoAnswer, which failed before (Away was false after calls without any answer).

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -87,6 +87,9 @@
 	awayTime = 300 * time.Millisecond
 )
 
+// errInterrupted says that a watch was ended to look for what a peer has seen.
+var errInterrupted = errors.New("a peer has seen more")
+
 type (
 	// Source is the part of the platform that is followed.
 	Source interface {
@@ -254,9 +257,9 @@
 		err := f.ask(ctx)
 		switch {
 		case err == nil:
-			f.regained()
-			f.failed = 0
 			pause = retryFirst
+		case errors.Is(err, errInterrupted):
+			// The next call looks for what a peer has seen.
 		case errors.Is(err, storer.ErrHistory):
 			f.log.Info("history gone", "since", uint64(f.since), "reason", "listing again")
 			f.listed = false
@@ -286,7 +289,7 @@
 	f.look = false
 }
 
-// resting returns how long the store is not to be asked.
+// resting returns how long the store is not to be asked, 0 or less when it may be.
 func (f *Follower) resting() time.Duration {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -297,13 +300,15 @@
 func (f *Follower) watch(parent context.Context) error {
 	ctx, wait, looks := f.begin(parent)
 	defer f.end()
-	limit := f.clock.AfterFunc(wait+f.answerTime(), f.cancelCall)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	limit := f.clock.AfterFunc(wait+f.answerTime(), cancel)
 	defer limit.Stop()
 	begun := f.clock.Now()
 	changes, err := f.source.Changes(ctx, f.kind, f.since, wait)
 	if err != nil {
 		if f.interrupted() {
-			return nil
+			return errInterrupted
 		}
 		return err
 	}
@@ -351,15 +356,6 @@
 	return time.Duration(answerPart*float64(f.bound)) << min(f.failed, answerDoubles)
 }
 
-// cancelCall ends the call, or the following, that is under way.
-func (f *Follower) cancelCall() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.cancel != nil {
-		f.cancel()
-	}
-}
-
 func (f *Follower) end() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -447,7 +443,9 @@
 	}
 }
 
+// regained notes that the store has answered this VM.
 func (f *Follower) regained() {
+	f.failed = 0
 	f.mu.Lock()
 	lost := f.lost
 	f.lost = time.Time{}
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -339,6 +339,32 @@
 	assert.Equal(t, src.failed, 1)
 }
 
+// TestInterruptedCallIsNoAnswer has a call that gets no answer be ended by a peer's word: a VM that
+// the store has turned away is no better off.
+func TestInterruptedCallIsNoAnswer(t *testing.T) {
+	t.Parallel()
+	src, p, _, clock, f := startBehind(t)
+	src.fail(storer.ErrBusy)
+	p.updates <- storer.Update{At: 1, Seen: 1, Away: true}
+	poll.WaitOn(t, src.turnedAway)
+	src.mu.Lock()
+	src.failing = nil
+	src.silent = 1000
+	src.mu.Unlock()
+	p.leave()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		clock.Advance(10 * time.Millisecond)
+		f.Told(2)
+		src.mu.Lock()
+		defer src.mu.Unlock()
+		if src.silent < 996 {
+			return poll.Success()
+		}
+		return poll.Continue("%d calls to come", src.silent)
+	}, poll.WithDelay(time.Millisecond))
+	assert.Assert(t, f.Away())
+}
+
 // TestPeerTellsOfAnOutage has a VM hear nothing for some time. Whether records may have lapsed
 // meanwhile depends on whether the store answered others, as its peer tells.
 func TestPeerTellsOfAnOutage(t *testing.T) {
