Peers are told each time that the store turns a VM away

Found on reading the change. A VM that was turned away, heard its peer, lost it and was turned away again told those that follow it nothing the second time, since its first loss was not over; they asked the store only once their views were stale. And one that was turned away left a peer whose word was old, although it might not ask the store yet, and listened to nobody until it might. Not seen by callers. Test: TestTurnedAwayAgain, which failed before ('not told').

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -428,10 +428,10 @@
 		f.lost = f.clock.Now()
 	}
 	f.mu.Unlock()
+	f.feed.setAway(true)
 	if known {
 		return
 	}
-	f.feed.setAway(true)
 	f.log.Warn("store lost", "since", uint64(f.since), "reason", err.Error())
 }
 
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -99,10 +99,12 @@
 			stale = f.clock.AfterFunc(left, cancel)
 		}
 		f.take(u)
+		// While the store may not be asked, even such a peer is listened to.
+		mayAsk := f.resting() <= 0
 		switch {
-		case left <= 0:
+		case left <= 0 && mayAsk:
 			return f.unfollow(errStale)
-		case u.Away && f.resting() <= 0:
+		case u.Away && mayAsk:
 			return f.unfollow(errPeerAway)
 		case !current:
 			return switches
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -365,6 +365,33 @@
 	assert.Assert(t, f.Away())
 }
 
+// TestTurnedAwayAgain has a VM that was turned away hear from its peer, lose it, and be turned away
+// again: those that follow it are told so each time.
+func TestTurnedAwayAgain(t *testing.T) {
+	t.Parallel()
+	src, p, _, clock, f := startBehind(t)
+	src.fail(storer.ErrBusy)
+	for range 2 {
+		p.updates <- storer.Update{At: 1, Seen: 1, Away: true}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			clock.Advance(10 * time.Millisecond)
+			u, _, err := f.Await(t.Context(), follower.Position{})
+			if err == nil && u.Away {
+				return poll.Success()
+			}
+			return poll.Continue("not told")
+		}, poll.WithDelay(time.Millisecond))
+		p.updates <- storer.Update{At: 1, Seen: 1}
+		poll.WaitOn(t, func(poll.LogT) poll.Result {
+			u, _, err := f.Await(t.Context(), follower.Position{})
+			if err == nil && !u.Away {
+				return poll.Success()
+			}
+			return poll.Continue("told of an outage")
+		})
+	}
+}
+
 // TestPeerTellsOfAnOutage has a VM hear nothing for some time. Whether records may have lapsed
 // meanwhile depends on whether the store answered others, as its peer tells.
 func TestPeerTellsOfAnOutage(t *testing.T) {
