Old records of a peer are refused after the store dropped its history

A VM that the store told that its history is gone took all records of a peer whose word was old, and with them the version from which the history is gone; so its next call to the store failed in the same way, in a circle without a pause, until the peer was fresh. Now a VM that knew something before reads the records from the store then. One that has just started still takes what it gets. Test: TestOldPeerAfterLostHistory, which did not come to an end before.

--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -89,11 +89,15 @@
 		}
 		peer, current := updates.From()
 		f.noteFollowed(peer)
+		left := f.staleTime() - u.Age
 		if u.All && u.At < f.since {
 			// All of its records would bring back what was removed since.
 			return f.unfollow(errBehind)
 		}
-		left := f.staleTime() - u.Age
+		if u.All && f.since > 0 && left <= 0 {
+			// They would lead back to the history that the store has just dropped.
+			return f.unfollow(errStale)
+		}
 		if left > 0 && !u.Away {
 			stale.Stop()
 			stale = f.clock.AfterFunc(left, cancel)
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -467,6 +467,26 @@
 	})
 }
 
+// TestOldPeerAfterLostHistory has the store drop its history while the peer that is followed has
+// heard nothing of the store for too long. The VM reads the records from the store; what the
+// peer tells would only lead back to the history that is gone.
+func TestOldPeerAfterLostHistory(t *testing.T) {
+	t.Parallel()
+	src, p, kept, clock, _ := startBehind(t)
+	src.mu.Lock()
+	src.first, src.at = 10, 12
+	src.records["new"] = storer.Record{Name: "new", Version: 12}
+	src.mu.Unlock()
+	poll.WaitOn(t, func(l poll.LogT) poll.Result {
+		clock.Advance(10 * time.Millisecond)
+		select {
+		case p.updates <- storer.Update{All: true, Changes: []storer.Change{change("first", 1)}, At: 1, Seen: 1, Age: tightest}:
+		default:
+		}
+		return kept.has("new")(l)
+	}, poll.WithDelay(time.Millisecond))
+}
+
 // TestAwaitTellsOfOutages has an outage end: peers are told for how long the store has
 // answered since.
 func TestAwaitTellsOfOutages(t *testing.T) {
