A view is stale before an outage can be taken for one

Cause: a VM asks the store itself when its view is 0.8 of the bound old, 3.2 s there; without an answer to anybody for 3 s, two reports of upstreams, it takes the store for having been away. So each VM whose peer was silent found an outage in its own silence, and used removed upstreams for 2 s more, until it heard from a peer of a longer span. Now the bound that sets watches and staleness is at most the least outage, so a silent peer makes the VM ask before. Tests: TestSilentPeerIsNoOutage, which failed before (told of an outage); TestPeerTellsOfAnOutage and TestAwaitTellsOfOutages have the store turn the VM away, since it would ask it by then; their checks are as they were.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -42,9 +42,6 @@
 	// costs one call. A watch that heard nothing proves only that nothing had
 	// changed when it began, so a confirmation can be two watches old.
 	leadPart = 0.25
-	// lapsePart is the longest such wait, as a part of the least outage in which records
-	// lapse: a long watch must not look like an outage.
-	lapsePart = 0.5
 	// stalePart is the age of the store's last confirmation, as a part of the
 	// bound, at which a VM asks the store itself. It is over two watches and the ways
 	// over three peers, and leaves time for the VM's own call.
@@ -182,6 +179,9 @@
 	for _, opt := range opts {
 		opt(f)
 	}
+	// A silent peer must make the VM ask the store before the silence is as long as an
+	// outage.
+	f.bound = min(f.bound, f.lapse)
 	f.feed = newFeed(clock.Now(), f.lapse)
 	return f
 }
@@ -338,7 +338,7 @@
 
 // begin returns how long the next watch is to wait, and whether it only looks.
 func (f *Follower) begin(ctx context.Context) (context.Context, time.Duration, bool) {
-	wait := time.Duration(min(leadPart*float64(f.bound), lapsePart*float64(f.lapse)))
+	wait := time.Duration(leadPart * float64(f.bound))
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	looks := f.look
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -392,7 +392,7 @@
 	}
 }
 
-// TestPeerTellsOfAnOutage has a VM hear nothing for some time. Whether records may have lapsed
+// TestPeerTellsOfAnOutage has a VM that the store turns away hear nothing for some time. Whether records may have lapsed
 // meanwhile depends on whether the store answered others, as its peer tells.
 func TestPeerTellsOfAnOutage(t *testing.T) {
 	t.Parallel()
@@ -411,7 +411,8 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			_, p, kept, clock, f := startBehind(t, follower.WithBound(time.Minute), follower.WithLapse(lapse))
+			src, p, kept, clock, f := startBehind(t, follower.WithBound(time.Minute), follower.WithLapse(lapse))
+			src.fail(storer.ErrBusy)
 			clock.Advance(tc.silent)
 			p.updates <- storer.Update{At: 1, Seen: 2, Age: 100 * time.Millisecond, Steady: tc.steady}
 			poll.WaitOn(t, sees(f, 2))
@@ -487,11 +488,27 @@
 	}, poll.WithDelay(time.Millisecond))
 }
 
+// TestSilentPeerIsNoOutage has a peer be silent until the view is stale, with a bound that is longer than
+// the least outage in which records lapse. The store answers the VM: it was not away.
+func TestSilentPeerIsNoOutage(t *testing.T) {
+	t.Parallel()
+	src, _, kept, clock, _ := startBehind(t, follower.WithBound(2*tightest), follower.WithLapse(3*tightest/2))
+	src.put("missed")
+	poll.WaitOn(t, func(l poll.LogT) poll.Result {
+		clock.Advance(10 * time.Millisecond)
+		return kept.has("missed")(l)
+	}, poll.WithDelay(time.Millisecond))
+	kept.mu.Lock()
+	defer kept.mu.Unlock()
+	assert.Equal(t, len(kept.steady), 0)
+}
+
 // TestAwaitTellsOfOutages has an outage end: peers are told for how long the store has
 // answered since.
 func TestAwaitTellsOfOutages(t *testing.T) {
 	t.Parallel()
-	_, p, kept, clock, f := startBehind(t, follower.WithBound(time.Minute), follower.WithLapse(3*time.Second))
+	src, p, kept, clock, f := startBehind(t, follower.WithBound(time.Minute), follower.WithLapse(3*time.Second))
+	src.fail(storer.ErrBusy)
 	clock.Advance(6 * time.Second)
 	p.updates <- storer.Update{At: 1, Seen: 2}
 	poll.WaitOn(t, kept.steadySince(clock.Now()))
