A change of the guide is noticed while the peer is silent

Cause: a VM looked whether it is to follow another peer only when its peer had told something. The VM that the store refused followed the next lead, which had just asked the store once and gone back to following the first, since no heartbeat had told it otherwise yet. Two VMs that follow each other tell each other nothing, and neither looked. Now it looks as often as heartbeats come, and switches. Test: TestGuideChangesWhilePeerIsSilent, which failed before (noticed after 48 s, the view's whole time).

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -79,6 +79,9 @@
 	// firstWait is how long it waits for the records of a peer that it has reached: the
 	// peer may be reading many pages, or wait for a peer of its own.
 	firstWait = time.Second
+	// guideTime is how often a VM looks whether it is to follow another peer, as often as
+	// peers' heartbeats come.
+	guideTime = 500 * time.Millisecond
 	// awayTime is how long the source must have failed before this VM says so to
 	// its peers; a single failed call is tried again well before.
 	awayTime = 300 * time.Millisecond
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -82,8 +83,12 @@
 		stale.Stop()
 		stale = f.clock.AfterFunc(firstWait, cancel)
 	}
+	moved := f.watchGuide(ctx, updates, cancel)
 	for {
 		u, err := updates.Next()
+		if err != nil && moved.Load() {
+			return switches
+		}
 		if err != nil {
 			return f.unfollow(err)
 		}
@@ -116,6 +121,29 @@
 	}
 }
 
+// watchGuide ends the following when another peer is to be followed, and notes that. A peer
+// that says nothing may be waiting for this VM in turn.
+func (f *Follower) watchGuide(ctx context.Context, updates Updates, cancel context.CancelFunc) *atomic.Bool {
+	moved := new(atomic.Bool)
+	ticker := f.clock.NewTicker(guideTime)
+	go func() {
+		defer ticker.Stop()
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-ticker.Chan():
+			}
+			if _, current := updates.From(); !current {
+				moved.Store(true)
+				cancel()
+				return
+			}
+		}
+	}()
+	return moved
+}
+
 // take applies a peer's update.
 func (f *Follower) take(u storer.Update) {
 	if !u.Away {
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -503,6 +503,21 @@
 	assert.Equal(t, len(kept.steady), 0)
 }
 
+// TestGuideChangesWhilePeerIsSilent has another VM be the one to follow while the peer says nothing, as
+// where two VMs follow each other. The change does not wait until the view is stale.
+func TestGuideChangesWhilePeerIsSilent(t *testing.T) {
+	t.Parallel()
+	src, p, kept, clock, _ := startBehind(t, follower.WithBound(time.Minute), follower.WithLapse(time.Minute))
+	src.put("missed")
+	p.leave()
+	begun := clock.Now()
+	poll.WaitOn(t, func(l poll.LogT) poll.Result {
+		clock.Advance(10 * time.Millisecond)
+		return kept.has("missed")(l)
+	}, poll.WithDelay(time.Millisecond))
+	assert.Assert(t, clock.Since(begun) < time.Second, "noticed after %s", clock.Since(begun))
+}
+
 // TestAwaitTellsOfOutages has an outage end: peers are told for how long the store has
 // answered since.
 func TestAwaitTellsOfOutages(t *testing.T) {
