One place that refuses all records of a peer, one loop that lets time pass in tests

Two conditions on the same kind of update stood in the loop of follow; three tests had the same loop; two comments did not say that the least outage bounds the bound. Behaviour is as it was, and the tests keep their checks.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -156,7 +156,8 @@
 	return func(f *Follower) { f.news = news }
 }
 
-// WithBound sets the time within which a change must be known.
+// WithBound sets the time within which a change must be known. It is at most the outage
+// that WithLapse sets.
 func WithBound(d time.Duration) Option {
 	return func(f *Follower) { f.bound = d }
 }
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -95,13 +95,8 @@
 		peer, current := updates.From()
 		f.noteFollowed(peer)
 		left := f.staleTime() - u.Age
-		if u.All && u.At < f.since {
-			// All of its records would bring back what was removed since.
-			return f.unfollow(errBehind)
-		}
-		if u.All && f.since > 0 && left <= 0 {
-			// They would lead back to the history that the store has just dropped.
-			return f.unfollow(errStale)
+		if err := f.refusal(u, left); err != nil {
+			return f.unfollow(err)
 		}
 		if left > 0 && !u.Away {
 			stale.Stop()
@@ -144,6 +139,22 @@
 	return moved
 }
 
+// refusal returns why a VM that knew something before does not take all records of a peer,
+// where left is how long they stay fresh, or nil.
+func (f *Follower) refusal(u storer.Update, left time.Duration) error {
+	switch {
+	case !u.All || f.since == 0:
+		return nil
+	case u.At < f.since:
+		// They would bring back what was removed since.
+		return errBehind
+	case left <= 0:
+		// They would lead back to the history that the store has just dropped.
+		return errStale
+	}
+	return nil
+}
+
 // take applies a peer's update.
 func (f *Follower) take(u storer.Update) {
 	if !u.Away {
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -121,6 +121,15 @@
 	return src, p, kept, clock, f
 }
 
+// passUntil lets time pass until a check succeeds.
+func passUntil(t *testing.T, clock *clockwork.FakeClock, check poll.Check) {
+	t.Helper()
+	poll.WaitOn(t, func(l poll.LogT) poll.Result {
+		clock.Advance(10 * time.Millisecond)
+		return check(l)
+	}, poll.WithDelay(time.Millisecond))
+}
+
 func sees(f *follower.Follower, version storer.Version) poll.Check {
 	return func(poll.LogT) poll.Result {
 		if f.Seen() == version {
@@ -299,10 +308,7 @@
 			src.mu.Unlock()
 			src.put("missed")
 			begun := clock.Now()
-			poll.WaitOn(t, func(l poll.LogT) poll.Result {
-				clock.Advance(10 * time.Millisecond)
-				return kept.has("missed")(l)
-			}, poll.WithDelay(time.Millisecond))
+			passUntil(t, clock, kept.has("missed"))
 			assert.Assert(t, clock.Since(begun) < tc.most, "known after %s", clock.Since(begun))
 		})
 	}
@@ -494,10 +500,7 @@
 	t.Parallel()
 	src, _, kept, clock, _ := startBehind(t, follower.WithBound(2*tightest), follower.WithLapse(3*tightest/2))
 	src.put("missed")
-	poll.WaitOn(t, func(l poll.LogT) poll.Result {
-		clock.Advance(10 * time.Millisecond)
-		return kept.has("missed")(l)
-	}, poll.WithDelay(time.Millisecond))
+	passUntil(t, clock, kept.has("missed"))
 	kept.mu.Lock()
 	defer kept.mu.Unlock()
 	assert.Equal(t, len(kept.steady), 0)
@@ -511,10 +514,7 @@
 	src.put("missed")
 	p.leave()
 	begun := clock.Now()
-	poll.WaitOn(t, func(l poll.LogT) poll.Result {
-		clock.Advance(10 * time.Millisecond)
-		return kept.has("missed")(l)
-	}, poll.WithDelay(time.Millisecond))
+	passUntil(t, clock, kept.has("missed"))
 	assert.Assert(t, clock.Since(begun) < time.Second, "noticed after %s", clock.Since(begun))
 }
 
--- a/internal/upstream/discoverer/removal_test.go
+++ b/internal/upstream/discoverer/removal_test.go
@@ -17,8 +17,8 @@
 )
 
 const (
-	// bound is a time within which changes must be known that is longer than any of
-	// these tests, so that nothing is taken for stale.
+	// bound is a time within which changes must be known that does not bind: the least
+	// outage, of two reports, is shorter.
 	bound = time.Minute
 	// beat is the interval at which upstreams report to the store.
 	beat = 1500 * time.Millisecond
