sweeper: only the reader of a callers' connection closes it

Cause: the sweeper closed connections from outside by net/http's state. net/http reports a connection as idle until it has read the whole head of the next request, and the state may change between the look at it and the close.

The goroutine that reads the connection closes it, and looks for bytes once more before.

--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -1,11 +1,18 @@
 // Package sweeper closes callers' connections that have been idle for longer than the
-// idle timeout. A change of the timeout applies to open connections too.
+// idle timeout, and all idle ones when the process ends. A change of the timeout applies
+// to open connections too.
+//
+// An idle connection is closed by the goroutine that reads it, after it has found no
+// bytes: net/http reports a connection as idle until it has read a whole head, so closing
+// it from outside would cut requests that are being read.
 //
 // # Usage
 //
 //	s := sweeper.New(idleTimeout, clock, log)
 //	server := &http.Server{ConnState: s.Track}
+//	go server.Serve(s.Listen(listener))
 //	go s.Serve(ctx)
+//	open := s.Drain(shutdownCtx)
 package sweeper
 
 import (
@@ -28,31 +35,74 @@
 	// IdleTimeoutFunc returns the current idle timeout, 0 while it is unknown.
 	IdleTimeoutFunc func() time.Duration
 
-	// Sweeper tracks the idle connections of one listener.
+	// Counts are the numbers of connections since the process started: accepted, told to
+	// close because they were idle, and kept although they were told to because a
+	// request came in.
+	Counts struct {
+		Accepted int64
+		Expired  int64
+		Spared   int64
+	}
+
+	// Sweeper tracks the connections of one listener.
 	Sweeper struct {
 		idleTimeout IdleTimeoutFunc
 		clock       clockwork.Clock
 		log         *slog.Logger
 
-		mu        sync.Mutex
-		idleSince map[net.Conn]time.Time
+		mu       sync.Mutex
+		conns    map[*conn]struct{}
+		counts   Counts
+		draining bool
+		// drained is closed when no connection is left after Drain was called.
+		drained chan struct{}
+	}
+
+	listener struct {
+		net.Listener
+		sweeper *Sweeper
 	}
 )
 
 // New returns a sweeper that tracks no connections yet.
 func New(idleTimeout IdleTimeoutFunc, clock clockwork.Clock, log *slog.Logger) *Sweeper {
-	return &Sweeper{idleTimeout: idleTimeout, clock: clock, log: log, idleSince: make(map[net.Conn]time.Time)}
+	return &Sweeper{idleTimeout: idleTimeout, clock: clock, log: log, conns: make(map[*conn]struct{}), drained: make(chan struct{})}
+}
+
+// Listen returns a listener whose connections s tracks. Track ignores all others.
+func (s *Sweeper) Listen(l net.Listener) net.Listener {
+	return &listener{Listener: l, sweeper: s}
+}
+
+// Accept implements net.Listener.
+func (l *listener) Accept() (net.Conn, error) {
+	accepted, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	return l.sweeper.add(accepted), nil
 }
 
 // Track records a connection's new state. Use it as http.Server's ConnState hook.
-func (s *Sweeper) Track(conn net.Conn, state http.ConnState) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if state == http.StateIdle {
-		s.idleSince[conn] = s.clock.Now()
+func (s *Sweeper) Track(tracked net.Conn, state http.ConnState) {
+	c, ok := tracked.(*conn)
+	if !ok || state != http.StateIdle {
 		return
 	}
-	delete(s.idleSince, conn)
+	s.mu.Lock()
+	draining := s.draining
+	s.mu.Unlock()
+	c.setIdle(s.clock.Now())
+	if draining {
+		s.expire(c)
+	}
+}
+
+// Counts returns the numbers of connections since the process started.
+func (s *Sweeper) Counts() Counts {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.counts
 }
 
 // Serve closes idle connections until ctx is done.
@@ -69,6 +119,24 @@
 	}
 }
 
+// Drain closes all connections that are idle, or become so, and waits until none is left
+// or ctx is done. It returns the number of those that are left. The listener must be
+// closed before.
+func (s *Sweeper) Drain(ctx context.Context) int {
+	s.mu.Lock()
+	s.draining = true
+	s.signalDrained()
+	s.mu.Unlock()
+	for _, c := range s.open() {
+		s.expire(c)
+	}
+	select {
+	case <-s.drained:
+	case <-ctx.Done():
+	}
+	return len(s.open())
+}
+
 // sweep closes the connections that have been idle for longer than the timeout. It
 // does nothing while the timeout is unknown.
 func (s *Sweeper) sweep() {
@@ -76,20 +144,71 @@
 	if limit <= 0 {
 		return
 	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
 	now := s.clock.Now()
-	closed := 0
-	for conn, since := range s.idleSince {
-		if now.Sub(since) <= limit {
-			continue
+	count := 0
+	for _, c := range s.open() {
+		if since, idle := c.idleSince(); idle && now.Sub(since) > limit && s.expire(c) {
+			count++
 		}
-		// The caller sees EOF on a connection that it left idle for too long.
-		_ = conn.Close()
-		delete(s.idleSince, conn)
-		closed++
 	}
-	if closed > 0 {
-		s.log.Debug("idle connections closed", "count", closed, "limit", limit)
+	if count > 0 {
+		s.log.Info("closing idle connections", "count", count, "limit", limit)
+	}
+}
+
+func (s *Sweeper) expire(c *conn) bool {
+	if !c.expire() {
+		return false
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Expired++
+	return true
+}
+
+// open returns the open connections.
+func (s *Sweeper) open() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+func (s *Sweeper) add(accepted net.Conn) *conn {
+	c := &conn{Conn: accepted, sweeper: s, state: stateNew}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conns[c] = struct{}{}
+	s.counts.Accepted++
+	return c
+}
+
+func (s *Sweeper) remove(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if _, ok := s.conns[c]; ok {
+		delete(s.conns, c)
+		s.signalDrained()
+	}
+}
+
+func (s *Sweeper) countSpared() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.counts.Spared++
+}
+
+// signalDrained closes drained once no connection is left. The caller holds s.mu.
+func (s *Sweeper) signalDrained() {
+	if !s.draining || len(s.conns) > 0 {
+		return
+	}
+	select {
+	case <-s.drained:
+	default:
+		close(s.drained)
 	}
 }
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -277,14 +277,15 @@
 		return sweeper.New(idleTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
 	r.Register(frontName, []registrar.Name{portsName, callersName, sweepName}, func(f registrar.Finder) (any, func(), error) {
+		sweep := f.Find(sweepName).(*sweeper.Sweeper)
 		server := &http.Server{
 			Handler:           f.Find(callersName).(*receiver.Receiver),
 			ReadHeaderTimeout: s.Limits.ReadTimeout,
-			ConnState:         f.Find(sweepName).(*sweeper.Sweeper).Track,
+			ConnState:         sweep.Track,
 			MaxHeaderBytes:    maxHeadBytes,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		}
-		return &webServer{server: server, listener: f.Find(portsName).(*listeners).callers, shutdownTimeout: httpShutdownTimeoutOf(s)}, nil, nil
+		return &webServer{server: server, listener: sweep.Listen(f.Find(portsName).(*listeners).callers), shutdownTimeout: httpShutdownTimeoutOf(s)}, nil, nil
 	})
 	r.Register(lookupServerName, []registrar.Name{membersName, steerName, reloadName}, func(f registrar.Finder) (any, func(), error) {
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
@@ -301,7 +302,7 @@
 		front := f.Find(callersName).(*receiver.Receiver)
 		return newAdminServer(s, s.Routing.ReadyAddress, platform.ReadyHandler(func() bool { return st.Ready() && !front.ShuttingDown() }))
 	})
-	deps := append([]registrar.Name{portsName, platformName, steerName, documentsName, callersName}, followerNames...)
+	deps := append([]registrar.Name{portsName, platformName, steerName, documentsName, callersName, sweepName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeadTimeout}
 		return &webServer{server: server, listener: f.Find(portsName).(*listeners).operators, shutdownTimeout: httpShutdownTimeoutOf(s)}, nil, nil
@@ -336,6 +337,8 @@
 	front := f.Find(callersName).(*receiver.Receiver)
 	m.Set("latency", expvar.Func(func() any { return front.Latencies() }))
 	m.Set("busy", expvar.Func(func() any { return front.InFlight() }))
+	sweep := f.Find(sweepName).(*sweeper.Sweeper)
+	m.Set("connections", expvar.Func(func() any { return sweep.Counts() }))
 	m.Set("needs", expvar.Func(func() any { return st.Demand() }))
 	store := f.Find(platformName).(*platform.Client)
 	m.Set("store", expvar.Func(func() any { return store.Counts() }))
