steerer: nothing is sent for a caller that has left

Callers saw: upstreams got requests of callers that had closed their connection, and worked on them (GONE), most on VMs short of processor time and after connecting to an upstream took long.

Cause: whether the caller is still there was asked before an upstream was chosen and not again. A once-only request was detached from its caller before the connection to the upstream was opened. And the caller's close is noticed by a goroutine of net/http that may run later than the handler, or not at all when bytes follow the request: a caller that gave up because its request was not read in time has closed before its request is read.

Evidence: on the code before, TestCallerGoneBeforeFirstByte hangs on the once-only route until the connection is open, and TestCallerGoneBeforeRequest finds that a request of a caller that has gone is written.

Why it works: right before the first byte, where the upstream's usability is asked too, the caller's connection is asked: its socket shows a close that nobody has read yet. Until then the caller's leaving ends the connecting; from the first byte on a once-only request goes on as before, now by the exchanger. The fake upstreams of the tests detach requests as the exchanger does.

--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -28,6 +28,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/front/recorder"
+	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 )
@@ -184,6 +185,7 @@
 		AttemptID:  in.Header.Get(r.headers.AttemptID),
 		Object:     in.Header.Get(r.headers.AffinityKey),
 		ReceivedAt: arrived,
+		CallerGone: sweeper.CallerGone(in.Context()),
 	}
 	if ms, err := strconv.ParseInt(in.Header.Get(r.headers.RemainingMs), 10, 64); err == nil && ms > 0 {
 		request.Remaining = time.Duration(ms) * time.Millisecond
--- a/internal/front/receiver/receiver_test.go
+++ b/internal/front/receiver/receiver_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
+	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 )
@@ -116,6 +118,42 @@
 	assert.Equal(t, r.last.Method, "")
 }
 
+// TestCallerLeavesBehindFurtherBytes checks that the router can ask whether the caller has
+// left when bytes that follow the request keep net/http from noticing it.
+func TestCallerLeavesBehindFurtherBytes(t *testing.T) {
+	t.Parallel()
+	const text = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	started, gone := make(chan struct{}), make(chan bool)
+	r := &router{result: okResult("answer")}
+	var once sync.Once
+	r.block = func(context.Context) {
+		once.Do(func() {
+			callerGone := r.last.CallerGone
+			gone <- callerGone()
+			<-started
+			for !callerGone() {
+				time.Sleep(time.Millisecond)
+			}
+			gone <- true
+		})
+	}
+	rec := receiver.New(r, namer.WaxwingHeaderNames(), defaultLimits, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	sweep := sweeper.New(func() time.Duration { return 0 }, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	server := httptest.NewUnstartedServer(rec)
+	server.Listener = sweep.Listen(server.Listener)
+	server.Config.ConnContext = sweep.WithConn
+	server.Start()
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = conn.Write([]byte(text + text))
+	assert.NilError(t, err)
+	assert.Assert(t, !<-gone)
+	assert.NilError(t, conn.Close())
+	close(started)
+	assert.Assert(t, <-gone)
+}
+
 // TestRequestLimits checks the status for valid requests and for requests that are
 // malformed or over a limit. After a refusal the connection must be closed.
 func TestRequestLimits(t *testing.T) {
--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -8,8 +8,12 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
 )
 
+// tcpCloseWait is the kernel's state of a connection whose other end was closed.
+const tcpCloseWait = 8
+
 // The states of a connection.
 const (
 	// stateNew is the state until the first byte of the first request.
@@ -139,6 +143,26 @@
 	return max(n, 0)
 }
 
+// peerClosed reports whether the caller has closed the connection, also when net/http has
+// not noticed it yet: net/http reads beside the handler, and stops at the first byte that
+// follows the request.
+func (c *conn) peerClosed() bool {
+	closed := false
+	err := c.control(func(fd int) {
+		var next [1]byte
+		n, _, err := unix.Recvfrom(fd, next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.IsAny(err, unix.EAGAIN, unix.EINTR):
+		case err != nil || n == 0:
+			closed = true
+		default:
+			info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+			closed = err == nil && info.State == tcpCloseWait
+		}
+	})
+	return closed || errors.Is(err, net.ErrClosed)
+}
+
 // control calls f with the connection's file descriptor, without waiting.
 func (c *conn) control(f func(fd int)) error {
 	s, ok := c.Conn.(syscall.Conn)
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -9,9 +9,10 @@
 // # Usage
 //
 //	s := sweeper.New(idleTimeout, clock, log)
-//	server := &http.Server{ConnState: s.Track}
+//	server := &http.Server{ConnState: s.Track, ConnContext: s.WithConn}
 //	go server.Serve(s.Listen(listener))
 //	go s.Serve(ctx)
+//	gone := sweeper.CallerGone(request.Context())
 //	open := s.Drain(shutdownCtx)
 package sweeper
 
@@ -62,6 +63,8 @@
 		net.Listener
 		sweeper *Sweeper
 	}
+
+	connKey struct{}
 )
 
 // New returns a sweeper that tracks no connections yet.
@@ -98,6 +101,23 @@
 	}
 }
 
+// WithConn returns a context from which CallerGone finds the connection. Use it as
+// http.Server's ConnContext hook.
+func (s *Sweeper) WithConn(ctx context.Context, accepted net.Conn) context.Context {
+	return context.WithValue(ctx, connKey{}, accepted)
+}
+
+// CallerGone returns a function that reports whether the caller of a request has closed
+// its connection, from the request's context. It returns nil for a connection that no
+// sweeper tracks.
+func CallerGone(ctx context.Context) func() bool {
+	c, ok := ctx.Value(connKey{}).(*conn)
+	if !ok {
+		return nil
+	}
+	return c.peerClosed
+}
+
 // Counts returns the numbers of connections since the process started.
 func (s *Sweeper) Counts() Counts {
 	s.mu.Lock()
--- a/internal/front/sweeper/sweeper_test.go
+++ b/internal/front/sweeper/sweeper_test.go
@@ -36,6 +36,8 @@
 	idle     atomic.Int64
 	// reads counts the reads that returned bytes.
 	reads atomic.Int64
+	// callerGone is of the request that was handled last.
+	callerGone atomic.Pointer[func() bool]
 }
 
 // readCounter counts the reads on accepted connections that return bytes.
@@ -80,7 +82,7 @@
 			f.idle.Add(1)
 		}
 	}
-	f.server = &http.Server{Handler: f, ConnState: track, ReadHeaderTimeout: time.Minute}
+	f.server = &http.Server{Handler: f, ConnState: track, ConnContext: f.sweeper.WithConn, ReadHeaderTimeout: time.Minute}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f.sweeper.Serve(ctx) }()
@@ -95,7 +97,9 @@
 }
 
 // ServeHTTP implements http.Handler.
-func (f *fixture) ServeHTTP(http.ResponseWriter, *http.Request) {
+func (f *fixture) ServeHTTP(_ http.ResponseWriter, r *http.Request) {
+	gone := sweeper.CallerGone(r.Context())
+	f.callerGone.Store(&gone)
 	f.handled.Add(1)
 	if f.blocking.Load() {
 		<-f.release
@@ -331,3 +335,41 @@
 		return poll.Continue("not accepted")
 	}, poll.WithDelay(time.Millisecond))
 }
+
+// TestCallerGone checks that a caller's close is noticed while its request is handled, also
+// behind bytes that follow the request, after which net/http reads no further.
+func TestCallerGone(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name string
+		text string
+		// abort makes the caller reset the connection.
+		abort bool
+	}{
+		{"close", wholeRequest, false},
+		{"close behind further bytes", wholeRequest + wholeRequest + wholeRequest, false},
+		{"reset", wholeRequest, true},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := start(t)
+			f.blocking.Store(true)
+			defer close(f.release)
+			conn := f.connect(t)
+			send(t, conn, tc.text)
+			f.waitHandled(t, 1)
+			gone := *f.callerGone.Load()
+			assert.Assert(t, !gone())
+			if tc.abort {
+				assert.NilError(t, conn.(*net.TCPConn).SetLinger(0))
+			}
+			assert.NilError(t, conn.Close())
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if gone() {
+					return poll.Success()
+				}
+				return poll.Continue("the caller counts as there")
+			}, poll.WithDelay(time.Millisecond))
+		})
+	}
+}
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -283,6 +283,7 @@
 			Handler:           front,
 			ReadHeaderTimeout: s.Limits.ReadTimeout,
 			ConnState:         sweep.Track,
+			ConnContext:       sweep.WithConn,
 			MaxHeaderBytes:    maxHeadBytes,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		}
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -200,10 +200,6 @@
 		s.release(d, selector.Report{Load: -1, Inconclusive: true})
 		return failure(http.StatusServiceUnavailable, CodeDeadlineExceeded, "no time is left", s.retryAfter(a)), outcomeUnsent
 	}
-	if a.route.Once {
-		// A once-only request goes on when its caller disconnects.
-		ctx = context.WithoutCancel(ctx)
-	}
 	resp, err := s.upstreams.Exchange(ctx,
 		target,
 		exchanger.Request{
@@ -213,16 +209,21 @@
 			AttemptHeader: s.headers.AttemptID,
 			AttemptID:     a.request.AttemptID,
 			Deadline:      a.deadline,
-			Usable:        func() bool { return s.usable(d) },
+			Usable:        func() bool { return !a.callerGone(ctx) && s.usable(d) },
+			// A once-only request that was sent goes on when its caller disconnects.
+			Detached: a.route.Once,
 		})
 	a.tried = append(a.tried, target.Upstream)
 	took := s.clock.Since(start)
 	if errors.Is(err, exchanger.ErrNotSent) {
 		// If the caller disconnected or the upstream was removed or drained meanwhile, the
 		// error does not show that the upstream is unreachable.
-		inconclusive := ctx.Err() != nil || !s.usable(d)
+		inconclusive := a.callerGone(ctx) || !s.usable(d)
 		s.release(d, selector.Report{ConnectFailed: !inconclusive, Inconclusive: inconclusive, Load: -1})
 		s.logAttempt(a, d, 0, "unreached", took, err)
+		if a.callerGone(ctx) {
+			return Result{}, outcomeCanceled
+		}
 		return failure(http.StatusServiceUnavailable, CodeRefused, err.Error(), 0), outcomeUnsent
 	}
 	a.sendCount++
@@ -232,6 +233,12 @@
 	return s.handleResponse(a, d, took, resp)
 }
 
+// callerGone reports whether the caller has disconnected. The connection is asked as well,
+// since ctx is canceled by a goroutine that may run later than this one.
+func (a *activeRequest) callerGone(ctx context.Context) bool {
+	return ctx.Err() != nil || a.request.CallerGone != nil && a.request.CallerGone()
+}
+
 // usable reports whether the upstream of a decision still takes new requests.
 func (s *Steerer) usable(d selector.Decision) bool {
 	s.mu.Lock()
@@ -244,7 +251,7 @@
 func (s *Steerer) handleSendError(
 	ctx context.Context, a *activeRequest, d selector.Decision, took time.Duration, err error,
 ) (Result, attemptOutcome) {
-	canceled := ctx.Err() != nil
+	canceled := ctx.Err() != nil && !a.route.Once
 	s.release(d, selector.Report{Failed: !canceled, Inconclusive: canceled, Load: -1})
 	s.logAttempt(a, d, 0, "broken", took, err)
 	if canceled {
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -69,6 +69,8 @@
 		ReceivedAt time.Time
 		// Remaining is how long the caller still waits, or 0 if it did not say.
 		Remaining time.Duration
+		// CallerGone reports whether the caller has disconnected. It may be nil.
+		CallerGone func() bool
 	}
 
 	// Result is an upstream's response, or a failure if Code is set. Rest is the
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -132,12 +133,19 @@
 	case unreachable:
 		return exchanger.Response{}, errors.Mark(errors.New("refused"), exchanger.ErrNotSent)
 	case connectsSlowly:
-		<-u.release
+		select {
+		case <-u.release:
+		case <-ctx.Done():
+			return exchanger.Response{}, errors.Mark(ctx.Err(), exchanger.ErrNotSent)
+		}
 		if !r.Usable() {
 			return exchanger.Response{}, errors.Mark(errors.New("left"), exchanger.ErrNotSent)
 		}
 		return exchanger.Response{Status: http.StatusOK, Header: header, Body: []byte("ok")}, nil
 	case hangs:
+		if r.Detached {
+			ctx = context.WithoutCancel(ctx)
+		}
 		select {
 		case <-u.release:
 			return exchanger.Response{Status: http.StatusOK, Header: header}, nil
@@ -397,6 +405,40 @@
 	}
 }
 
+// TestCallerGoneBeforeFirstByte guards against requests that reach an upstream after their
+// caller has left: while the connection to the upstream is opened, and when only the
+// caller's connection, not yet the context, shows it.
+func TestCallerGoneBeforeFirstByte(t *testing.T) {
+	t.Parallel()
+	for _, path := range []string{"/read/", "/order/"} {
+		for _, noticed := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%s noticed=%t", path, noticed), func(t *testing.T) {
+				t.Parallel()
+				up := &fakeUpstreams{behaviors: []behavior{connectsSlowly}, release: make(chan struct{})}
+				s := newSteerer(t, up, 2, 4)
+				ctx, cancel := context.WithCancel(t.Context())
+				defer cancel()
+				var gone atomic.Bool
+				r := request(path)
+				r.CallerGone = gone.Load
+				done := make(chan steerer.Result, 1)
+				go func() { done <- s.Steer(ctx, r) }()
+				poll.WaitOn(t, up.sentAtLeast(1))
+				gone.Store(true)
+				if noticed {
+					cancel()
+				} else {
+					close(up.release)
+				}
+				result := <-done
+				assert.Equal(t, result.Code, steerer.CodeCallerGone)
+				assert.Equal(t, result.SendCount, 0)
+				assert.Equal(t, len(up.sent), 1, "no other upstream is tried")
+			})
+		}
+	}
+}
+
 // sentAtLeast returns a check that at least n requests were sent.
 func (u *fakeUpstreams) sentAtLeast(n int) poll.Check {
 	return func(poll.LogT) poll.Result {
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -62,6 +62,8 @@
 		AttemptID     string
 		Deadline      time.Time
 		Usable        func() bool
+		// Detached makes the exchange go on when its context ends after the first byte.
+		Detached bool
 	}
 
 	// Response is an upstream's response. Rest is nil if Body holds the whole body.
@@ -127,12 +129,18 @@
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
-	stop := context.AfterFunc(ctx, c.close)
-	defer stop()
+	if !r.Detached {
+		stop := context.AfterFunc(ctx, c.close)
+		defer stop()
+	}
 	if err := c.conn.SetDeadline(r.Deadline.Add(deadlineGrace)); err != nil {
 		c.close()
 		return Response{}, errors.Mark(errors.Wrap(err, "setting a deadline"), ErrNotSent)
 	}
+	if ctx.Err() != nil {
+		c.close()
+		return Response{}, errors.Mark(errors.Wrap(ctx.Err(), "connected"), ErrNotSent)
+	}
 	if r.Usable != nil && !r.Usable() {
 		c.close()
 		return Response{}, errors.Mark(errNotUsable, ErrNotSent)
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -421,3 +421,32 @@
 	assert.Assert(t, !errors.Is(err, exchanger.ErrNotSent))
 	assert.Assert(t, time.Since(start) < 3*time.Second)
 }
+
+// TestCallerGoneBeforeRequest checks that nothing is sent for a caller that has gone, also
+// of a request that would go on without its caller, which it does after its first byte.
+func TestCallerGoneBeforeRequest(t *testing.T) {
+	t.Parallel()
+	u := startUpstream(t, completeResponse)
+	x := newExchanger(t)
+	_, err := x.Exchange(t.Context(), u.target(), request("a1"))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	r := request("a2")
+	r.Detached = true
+	r.Usable = func() bool {
+		time.AfterFunc(0, cancel)
+		<-ctx.Done()
+		return true
+	}
+	response, err := x.Exchange(ctx, u.target(), r)
+	assert.NilError(t, err)
+	assert.Equal(t, response.Status, http.StatusOK)
+	for _, detached := range []bool{true, false} {
+		r := request("a3")
+		r.Detached = detached
+		_, err := x.Exchange(ctx, u.target(), r)
+		assert.Assert(t, errors.Is(err, exchanger.ErrNotSent), "%v", err)
+	}
+	_, attemptIDs := u.seen()
+	assert.DeepEqual(t, attemptIDs, []string{"a1", "a2"})
+}
