exchanger: a caller that leaves does not close a pooled connection

Callers saw: a request that a sound upstream had got ended with a 502, or was sent again, beside callers that left before their deadline (LOST, and the retry budget).

Cause: the caller's leaving closes the connection on which its request runs. That was called off only after the connection had gone back to the pool, so a caller that left in between closed it under the next request.

Why it works: the connection goes back to the pool only once the closing has been called off; if it has begun, the connection is given up.

--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -129,10 +129,11 @@
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
+	stop := func() bool { return true }
 	if !r.Detached {
-		stop := context.AfterFunc(ctx, c.close)
-		defer stop()
+		stop = context.AfterFunc(ctx, c.close)
 	}
+	defer stop()
 	if err := c.conn.SetDeadline(r.Deadline.Add(deadlineGrace)); err != nil {
 		c.close()
 		return Response{}, errors.Mark(errors.Wrap(err, "setting a deadline"), ErrNotSent)
@@ -157,7 +158,9 @@
 	}
 	select {
 	case err := <-written:
-		if err == nil && c.reusable(x.clock.Now(), response) {
+		// A caller that leaves later must not close the connection: the next request may
+		// have taken it already.
+		if err == nil && c.reusable(x.clock.Now(), response) && stop() {
 			x.putIdle(t, c)
 			return response, nil
 		}
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -450,3 +450,38 @@
 	_, attemptIDs := u.seen()
 	assert.DeepEqual(t, attemptIDs, []string{"a1", "a2"})
 }
+
+// TestCallerLeavesAsResponseArrives guards against a caller that leaves as its response
+// arrives, and whose connection to the upstream is closed after another caller's request
+// has taken it from the pool.
+func TestCallerLeavesAsResponseArrives(t *testing.T) {
+	t.Parallel()
+	u := startUpstream(t, completeResponse)
+	x := newExchanger(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var leaving sync.WaitGroup
+	for range 4 {
+		leaving.Go(func() {
+			for ctx.Err() == nil {
+				callerCtx, leave := context.WithCancel(ctx)
+				r := request("a1")
+				r.Usable = func() bool {
+					time.AfterFunc(50*time.Microsecond, leave)
+					return true
+				}
+				_, _ = x.Exchange(callerCtx, u.target(), r)
+				leave()
+			}
+		})
+	}
+	for range 2000 {
+		_, err := x.Exchange(t.Context(), u.target(), request("a2"))
+		// A failure to connect, which sends nothing, is no concern of this test.
+		if err != nil && !errors.Is(err, exchanger.ErrNotSent) {
+			t.Error(err)
+			break
+		}
+	}
+	cancel()
+	leaving.Wait()
+}
