exchanger: a caller that leaves ends a response that is streamed

Callers saw: an upstream went on with a long response after its caller had left, until the request's deadline (GONE).

Cause: the exchange stopped looking for the caller's leaving once the first part of the body was there; what is left is read by the receiver.

Evidence: TestCallerLeavesDuringLongResponse waits for the deadline on the code before (test timed out after 20 s) and passes now.

Why it works: the caller's leaving closes the connection until the response has been read to its end.

--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -133,7 +133,13 @@
 	if !r.Detached {
 		stop = context.AfterFunc(ctx, c.close)
 	}
-	defer stop()
+	streaming := false
+	defer func() {
+		// While the rest of a long body is read, the caller may still leave.
+		if !streaming {
+			stop()
+		}
+	}()
 	if err := c.conn.SetDeadline(r.Deadline.Add(deadlineGrace)); err != nil {
 		c.close()
 		return Response{}, errors.Mark(errors.Wrap(err, "setting a deadline"), ErrNotSent)
@@ -154,6 +160,7 @@
 	}
 	response.ConnectTime = connectTime
 	if response.Rest != nil {
+		streaming = true
 		return response, nil
 	}
 	select {
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -485,3 +485,22 @@
 	cancel()
 	leaving.Wait()
 }
+
+// TestCallerLeavesDuringLongResponse guards against work that goes on for a caller that
+// leaves while a long body is streamed to it.
+func TestCallerLeavesDuringLongResponse(t *testing.T) {
+	t.Parallel()
+	long := strings.Repeat("x", 300<<10)
+	u := startUpstream(t, "HTTP/1.1 200 OK\r\nAttempt: ID\r\nContent-Length: 999999\r\n\r\n"+long+stayQuiet)
+	r := request("a1")
+	r.Deadline = time.Now().Add(time.Minute)
+	ctx, leave := context.WithCancel(t.Context())
+	response, err := newExchanger(t).Exchange(ctx, u.target(), r)
+	assert.NilError(t, err)
+	start := time.Now()
+	time.AfterFunc(50*time.Millisecond, leave)
+	_, err = io.Copy(io.Discard, response.Rest)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(start) < 10*time.Second)
+	assert.NilError(t, response.Rest.Close())
+}
