--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -28,6 +28,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/front/recorder"
+	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 )
@@ -69,6 +70,7 @@
 		bufferedBytes atomic.Int64
 		// shutdownDeadline is when the process exits, nil before shutdown begins.
 		shutdownDeadline atomic.Pointer[time.Time]
+		refusing         atomic.Bool
 		latencies        *recorder.Recorder
 		// lastRequest is the arrival of the latest request, in ns after createdAt.
 		lastRequest atomic.Int64
@@ -101,6 +103,12 @@
 	return r.shutdownDeadline.Load() != nil
 }
 
+// RefuseNew makes the receiver refuse all further requests as not run, because the process
+// ends before it could serve them.
+func (r *Receiver) RefuseNew() {
+	r.refusing.Store(true)
+}
+
 // InFlight returns the number of requests in progress.
 func (r *Receiver) InFlight() int64 {
 	return r.inFlight.Load()
@@ -124,6 +132,11 @@
 	if r.ShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.refusing.Load() {
+		w.Header().Set("Connection", "close")
+		r.writeError(w, in, steerer.ShuttingDownResult())
+		return
+	}
 	if r.inFlight.Add(1) > r.limits.MaxInFlight {
 		r.inFlight.Add(-1)
 		r.writeError(w, in, unavailable(steerer.CodeBusy, "too many requests are in progress"))
@@ -172,6 +185,7 @@
 		AttemptID:  in.Header.Get(r.headers.AttemptID),
 		Object:     in.Header.Get(r.headers.AffinityKey),
 		ReceivedAt: arrived,
+		CallerGone: sweeper.CallerGone(in.Context()),
 	}
 	if ms, err := strconv.ParseInt(in.Header.Get(r.headers.RemainingMs), 10, 64); err == nil && ms > 0 {
 		request.Remaining = time.Duration(ms) * time.Millisecond
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -62,6 +62,8 @@
 		AttemptID     string
 		Deadline      time.Time
 		Usable        func() bool
+		// Detached makes the exchange go on when its context ends after the first byte.
+		Detached bool
 	}
 
 	// Response is an upstream's response. Rest is nil if Body holds the whole body.
@@ -127,12 +129,25 @@
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
-	stop := context.AfterFunc(ctx, c.close)
-	defer stop()
+	stop := func() bool { return true }
+	if !r.Detached {
+		stop = context.AfterFunc(ctx, c.close)
+	}
+	streaming := false
+	defer func() {
+		// While the rest of a long body is read, the caller may still leave.
+		if !streaming {
+			stop()
+		}
+	}()
 	if err := c.conn.SetDeadline(r.Deadline.Add(deadlineGrace)); err != nil {
 		c.close()
 		return Response{}, errors.Mark(errors.Wrap(err, "setting a deadline"), ErrNotSent)
 	}
+	if ctx.Err() != nil {
+		c.close()
+		return Response{}, errors.Mark(errors.Wrap(ctx.Err(), "connected"), ErrNotSent)
+	}
 	if r.Usable != nil && !r.Usable() {
 		c.close()
 		return Response{}, errors.Mark(errNotUsable, ErrNotSent)
@@ -145,11 +160,14 @@
 	}
 	response.ConnectTime = connectTime
 	if response.Rest != nil {
+		streaming = true
 		return response, nil
 	}
 	select {
 	case err := <-written:
-		if err == nil && c.reusable(x.clock.Now(), response) {
+		// A caller that leaves later must not close the connection: the next request may
+		// have taken it already.
+		if err == nil && c.reusable(x.clock.Now(), response) && stop() {
 			x.putIdle(t, c)
 			return response, nil
 		}
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -421,3 +421,86 @@
 	assert.Assert(t, !errors.Is(err, exchanger.ErrNotSent))
 	assert.Assert(t, time.Since(start) < 3*time.Second)
 }
+
+// TestCallerGoneBeforeRequest checks that nothing is sent for a caller that has gone, also
+// of a request that would go on without its caller, which it does after its first byte.
+func TestCallerGoneBeforeRequest(t *testing.T) {
+	t.Parallel()
+	u := startUpstream(t, completeResponse)
+	x := newExchanger(t)
+	_, err := x.Exchange(t.Context(), u.target(), request("a1"))
+	assert.NilError(t, err)
+	ctx, cancel := context.WithCancel(t.Context())
+	r := request("a2")
+	r.Detached = true
+	r.Usable = func() bool {
+		time.AfterFunc(0, cancel)
+		<-ctx.Done()
+		return true
+	}
+	response, err := x.Exchange(ctx, u.target(), r)
+	assert.NilError(t, err)
+	assert.Equal(t, response.Status, http.StatusOK)
+	for _, detached := range []bool{true, false} {
+		r := request("a3")
+		r.Detached = detached
+		_, err := x.Exchange(ctx, u.target(), r)
+		assert.Assert(t, errors.Is(err, exchanger.ErrNotSent), "%v", err)
+	}
+	_, attemptIDs := u.seen()
+	assert.DeepEqual(t, attemptIDs, []string{"a1", "a2"})
+}
+
+// TestCallerLeavesAsResponseArrives guards against a caller that leaves as its response
+// arrives, and whose connection to the upstream is closed after another caller's request
+// has taken it from the pool.
+func TestCallerLeavesAsResponseArrives(t *testing.T) {
+	t.Parallel()
+	u := startUpstream(t, completeResponse)
+	x := newExchanger(t)
+	ctx, cancel := context.WithCancel(t.Context())
+	var leaving sync.WaitGroup
+	for range 4 {
+		leaving.Go(func() {
+			for ctx.Err() == nil {
+				callerCtx, leave := context.WithCancel(ctx)
+				r := request("a1")
+				r.Usable = func() bool {
+					time.AfterFunc(50*time.Microsecond, leave)
+					return true
+				}
+				_, _ = x.Exchange(callerCtx, u.target(), r)
+				leave()
+			}
+		})
+	}
+	for range 2000 {
+		_, err := x.Exchange(t.Context(), u.target(), request("a2"))
+		// A failure to connect, which sends nothing, is no concern of this test.
+		if err != nil && !errors.Is(err, exchanger.ErrNotSent) {
+			t.Error(err)
+			break
+		}
+	}
+	cancel()
+	leaving.Wait()
+}
+
+// TestCallerLeavesDuringLongResponse guards against work that goes on for a caller that
+// leaves while a long body is streamed to it.
+func TestCallerLeavesDuringLongResponse(t *testing.T) {
+	t.Parallel()
+	long := strings.Repeat("x", 300<<10)
+	u := startUpstream(t, "HTTP/1.1 200 OK\r\nAttempt: ID\r\nContent-Length: 999999\r\n\r\n"+long+stayQuiet)
+	r := request("a1")
+	r.Deadline = time.Now().Add(time.Minute)
+	ctx, leave := context.WithCancel(t.Context())
+	response, err := newExchanger(t).Exchange(ctx, u.target(), r)
+	assert.NilError(t, err)
+	start := time.Now()
+	time.AfterFunc(50*time.Millisecond, leave)
+	_, err = io.Copy(io.Discard, response.Rest)
+	assert.Assert(t, err != nil)
+	assert.Assert(t, time.Since(start) < 10*time.Second)
+	assert.NilError(t, response.Rest.Close())
+}
