cataloger, platform: entries with numbers out of range name no upstream

What callers saw: reported by operators of similar systems; another writer left an entry with a number too large or a port out of range among those of the upstreams. Here such an entry was taken for an upstream: one of 2^63-1 slots comes first in every object's order and is never full, and a port of 99999 fails every connection (both read from the code, not run).

Cause: DecodeUpstream checked only that slots were above 0 and that an address was there.

The bounds are those that a steering document has for a listed upstream and for a service's warm-up time.

--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -16,10 +16,14 @@
 package cataloger
 
 import (
+	"net"
 	"slices"
+	"strconv"
 	"strings"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 )
@@ -29,6 +33,11 @@
 	// before its upstream counts as gone. The platform promises that the entries of
 	// running upstreams are back about two seconds after an outage.
 	outageGrace = 2 * time.Second
+	// maxSlots and maxColdLeft are the limits that a steering document has for the slots of
+	// an upstream that it lists and for a service's warm-up time.
+	maxSlots    = 100_000
+	maxColdLeft = time.Hour
+	maxPort     = 65535
 )
 
 type (
@@ -88,6 +97,37 @@
 	}
 )
 
+// Validate returns an error if no upstream can be used by the entry: a field is missing or
+// out of range.
+func (e Entry) Validate() error {
+	switch {
+	case e.Upstream == "":
+		return errors.New("name missing")
+	case e.Service == "":
+		return errors.New("service missing")
+	case e.StartedMs < 0:
+		return errors.Newf("start time %d is negative", e.StartedMs)
+	case e.Slots < 1 || e.Slots > maxSlots:
+		return errors.Newf("%d slots are not from 1 to %d", e.Slots, maxSlots)
+	case e.ColdLeft < 0 || e.ColdLeft > maxColdLeft:
+		return errors.Newf("cold period %s is not from 0 to %s", e.ColdLeft, maxColdLeft)
+	}
+	return validateAddress(e.Address)
+}
+
+// validateAddress returns an error if an address is not a host and a port number.
+func validateAddress(address string) error {
+	host, port, err := net.SplitHostPort(address)
+	if err != nil {
+		return errors.Wrapf(err, "address %q", address)
+	}
+	n, err := strconv.ParseUint(port, 10, 32)
+	if host == "" || err != nil || n < 1 || n > maxPort {
+		return errors.Newf("address %q lacks a host or a port from 1 to %d", address, maxPort)
+	}
+	return nil
+}
+
 // New returns an empty catalog.
 func New() *Cataloger {
 	return &Cataloger{entries: make(map[namer.Upstream]item), drained: make(map[namer.Zone]bool)}
