converter: numbers of peers out of range neither overflow nor name upstreams

Milliseconds were multiplied into a time.Duration and overflowed, so a long age could come out as none or as one in the future: a member, a zone's summary or records would count as confirmed just now. A call's long time left came out negative. Counts of VMs and demands had sums that overflow. Borrowed upstreams were not checked at all.

Fix: one function limits durations to ten years, one limits counts to 0 to 2^31-1, demands above that are dropped, and UpstreamsFrom leaves out entries that cataloger.Entry.Validate rejects, as when a peer's build took them from the store unchecked. Such a number has not been seen in a message.

Evidence: TestMemberAgeOutOfRange, TestUpdateAgeOutOfRange, TestDeadlineOutOfRange and TestBorrowedUpstreamsOutOfRange (6 of 6 cases) failed before and pass now. TestDemandOutOfRange is new with the fix and was not run without it.

The other packages of internal/peer, internal/member and internal/once passed with -race.

--- a/internal/member/heartbeater/compose.go
+++ b/internal/member/heartbeater/compose.go
@@ -205,7 +205,7 @@
 	}
 	for _, raw := range hb.GetAlive() {
 		if inc, ok := namer.IncarnationFromBytes(raw.GetIncarnation()); ok {
-			h.tracker.Refresh(now, inc, now.Add(-time.Duration(max(raw.GetAge(), 0))*time.Millisecond))
+			h.tracker.Refresh(now, inc, now.Add(-converter.AgeFrom(raw.GetAge())))
 		}
 	}
 	for _, raw := range hb.GetSummaries() {
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -21,6 +21,27 @@
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
+// maxDuration limits the durations in messages, which are in milliseconds, so that neither
+// they nor their sums overflow. No process runs for so long.
+const maxDuration = 10 * 365 * 24 * time.Hour
+
+// milliseconds returns the duration of a number of milliseconds in a message, from
+// -maxDuration to maxDuration.
+func milliseconds(ms int64) time.Duration {
+	limit := maxDuration.Milliseconds()
+	return time.Duration(min(max(ms, -limit), limit)) * time.Millisecond
+}
+
+// AgeFrom returns the age in a message. A negative one counts as 0.
+func AgeFrom(ms int64) time.Duration {
+	return max(milliseconds(ms), 0)
+}
+
+// count returns a number in a message that is added to others, from 0 to math.MaxInt32.
+func count(n int64) int {
+	return int(min(max(n, 0), math.MaxInt32))
+}
+
 // Call returns a request as a message. The deadline is sent as the time left, since the
 // clocks of two VMs may differ.
 func Call(kind encoder.CallKind, r forwarder.Request, now time.Time) *encoder.Call {
@@ -47,7 +68,7 @@
 		Path:     c.GetPath(),
 		Headers:  HeadersFrom(c.GetHeaders()),
 		Body:     c.GetBody(),
-		Deadline: now.Add(time.Duration(c.GetDeadline()) * time.Millisecond),
+		Deadline: now.Add(milliseconds(c.GetDeadline())),
 	}
 }
 
@@ -198,9 +219,9 @@
 		Sequence:         m.GetSequence(),
 		Leaving:          m.GetState() == encoder.State_STATE_LEAVING,
 		StoreUnreachable: m.GetAway(),
-		ZoneSize:         int(m.GetNear()),
+		ZoneSize:         count(m.GetNear()),
 		Generation:       namer.Generation(m.GetGeneration()),
-		LastHeard:        now.Add(-time.Duration(max(m.GetAge(), 0)) * time.Millisecond),
+		LastHeard:        now.Add(-AgeFrom(m.GetAge())),
 	}
 	if m.GetState() == encoder.State_STATE_SUSPECT {
 		out.State = tracker.Suspect
@@ -212,7 +233,7 @@
 	for _, r := range m.GetRoom() {
 		out.FreeCapacity = append(out.FreeCapacity, tracker.FreeCapacity{
 			Service: namer.Service(r.GetService()),
-			Weight:  namer.Weight(r.GetWeight()),
+			Weight:  namer.Weight(count(r.GetWeight())),
 		})
 	}
 	return out, true
@@ -234,9 +255,9 @@
 func SummaryFrom(m *encoder.Summary, now time.Time) tracker.ZoneSummary {
 	return tracker.ZoneSummary{
 		Zone:    namer.Zone(m.GetZone()),
-		VMs:     int(max(m.GetVms(), 0)),
+		VMs:     count(m.GetVms()),
 		Demands: demandsFrom(m.GetNeed()),
-		At:      now.Add(-time.Duration(max(m.GetAge(), 0)) * time.Millisecond),
+		At:      now.Add(-AgeFrom(m.GetAge())),
 	}
 }
 
@@ -248,12 +269,12 @@
 	return out
 }
 
-// demandsFrom returns the demands in messages, without those that are negative, infinite
+// demandsFrom returns the demands in messages, without those that are negative, too large
 // or not a number.
 func demandsFrom(ns []*encoder.Need) []tracker.Demand {
 	var out []tracker.Demand
 	for _, n := range ns {
-		if n.GetSlots() >= 0 && !math.IsInf(n.GetSlots(), 0) {
+		if n.GetSlots() >= 0 && n.GetSlots() <= math.MaxInt32 {
 			out = append(out, tracker.Demand{Service: namer.Service(n.GetService()), Slots: n.GetSlots()})
 		}
 	}
@@ -283,23 +304,24 @@
 	}
 }
 
-// UpstreamsFrom returns the upstreams and drained zones in a document.
+// UpstreamsFrom returns the upstreams and drained zones in a document, without the upstreams
+// whose entries are invalid.
 func UpstreamsFrom(in *encoder.Document) *cataloger.View {
 	v := &cataloger.View{Drained: make(map[namer.Zone]bool)}
 	for _, u := range in.GetUpstreams() {
-		v.Upstreams = append(v.Upstreams, cataloger.Upstream{
-			Version: storer.Version(u.GetVersion()),
-			Entry: cataloger.Entry{
-				Upstream:  namer.Upstream(u.GetName()),
-				StartedMs: u.GetBorn(),
-				Service:   namer.Service(u.GetService()),
-				Zone:      namer.Zone(u.GetZone()),
-				Address:   u.GetAddress(),
-				Slots:     int(u.GetSlots()),
-				Draining:  u.GetDraining(),
-				ColdLeft:  time.Duration(u.GetCold()) * time.Millisecond,
-			},
-		})
+		entry := cataloger.Entry{
+			Upstream:  namer.Upstream(u.GetName()),
+			StartedMs: u.GetBorn(),
+			Service:   namer.Service(u.GetService()),
+			Zone:      namer.Zone(u.GetZone()),
+			Address:   u.GetAddress(),
+			Slots:     int(u.GetSlots()),
+			Draining:  u.GetDraining(),
+			ColdLeft:  milliseconds(u.GetCold()),
+		}
+		if entry.Validate() == nil {
+			v.Upstreams = append(v.Upstreams, cataloger.Upstream{Version: storer.Version(u.GetVersion()), Entry: entry})
+		}
 	}
 	for _, zone := range in.GetDrained() {
 		v.Drained[namer.Zone(zone)] = true
@@ -336,10 +358,10 @@
 		Full:              in.GetAll(),
 		Version:           storer.Version(in.GetAt()),
 		SeenVersion:       storer.Version(in.GetSeen()),
-		Age:               time.Duration(in.GetAge()) * time.Millisecond,
+		Age:               milliseconds(in.GetAge()),
 		Mark:              in.GetMark(),
 		StoreUnreachable:  in.GetAway(),
-		StoreReachableFor: time.Duration(max(in.GetSteady(), 0)) * time.Millisecond,
+		StoreReachableFor: AgeFrom(in.GetSteady()),
 	}
 	for _, c := range in.GetChanges() {
 		u.Changes = append(u.Changes, storer.Change{
