relayer: an update with an unknown mark ends the relay parent's updates

The age of a relay parent's update counts from the mark that it returns. A mark ahead of this VM's clock made old records count as confirmed just now, and one of 2^62 or more overflowed. Such a mark has not been seen.

Evidence: TestMarkOutOfRange failed for all 4 marks before (an age of 0 s for one of 2^40, where the records are 60 s old) and passes now, with -race.

--- a/internal/peer/relayer/relayer.go
+++ b/internal/peer/relayer/relayer.go
@@ -33,8 +33,12 @@
 // markResolution is the unit in which marks count.
 const markResolution = time.Millisecond
 
-// errUnexpectedReply is returned when a reply of the relay parent holds no update.
-var errUnexpectedReply = errors.New("the peer's reply holds no update")
+var (
+	// errUnexpectedReply is returned when a reply of the relay parent holds no update.
+	errUnexpectedReply = errors.New("the peer's reply holds no update")
+	// errUnknownMark is returned for an update whose age is not known.
+	errUnknownMark = errors.New("the peer returned a mark that this VM did not send")
+)
 
 type (
 	// StreamOpener opens a stream to another VM.
@@ -132,6 +136,9 @@
 	}
 	u.markDue = true
 	update := converter.UpdateFrom(reply.GetUpdate())
+	if update.Mark > u.relayer.mark() {
+		return storer.Update{}, errUnknownMark
+	}
 	update.Age, update.Mark = u.relayer.age(update), 0
 	return update, nil
 }
--- a/internal/peer/relayer/relayer_test.go
+++ b/internal/peer/relayer/relayer_test.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"log/slog"
+	"math"
 	"net"
+	"strconv"
 	"testing"
 	"time"
 
@@ -15,6 +17,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
 	"github.com/waxwingloom/waxwingloom/internal/peer/answerer"
+	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
 	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
 	"github.com/waxwingloom/waxwingloom/internal/peer/relayer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
@@ -126,3 +129,33 @@
 		assert.Assert(t, excess <= 2*time.Millisecond, "the age is %s too high", excess)
 	}
 }
+
+// handlerFunc answers the requests of peers.
+type handlerFunc func(*encoder.Request, *messenger.Stream)
+
+// Handle implements messenger.Handler.
+func (f handlerFunc) Handle(_ context.Context, _ messenger.Identity, req *encoder.Request, s *messenger.Stream) {
+	f(req, s)
+}
+
+// TestMarkOutOfRange guards against old records that count as confirmed just now because the
+// relay parent returned a mark that this VM did not send.
+func TestMarkOutOfRange(t *testing.T) {
+	t.Parallel()
+	for _, mark := range []uint64{2, 1 << 40, 1 << 62, math.MaxUint64} {
+		t.Run(strconv.FormatUint(mark, 10), func(t *testing.T) {
+			t.Parallel()
+			_, address := newMessenger(t, 1, handlerFunc(func(req *encoder.Request, s *messenger.Stream) {
+				_ = s.SendReply(&encoder.Reply{Kind: &encoder.Reply_Update{Update: &encoder.Update{Age: 60_000, Mark: mark}}})
+			}))
+			clock := clockwork.NewFakeClock()
+			own, _ := newMessenger(t, 2, handlerFunc(func(*encoder.Request, *messenger.Stream) {}))
+			relay := relayer.New(own, fixedParent{tracker.Member{PeerAddress: address, Incarnation: namer.Incarnation{1}}}, clock)
+			updates, err := relay.Open(t.Context(), kind, 0)
+			assert.NilError(t, err)
+			defer updates.Close()
+			u, err := updates.Next()
+			assert.Assert(t, err != nil, "an age of %s", u.Age)
+		})
+	}
+}
