steerer: a load that no upstream can have is not taken for its load

Cause: the expected latency, a product of the load and the processing time, overflowed to a negative one. So the upstream was the best for every request, and each waited until it had a free slot.

Fix: numbers of the load header outside 0 to 1,000,000 make it malformed, as if it were missing.

--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -32,6 +32,9 @@
 	// maxUnsentAttempts is how many attempts of a request may end without anything sent,
 	// such as when an upstream can't be reached. One more ends the request.
 	maxUnsentAttempts = 4
+	// maxLoadField is the largest number in an upstream's load header. The latency that is
+	// expected from a load must not overflow.
+	maxLoadField = 1_000_000
 )
 
 // The outcomes of an attempt at one upstream.
@@ -330,7 +333,7 @@
 
 // parseLoad parses an upstream's load header: running requests, waiting requests and
 // slots, separated by commas. It returns the sum of running and waiting requests, or
-// -1 if the header is missing or malformed.
+// -1 if the header is missing, malformed or out of range.
 func parseLoad(text string) (requests, slots int) {
 	fields := strings.Split(text, ",")
 	if len(fields) < 2 {
@@ -339,7 +342,7 @@
 	for i, field := range fields {
 		n, err := strconv.Atoi(strings.TrimSpace(field))
 		switch {
-		case err != nil:
+		case err != nil || n < 0 || n > maxLoadField:
 			return -1, 0
 		case i < 2:
 			requests += n
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -152,6 +152,10 @@
 }
 
 func newSteerer(t interface{ Fatal(...any) }, up *fakeUpstreams, count, slots int) *steerer.Steerer {
+	return newSteererOf(t, up, count, slots)
+}
+
+func newSteererOf(t interface{ Fatal(...any) }, up steerer.UpstreamClient, count, slots int) *steerer.Steerer {
 	self := selector.Self{VM: "v", Zone: "z", Region: "r", Regions: map[namer.Zone]namer.Region{"z": "r"}}
 	s := steerer.New(self, namer.WaxwingHeaderNames(), steerer.RetryBudget{Ratio: 1, Window: 10 * time.Second}, up,
 		clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
