cataloger: an entry without a zone names no upstream

What callers see: an entry of another writer may lack fields and then names no upstream; one without a zone was used. No drain of a zone covers such an upstream and it belongs to no region.

Cause: DecodeUpstream and then Validate did not look at the zone.

--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -103,8 +103,8 @@
 	switch {
 	case e.Upstream == "":
 		return errors.New("name missing")
-	case e.Service == "":
-		return errors.New("service missing")
+	case e.Service == "" || e.Zone == "":
+		return errors.New("service or zone missing")
 	case e.StartedMs < 0:
 		return errors.Newf("start time %d is negative", e.StartedMs)
 	case e.Slots < 1 || e.Slots > maxSlots:
