exchanger: a connection serves an attempt once

What callers saw: reported by operators of similar systems. A faulty upstream wrote an earlier refusal once more on a kept connection, and callers were told "not run" for requests that ran.

Cause: the exchanger tells responses apart by the caller's attempt ID. A copy of a refusal to another request is skipped. A copy of a refusal to the same attempt, sent again on the same connection, was taken for the response to the later send; so was a copy between two requests without an attempt ID. The steerer sends a request to an upstream once, so here this needs a caller that sends an attempt ID again, or none.

Fix: a connection remembers the attempts that it answered until their deadline, after which they are not sent again, and such an attempt takes another connection. This covers every answer and also holds after other requests and after the pool. A connection that has served a request without an ID, or 256 attempts that may still be sent again, is closed.

--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -1,7 +1,8 @@
 // Package exchanger sends one request to one upstream and returns its response. It
 // keeps a pool of connections to each upstream. It never sends a request twice. A
 // response that belongs to another request is dropped, and a connection on which
-// anything unexpected arrived is closed.
+// anything unexpected arrived is closed. A connection serves an attempt once, so that a
+// copy of an earlier response to it is not taken for the response to a later send.
 //
 // # Usage
 //
@@ -123,7 +124,7 @@
 // Exchange sends a request and returns the response. When ctx is canceled, the
 // connection is closed, so that the upstream can stop processing the request.
 func (x *Exchanger) Exchange(ctx context.Context, t cataloger.Target, r Request) (Response, error) {
-	c, connectTime, err := x.acquire(ctx, t)
+	c, connectTime, err := x.acquire(ctx, t, r.AttemptID)
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
@@ -149,7 +150,7 @@
 	}
 	select {
 	case err := <-written:
-		if err == nil && c.reusable(x.clock.Now(), response) {
+		if err == nil && c.reusable(x.clock.Now(), r, response) {
 			x.putIdle(t, c)
 			return response, nil
 		}
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -11,7 +12,6 @@
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/dialer"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
@@ -38,6 +38,9 @@
 	// maxHeadBytes is the maximum size of a response's head. A faulty upstream may send
 	// an endless one.
 	maxHeadBytes = 64 << 10
+	// maxAnsweredAttempts is the number of answered attempts that a connection remembers. One
+	// that has more of them is closed.
+	maxAnsweredAttempts = 256
 )
 
 // errHeadTooLong is returned for a response whose head exceeds maxHeadBytes.
@@ -66,8 +69,17 @@
 		reader    *bufio.Reader
 		idleUntil time.Time
 		willClose bool
+		// answered lists the attempts that were answered on this connection and may still be
+		// sent again. A second response to one of them could not be told from a new one.
+		answered  []attempt
 		closeOnce sync.Once
 	}
+
+	// attempt is a caller's attempt, which is sent to upstreams until its deadline only.
+	attempt struct {
+		id       string
+		deadline time.Time
+	}
 )
 
 // headLimiter limits the bytes read from a connection while a response's head is read.
@@ -94,11 +106,11 @@
 	return poolKey{address: t.Address, startedMs: t.StartedMs, name: string(t.Upstream)}
 }
 
-// acquire returns an idle connection that is still open, or a new one and the time
-// that connecting took.
-func (x *Exchanger) acquire(ctx context.Context, t cataloger.Target) (*connection, time.Duration, error) {
+// acquire returns an idle connection that is still open and on which the attempt was not
+// answered before, or a new one and the time that connecting took.
+func (x *Exchanger) acquire(ctx context.Context, t cataloger.Target, attemptID string) (*connection, time.Duration, error) {
 	for {
-		c := x.takeIdle(t)
+		c := x.takeIdle(t, attemptID)
 		if c == nil {
 			break
 		}
@@ -132,20 +144,22 @@
 	return min(max(connectRTTs*rtt, minConnectTimeout), maxConnectTimeout)
 }
 
-// takeIdle returns the most recently used idle connection, or nil if there is none whose
-// idle timeout has not passed.
-func (x *Exchanger) takeIdle(t cataloger.Target) *connection {
-	now := x.clock.Now()
+// takeIdle returns the most recently used idle connection whose idle timeout has not passed
+// and on which the attempt was not answered before, or nil if there is none.
+func (x *Exchanger) takeIdle(t cataloger.Target, attemptID string) *connection {
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	p := x.pools[keyOf(t)]
-	for p != nil && len(p.idle) > 0 {
-		c := p.idle[len(p.idle)-1]
-		p.idle = p.idle[:len(p.idle)-1]
-		if now.Before(c.idleUntil) {
+	if p == nil {
+		return nil
+	}
+	now := x.clock.Now()
+	p.closeExpired(now)
+	for i, c := range slices.Backward(p.idle) {
+		if !c.hasAnswered(now, attemptID) {
+			p.idle = slices.Delete(p.idle, i, i+1)
 			return c
 		}
-		c.close()
 	}
 	return nil
 }
@@ -169,17 +183,18 @@
 		return
 	}
 	p.idle = append(p.idle, c)
-	p.closeExpired(x.clock)
+	p.closeExpired(x.clock.Now())
 }
 
-// closeExpired closes the connections at the head of the list whose idle timeout has
-// passed. The least recently used connections come first.
-func (p *pool) closeExpired(clock clockwork.Clock) {
-	now := clock.Now()
-	for len(p.idle) > 0 && !now.Before(p.idle[0].idleUntil) {
-		p.idle[0].close()
-		p.idle = p.idle[1:]
-	}
+// closeExpired closes the connections whose idle timeout has passed.
+func (p *pool) closeExpired(now time.Time) {
+	p.idle = slices.DeleteFunc(p.idle, func(c *connection) bool {
+		expired := !now.Before(c.idleUntil)
+		if expired {
+			c.close()
+		}
+		return expired
+	})
 }
 
 func (p *pool) close() {
@@ -193,10 +208,23 @@
 	c.closeOnce.Do(func() { _ = c.conn.Close() })
 }
 
-// reusable reports whether the connection may serve another request after response r,
-// and sets idleUntil.
-func (c *connection) reusable(now time.Time, r Response) bool {
-	if c.willClose || c.reader.Buffered() > 0 {
+// remember adds an attempt to those answered on this connection, and drops those whose
+// deadline has passed. It reports false if that makes too many.
+func (c *connection) remember(now time.Time, r Request) bool {
+	c.answered = slices.DeleteFunc(c.answered, func(a attempt) bool { return now.After(a.deadline) })
+	c.answered = append(c.answered, attempt{id: r.AttemptID, deadline: r.Deadline})
+	return len(c.answered) <= maxAnsweredAttempts
+}
+
+func (c *connection) hasAnswered(now time.Time, attemptID string) bool {
+	return slices.ContainsFunc(c.answered, func(a attempt) bool { return a.id == attemptID && !now.After(a.deadline) })
+}
+
+// reusable reports whether the connection may serve other requests after the response to a
+// request, and sets idleUntil. A response that repeats that of a request without an attempt ID
+// could be taken for the response to the next such request.
+func (c *connection) reusable(now time.Time, request Request, r Response) bool {
+	if c.willClose || c.reader.Buffered() > 0 || request.AttemptID == "" || !c.remember(now, request) {
 		return false
 	}
 	idle := defaultIdleTimeout
