receiver, responder: a caller's long time limit does not overflow

What callers saw: a caller that says that it waits for some 292 years or more could be refused as late (routes) or get no answer on a closed connection (services).

Cause: the milliseconds of the header were multiplied into a time.Duration without a limit. The result was negative or short, and the responder's write deadline had passed before the response.

Fix: the number is limited before it is multiplied.

--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -15,6 +15,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -41,6 +42,9 @@
 	retryAfterJitterFraction = 0.5
 	// writeTimeout bounds the writing of a response, for callers that stop reading.
 	writeTimeout = 10 * time.Second
+	// maxRemainingMs is the longest time that a caller can say it waits. Longer ones would
+	// overflow a duration.
+	maxRemainingMs = int64(math.MaxInt64 / time.Millisecond)
 )
 
 type (
@@ -174,7 +178,7 @@
 		ReceivedAt: arrived,
 	}
 	if ms, err := strconv.ParseInt(in.Header.Get(r.headers.RemainingMs), 10, 64); err == nil && ms > 0 {
-		request.Remaining = time.Duration(ms) * time.Millisecond
+		request.Remaining = time.Duration(min(ms, maxRemainingMs)) * time.Millisecond
 	}
 	return request, failed
 }
--- a/internal/front/receiver/receiver_test.go
+++ b/internal/front/receiver/receiver_test.go
@@ -139,6 +139,19 @@
 	}
 }
 
+// TestRemainingOutOfRange guards against a request that is refused as late because the time
+// that its caller waits overflows.
+func TestRemainingOutOfRange(t *testing.T) {
+	t.Parallel()
+	r := &router{result: okResult("answer")}
+	_, address := start(t, r, defaultLimits)
+	for _, ms := range []string{"9223372036855", "18446744073710", "9223372036854775807"} {
+		_, _, err := exchange(t, address, "GET / HTTP/1.1\r\nHost: h\r\nWaxwing-Timeout: "+ms+"\r\n\r\n")
+		assert.NilError(t, err)
+		assert.Assert(t, r.last.Remaining > time.Hour, "%s ms is %s", ms, r.last.Remaining)
+	}
+}
+
 // TestForwardedParts checks which parts of a request reach the router and which
 // headers of a response reach the caller.
 func TestForwardedParts(t *testing.T) {
--- a/internal/front/responder/responder_test.go
+++ b/internal/front/responder/responder_test.go
@@ -71,6 +71,8 @@
 	result      func() dispatcher.Result
 	onceOutcome arbiter.Outcome
 	block       chan struct{}
+	// onDispatch is called with each request that is dispatched, if it is set.
+	onDispatch func(forwarder.Request)
 }
 
 func newSnapshot(t testing.TB) *keeper.Snapshot {
@@ -102,10 +104,13 @@
 	return f.onceOutcome
 }
 
-func (f *fakes) DispatchIdempotent(context.Context, forwarder.Request) dispatcher.Result {
+func (f *fakes) DispatchIdempotent(_ context.Context, r forwarder.Request) dispatcher.Result {
 	if f.block != nil {
 		<-f.block
 	}
+	if f.onDispatch != nil {
+		f.onDispatch(r)
+	}
 	return f.result()
 }
 
@@ -207,6 +212,24 @@
 	assert.Equal(t, resp.StatusCode, http.StatusRequestTimeout)
 }
 
+// TestTimeoutOutOfRange guards against a request that is refused as late because the time that
+// its caller waits overflows.
+func TestTimeoutOutOfRange(t *testing.T) {
+	t.Parallel()
+	for _, ms := range []string{"9223372036855", "18446744073710", "9223372036854775807"} {
+		deadlines := make(chan time.Time, 1)
+		f := &fakes{result: ranResult(newBody("ok")), onDispatch: func(r forwarder.Request) { deadlines <- r.Deadline }}
+		_, server := newServer(t, f)
+		req, err := http.NewRequest(http.MethodGet, server.URL+"/v1/s/a/stock", nil)
+		assert.NilError(t, err)
+		req.Header.Set(responder.TimeoutHeader, ms)
+		begun := time.Now()
+		do(t, req)
+		left := (<-deadlines).Sub(begun)
+		assert.Assert(t, left > 500*time.Millisecond, "%s ms is %s", ms, left)
+	}
+}
+
 func TestTooManyRequestsIs503(t *testing.T) {
 	t.Parallel()
 	f := &fakes{block: make(chan struct{}), result: ranResult(newBody("ok"))}
--- a/internal/front/responder/serve.go
+++ b/internal/front/responder/serve.go
@@ -112,10 +112,10 @@
 // requestTimeout returns the class's deadline, or the caller's if that is shorter.
 func requestTimeout(in *http.Request, class parser.Class) time.Duration {
 	ms, err := strconv.ParseInt(in.Header.Get(TimeoutHeader), 10, 64)
-	if err != nil || ms <= 0 {
+	if err != nil || ms <= 0 || ms >= class.Deadline.Milliseconds() {
 		return class.Deadline
 	}
-	return min(class.Deadline, time.Duration(ms)*time.Millisecond)
+	return time.Duration(ms) * time.Millisecond
 }
 
 // runOnce checks a once-only request's token and runs the request under it.
