selector, steerer: no request for an upstream that said it is leaving

A request could reach an upstream any time after it had announced its end in a response, up to the moment its record changed: late or never while the store is away, refuses this VM, or was restored from an older copy, in which the upstream is ready.

Cause: responses were read for refusal, load and signature alone. That an upstream leaves was known from the store's records only.

Fix: the header is read from every response with the request's attempt id, success, failure, refusal or spoiled, and passed to the selector with the report. The selector keeps the notice by name and start time, apart from the state of the upstream, which ends with its entry. Such an upstream counts as draining: it is no candidate, its slots do not count, and Usable, which is asked right before the first byte, is false for it. Queued requests are decided on again after each report. The notice holds until the record names a later start. A record with an earlier start does not lift it: in a restored store it is the entry of a process that has ended, at an address that the later one may have taken over. At most 4,096 notices of upstreams outside the view are kept.

A misdirected request (421) was answered by another upstream, so its notice is not held against the one that was meant.

Peers are not told. The promise is between the VM that got the response and the upstream, each VM gets its own, and the record follows for all; a spoiled response then costs one VM an upstream, not all.

The header goes on to callers as before, as every header that does not concern one connection.

--- a/internal/kernel/namer/headers.go
+++ b/internal/kernel/namer/headers.go
@@ -19,6 +19,8 @@
 	Load string
 	// NotRun states that the upstream did not run the request.
 	NotRun string
+	// Leaving is 1 in the responses of an upstream that is about to shut down.
+	Leaving string
 }
 
 // WaxwingHeaderNames returns the header names of the project's own interface.
@@ -31,5 +33,6 @@
 		ExpectedUpstream: "Waxwing-Expect",
 		Load:             "Waxwing-Load",
 		NotRun:           "Waxwing-Refused",
+		Leaving:          "Waxwing-Leaving",
 	}
 }
--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -194,6 +194,9 @@
 		}
 		w.Header().Set(h.AttemptID, r.Header.Get(h.AttemptID))
 		w.Header().Set(h.Signature, "s")
+		if strings.HasSuffix(r.URL.Path, "/leaving") {
+			w.Header().Set(h.Leaving, "1")
+		}
 		_, _ = w.Write([]byte(r.Header.Get(h.ExpectedUpstream)))
 	}))
 	t.Cleanup(upstream.Close)
@@ -256,6 +259,20 @@
 	d.done <- nil
 }
 
+// TestRequestAfterUpstreamSaidItLeaves checks that no request follows a response that says
+// that the upstream is leaving, although the store's record says that it is ready.
+func TestRequestAfterUpstreamSaidItLeaves(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := start(t, "vm-1", f.storeAddress, "")
+	d.waitReady(t)
+	status, body := get(d.callers, "/stock/leaving", "shop.example")
+	assert.Equal(t, status, http.StatusOK)
+	assert.Equal(t, body, "i-1")
+	status, _ = get(d.callers, "/stock/1", "shop.example")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+}
+
 // answers succeeds when a request for path gets the status want.
 func answers(d *daemon, path string, want int) poll.Check {
 	return func(poll.LogT) poll.Result {
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -53,11 +53,21 @@
 		}
 		upstreams[u.Upstream] = state
 		svc.upstreams = append(svc.upstreams, state)
-		if !u.Draining && !v.Drained[u.Zone] {
+	}
+	s.upstreams = upstreams
+	for _, svc := range s.services {
+		s.countSlots(svc)
+	}
+}
+
+// countSlots counts the slots of a service in each zone that gets new work.
+func (s *Selector) countSlots(svc *service) {
+	clear(svc.slots)
+	for _, u := range svc.upstreams {
+		if !s.isDraining(u) {
 			svc.slots[u.Zone] += float64(u.Slots)
 		}
 	}
-	s.upstreams = upstreams
 }
 
 // stateOf returns the state of an upstream. A new process starts with fresh state.
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -118,6 +118,7 @@
 		regionZones []namer.Zone
 		stats       map[statsKey]*routeStats
 		drained     map[namer.Zone]bool
+		notices     map[namer.Upstream]notice
 		spreaders   map[namer.Service]*spreader.Spreader
 		crossRegion crossRegionLimiter
 		vms         int
@@ -143,6 +144,7 @@
 		rtts:            zoneRTTs{smoothed: make(map[namer.Zone]time.Duration), lowest: make(map[namer.Zone]time.Duration)},
 		regionZones:     zonesOfRegion(self),
 		stats:           make(map[statsKey]*routeStats),
+		notices:         make(map[namer.Upstream]notice),
 		spreaders:       make(map[namer.Service]*spreader.Spreader),
 		vms:             1,
 		zoneVMs:         1,
@@ -286,7 +288,7 @@
 
 // isDraining reports whether an upstream or its zone must get no new work.
 func (s *Selector) isDraining(u *upstreamState) bool {
-	return u.Draining || s.drained[u.Zone]
+	return u.Draining || s.drained[u.Zone] || s.isLeaving(u)
 }
 
 // Target returns the upstream of a decision as it was at the time of the decision.
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -104,6 +104,8 @@
 	Load int
 	// Bytes is the size of the request and its response, 0 when it is unknown.
 	Bytes int
+	// Leaving means that the response announced the upstream's shutdown.
+	Leaving bool
 }
 
 // End records the outcome of a request and counts it as no longer in flight. An upstream
@@ -114,6 +116,7 @@
 	if r.Load >= 0 {
 		u.reported = loadReport{requests: float64(r.Load), inFlight: u.inFlight, at: now}
 	}
+	s.recordNotice(now, u, r)
 	switch {
 	case r.Inconclusive:
 		return
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -32,6 +32,8 @@
 	// maxUnsentAttempts is how many attempts of a request may end without anything sent,
 	// such as when an upstream can't be reached. One more ends the request.
 	maxUnsentAttempts = 4
+	// leavingValue is the value of the leaving header of an upstream that shuts down.
+	leavingValue = "1"
 )
 
 // The outcomes of an attempt at one upstream.
@@ -261,6 +263,7 @@
 ) (Result, attemptOutcome) {
 	requests, slots := parseLoad(resp.Header.Get(s.headers.Load))
 	report := selector.Report{Latency: took, ConnectTime: resp.ConnectTime, Load: requests, Bytes: transferSize(a, resp)}
+	s.readNotice(&report, d, resp)
 	result := Result{
 		Status: resp.Status, Header: resp.Header, Body: resp.Body, Rest: resp.Rest, ContentLength: resp.ContentLength,
 	}
@@ -293,6 +296,18 @@
 	return result, outcomeFinal
 }
 
+// readNotice adds to a report what the upstream announced in its response. A misdirected
+// request was answered by another upstream than the one of the decision.
+func (s *Steerer) readNotice(report *selector.Report, d selector.Decision, resp exchanger.Response) {
+	if resp.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	if resp.Header.Get(s.headers.Leaving) == leavingValue {
+		report.Leaving = true
+		s.log.Info("upstream leaving; it gets no further request", "upstream", string(d.Target().Upstream), "zone", string(d.Zone), "born", d.Target().StartedMs)
+	}
+}
+
 // transferSize returns the approximate size of a request and its response in bytes.
 func transferSize(a *activeRequest, resp exchanger.Response) int {
 	size := len(a.request.Target) + len(a.request.Body) + max(len(resp.Body), int(resp.ContentLength))
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -69,6 +69,10 @@
 	// none, and refuses reports no load.
 	refusesWithFreeSlots
 	refusesWhenFull
+	// refusesOtherUpstream is the response of an upstream that is not the expected one.
+	refusesOtherUpstream
+	// returnsEncoded adds a Content-Encoding, as something between might.
+	returnsEncoded
 	// connectsSlowly waits for release before anything is sent, as if opening the
 	// connection took long.
 	connectsSlowly
@@ -76,7 +80,7 @@
 
 // mayRun reports whether an upstream with this behavior may have run the request.
 func (b behavior) mayRun() bool {
-	return b != refuses && b != unreachable && b != refusesWithFreeSlots && b != refusesWhenFull
+	return b != refuses && b != unreachable && b != refusesWithFreeSlots && b != refusesWhenFull && b != refusesOtherUpstream
 }
 
 // fakeUpstreams stands in for all upstreams. The next requests get the given behaviors
@@ -89,6 +93,8 @@
 	timeouts  []time.Duration
 	release   chan struct{}
 	canceled  int
+	// extra is added to the headers of all responses.
+	extra http.Header
 }
 
 func (u *fakeUpstreams) CloseIdleExcept([]cataloger.Target) {}
@@ -111,10 +117,15 @@
 		ms, _ := strconv.Atoi(req.Header.Get(namer.WaxwingHeaderNames().RemainingMs))
 		u.timeouts = append(u.timeouts, time.Duration(ms)*time.Millisecond)
 	}
+	header := u.extra.Clone()
 	u.mu.Unlock()
+	if header == nil {
+		header = http.Header{}
+	}
 	h := namer.WaxwingHeaderNames()
-	header := http.Header{}
-	header.Set(h.Signature, "s")
+	if b != returnsUnsigned {
+		header.Set(h.Signature, "s")
+	}
 	switch b {
 	case returnsOK:
 		return exchanger.Response{Status: http.StatusOK, Header: header, Body: []byte("ok")}, nil
@@ -127,8 +138,13 @@
 		header.Set(h.NotRun, "1")
 		header.Set(h.Load, map[behavior]string{refusesWithFreeSlots: "1,0,4", refusesWhenFull: "4,2,4"}[b])
 		return exchanger.Response{Status: http.StatusServiceUnavailable, Header: header}, nil
+	case refusesOtherUpstream:
+		return exchanger.Response{Status: http.StatusMisdirectedRequest, Header: header}, nil
+	case returnsEncoded:
+		header.Set("Content-Encoding", "gzip")
+		return exchanger.Response{Status: http.StatusOK, Header: header}, nil
 	case returnsUnsigned:
-		return exchanger.Response{Status: http.StatusOK, Header: http.Header{}}, nil
+		return exchanger.Response{Status: http.StatusOK, Header: header}, nil
 	case unreachable:
 		return exchanger.Response{}, errors.Mark(errors.New("refused"), exchanger.ErrNotSent)
 	case connectsSlowly:
@@ -283,6 +299,58 @@
 	}
 }
 
+// TestLeavingIgnoredInResponse checks that an upstream that says in a response of any kind
+// that it is leaving gets no further request, while its record still says it is ready.
+func TestLeavingIgnoredInResponse(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name     string
+		behavior behavior
+		value    string
+		leaving  bool
+	}{
+		{"success", returnsOK, "1", true},
+		{"failure", returns500, "1", true},
+		{"refusal", refuses, "1", true},
+		{"refusal with free slots", refusesWithFreeSlots, "1", true},
+		{"another upstream at the address", refusesOtherUpstream, "1", false},
+		{"no signature", returnsUnsigned, "1", true},
+		{"content encoding", returnsEncoded, "1", true},
+		{"not leaving", returnsOK, "0", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			up := &fakeUpstreams{behaviors: []behavior{tc.behavior}, extra: http.Header{}}
+			up.extra.Set(namer.WaxwingHeaderNames().Leaving, tc.value)
+			s := newSteerer(t, up, 1, 4)
+			s.Steer(t.Context(), request("/urgent/"))
+			result := s.Steer(t.Context(), request("/order/"))
+			assert.Equal(t, result.SendCount == 0, tc.leaving, "%+v", result)
+			assert.Equal(t, result.Code == steerer.CodeRefused, tc.leaving)
+		})
+	}
+}
+
+// TestLeavingLearnedWhileConnecting checks that a request goes to another upstream if the
+// first one says in the response to another request, while the connection is being
+// opened, that it is leaving.
+func TestLeavingLearnedWhileConnecting(t *testing.T) {
+	t.Parallel()
+	up := &fakeUpstreams{behaviors: []behavior{connectsSlowly, returnsOK}, release: make(chan struct{}), extra: http.Header{}}
+	up.extra.Set(namer.WaxwingHeaderNames().Leaving, "1")
+	s := newSteerer(t, up, 2, 4)
+	done := make(chan steerer.Result, 1)
+	go func() { done <- s.Steer(context.Background(), request("/order/")) }()
+	poll.WaitOn(t, up.sentAtLeast(1))
+	s.Steer(t.Context(), request("/order/"))
+	close(up.release)
+	result := <-done
+	assert.Equal(t, result.Status, http.StatusOK)
+	assert.Equal(t, len(up.sentTo), 3)
+	assert.Equal(t, up.sentTo[1], up.sentTo[0])
+	assert.Assert(t, up.sentTo[2] != up.sentTo[0])
+}
+
 // TestRetryAfterRefusal checks that Retry-After is almost zero if the upstream refused the
 // request although it had free slots, and longer if it was full or reported no load.
 func TestRetryAfterRefusal(t *testing.T) {
