selector, steerer: respect an upstream's Retry-After

A VM went on sending: an upstream that refused with free slots got the next request at once, and any other as soon as its assumed load had decayed, some 100 ms later.

Cause: Retry-After in upstreams' responses was not read.

Fix: the seconds of a 503, with a fraction or without, go to the selector with the report and become part of the upstream's notice: a pause, counted by the monotonic clock from the receipt of the response, so it ends no earlier than the upstream's own count. The later of two ends holds. Responses to earlier requests do not end it, nor does a record that disappears and comes back; a later start of the upstream does. A paused upstream is no candidate, and Usable is false for it, so a request for which a connection is being opened goes elsewhere. Any 503 counts, also one that does not say that the request did not run: the upstream's wish is the same. 421 comes from another upstream, and 429 may be about one caller.

A request that the other upstreams would refuse is decided on again by the pauses: it is queued if a pause ends early enough for its deadline, and is refused at once otherwise. If all upstreams that the route allows are paused, the refusal's Retry-After is the time until the first pause ends, else what it was. The advice to come back at once, after a refusal by an upstream with free slots, is given only if that upstream asked for no pause.

A value that is no number of seconds, negative or infinite counts as none, without an error, as does a date, since the clocks may differ. Above an hour, an hour holds.

A refusal by an upstream is not passed to callers, so neither is its Retry-After; a 503 that the upstream does not call a refusal is passed to callers of once-only requests unchanged, as before.

--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -197,6 +197,11 @@
 		if strings.HasSuffix(r.URL.Path, "/leaving") {
 			w.Header().Set(h.Leaving, "1")
 		}
+		if strings.HasSuffix(r.URL.Path, "/refused") {
+			w.Header().Set(h.NotRun, "1")
+			w.Header().Set("Retry-After", "30")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		}
 		_, _ = w.Write([]byte(r.Header.Get(h.ExpectedUpstream)))
 	}))
 	t.Cleanup(upstream.Close)
@@ -273,6 +278,20 @@
 	assert.Equal(t, status, http.StatusServiceUnavailable)
 }
 
+// TestRequestInPauseOfUpstream checks that no request follows a refusal in the time that
+// the upstream asked for.
+func TestRequestInPauseOfUpstream(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := start(t, "vm-1", f.storeAddress, "")
+	d.waitReady(t)
+	status, _ := get(d.callers, "/stock/refused", "shop.example")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	status, body := get(d.callers, "/stock/1", "shop.example")
+	assert.Equal(t, status, http.StatusServiceUnavailable)
+	assert.Assert(t, strings.Contains(body, "paused"), body)
+}
+
 // answers succeeds when a request for path gets the status want.
 func answers(d *daemon, path string, want int) poll.Check {
 	return func(poll.LogT) poll.Result {
--- a/internal/route/selector/leaving_test.go
+++ b/internal/route/selector/leaving_test.go
@@ -87,7 +87,7 @@
 			leaver := d.Target().Upstream
 			f.Begin(f.now, d)
 			f.End(f.now, d, selector.Report{Leaving: true, Load: -1})
-			assert.Assert(t, !f.Usable(d))
+			assert.Assert(t, !f.Usable(f.now, d))
 			tc.change(f, leaver)
 			assert.Equal(t, f.pick(t, "o") == leaver, tc.picked)
 		})
--- a/internal/route/selector/notice.go
+++ b/internal/route/selector/notice.go
@@ -1,6 +1,7 @@
 package selector
 
 import (
+	"slices"
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
@@ -15,12 +16,14 @@
 type notice struct {
 	startedMs int64
 	leaving   bool
-	updated   time.Time
+	// pausedUntil is the end of the time in which the upstream wants no requests.
+	pausedUntil time.Time
+	updated     time.Time
 }
 
 // recordNotice remembers what an upstream announced in a response.
 func (s *Selector) recordNotice(now time.Time, u *upstreamState, r Report) {
-	if !r.Leaving {
+	if !r.Leaving && r.RetryAfter <= 0 {
 		return
 	}
 	name := u.Upstream.Upstream
@@ -28,11 +31,14 @@
 	if u.StartedMs > n.startedMs {
 		n = notice{startedMs: u.StartedMs}
 	}
-	n.leaving = true
+	n.leaving = n.leaving || r.Leaving
+	if until := now.Add(r.RetryAfter); until.After(n.pausedUntil) {
+		n.pausedUntil = until
+	}
 	n.updated = now
 	s.notices[name] = n
 	s.forgetNotices()
-	if svc := s.services[u.Service]; svc != nil {
+	if svc := s.services[u.Service]; svc != nil && n.leaving {
 		s.countSlots(svc)
 	}
 }
@@ -54,9 +60,49 @@
 	}
 }
 
-// isLeaving reports whether an upstream announced its shutdown. Records of the same name
-// with an earlier start stand for the same process or for one that is gone.
-func (s *Selector) isLeaving(u *upstreamState) bool {
-	n, ok := s.notices[u.Upstream.Upstream]
-	return ok && n.leaving && u.StartedMs <= n.startedMs
+// noticeOf returns the notice that holds for an upstream. Records of the same name with an
+// earlier start stand for the same process or for one that is gone.
+func (s *Selector) noticeOf(u *upstreamState) notice {
+	n := s.notices[u.Upstream.Upstream]
+	if u.StartedMs > n.startedMs {
+		return notice{}
+	}
+	return n
+}
+
+// isPaused reports whether an upstream wants no requests now.
+func (s *Selector) isPaused(now time.Time, u *upstreamState) bool {
+	return now.Before(s.noticeOf(u).pausedUntil)
+}
+
+// decideAfterPause decides on a request that would be refused by the upstreams that take
+// requests now. It waits if a paused upstream can answer it in time after the pause. If
+// all upstreams are paused, its refusal names the time until the first pause ends.
+func (s *Selector) decideAfterPause(now time.Time, svc *service, r Request, refusal Decision) Decision {
+	usual := s.processingTime(r.Route)
+	allPaused := true
+	var shortest time.Duration
+	for _, u := range svc.upstreams {
+		if s.isDraining(u) || !r.Route.AllowsRegion(u.region) {
+			continue
+		}
+		pause := s.noticeOf(u).pausedUntil.Sub(now)
+		if pause <= 0 {
+			allPaused = false
+			continue
+		}
+		// The queue at the upstream shortens during the pause.
+		expected := max(s.evaluate(now, u, 0, usual).ExpectedLatency, pause+u.expectedProcessingTime(now, usual)+s.rtt(u))
+		if expected <= r.Deadline.Sub(now) && !slices.Contains(r.Tried, u.Upstream.Upstream) {
+			return Decision{Action: Wait, Reason: ReasonPaused}
+		}
+		if shortest == 0 || pause < shortest {
+			shortest = pause
+		}
+	}
+	if allPaused && shortest > 0 {
+		refusal.Reason = ReasonPaused
+		refusal.RetryAfter = shortest
+	}
+	return refusal
 }
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -166,7 +166,7 @@
 // eligible reports whether a request may be sent to an upstream now. A cold upstream is
 // eligible while this VM's share of its rate limit is not used up.
 func (s *Selector) eligible(now time.Time, u *upstreamState, r Request) bool {
-	if s.isDraining(u) || now.Before(u.retryAt) || !r.Route.AllowsRegion(u.region) {
+	if s.isDraining(u) || s.isPaused(now, u) || now.Before(u.retryAt) || !r.Route.AllowsRegion(u.region) {
 		return false
 	}
 	if slices.Contains(r.Tried, u.Upstream.Upstream) {
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -47,6 +47,7 @@
 	ReasonOverflow   Reason = "overflow"
 	ReasonFull       Reason = "full"
 	ReasonLate       Reason = "late"
+	ReasonPaused     Reason = "paused"
 	ReasonNoUpstream Reason = "no-upstream"
 )
 
@@ -178,6 +179,15 @@
 	if svc == nil {
 		return Decision{Action: Refuse, Reason: ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter}
 	}
+	d := s.decideNow(now, svc, r)
+	if d.Action == Refuse {
+		return s.decideAfterPause(now, svc, r, d)
+	}
+	return d
+}
+
+// decideNow decides by the upstreams that take requests now.
+func (s *Selector) decideNow(now time.Time, svc *service, r Request) Decision {
 	usual := s.processingTime(r.Route)
 	best := Decision{Action: Refuse, Reason: ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter}
 	bestInRegion := best
@@ -281,14 +291,14 @@
 }
 
 // Usable reports whether the upstream of a decision still runs as the same process and
-// gets new work.
-func (s *Selector) Usable(d Decision) bool {
-	return s.upstreams[d.target.Upstream] == d.upstream && !s.isDraining(d.upstream)
+// may get a request now.
+func (s *Selector) Usable(now time.Time, d Decision) bool {
+	return s.upstreams[d.target.Upstream] == d.upstream && !s.isDraining(d.upstream) && !s.isPaused(now, d.upstream)
 }
 
 // isDraining reports whether an upstream or its zone must get no new work.
 func (s *Selector) isDraining(u *upstreamState) bool {
-	return u.Draining || s.drained[u.Zone] || s.isLeaving(u)
+	return u.Draining || s.drained[u.Zone] || s.noticeOf(u).leaving
 }
 
 // Target returns the upstream of a decision as it was at the time of the decision.
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -106,6 +106,8 @@
 	Bytes int
 	// Leaving means that the response announced the upstream's shutdown.
 	Leaving bool
+	// RetryAfter is how long the upstream wants no further request, 0 when it did not say.
+	RetryAfter time.Duration
 }
 
 // End records the outcome of a request and counts it as no longer in flight. An upstream
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -34,6 +34,9 @@
 	maxUnsentAttempts = 4
 	// leavingValue is the value of the leaving header of an upstream that shuts down.
 	leavingValue = "1"
+	// maxUpstreamPause is the longest time for which an upstream gets no requests because
+	// it asked for that. It limits the effect of an absurd Retry-After.
+	maxUpstreamPause = time.Hour
 )
 
 // The outcomes of an attempt at one upstream.
@@ -64,7 +67,7 @@
 		// mayHaveRun is set once an upstream may have run the request.
 		mayHaveRun bool
 		// refusedWithFreeSlots reports whether the last upstream that refused the request
-		// had free slots.
+		// had free slots and did not ask for a pause.
 		refusedWithFreeSlots bool
 		lastResult           Result
 	}
@@ -238,7 +241,7 @@
 func (s *Steerer) usable(d selector.Decision) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.selector.Usable(d)
+	return s.selector.Usable(s.clock.Now(), d)
 }
 
 // handleSendError handles a request that was sent and got no complete response. The
@@ -271,7 +274,7 @@
 	case resp.Header.Get(s.headers.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest:
 		report.Refused = true
 		report.Latency = 0
-		a.refusedWithFreeSlots = requests >= 0 && requests < slots
+		a.refusedWithFreeSlots = requests >= 0 && requests < slots && report.RetryAfter == 0
 		s.release(d, report)
 		s.logAttempt(a, d, resp.Status, "refused", took, nil)
 		closeRest(resp)
@@ -306,6 +309,13 @@
 		report.Leaving = true
 		s.log.Info("upstream leaving; it gets no further request", "upstream", string(d.Target().Upstream), "zone", string(d.Zone), "born", d.Target().StartedMs)
 	}
+	if resp.Status != http.StatusServiceUnavailable {
+		return
+	}
+	report.RetryAfter = parseRetryAfter(resp.Header.Get("Retry-After"))
+	if report.RetryAfter > 0 {
+		s.log.Info("upstream paused; it gets no request for a time", "upstream", string(d.Target().Upstream), "zone", string(d.Zone), "for", report.RetryAfter)
+	}
 }
 
 // transferSize returns the approximate size of a request and its response in bytes.
@@ -365,6 +375,17 @@
 	return requests, slots
 }
 
+// parseRetryAfter parses a Retry-After header of a number of seconds, which may have a
+// fraction. It returns 0 if the header is missing or malformed, or is a date: the clocks of
+// the VM and the upstream may differ.
+func parseRetryAfter(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds <= 0 {
+		return 0
+	}
+	return time.Duration(min(seconds, maxUpstreamPause.Seconds()) * float64(time.Second))
+}
+
 // countResult adds a result to the counters.
 func (s *Steerer) countResult(r Result) {
 	s.mu.Lock()
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -60,6 +60,7 @@
 const (
 	returnsOK behavior = iota
 	returns500
+	returns503
 	refuses
 	breaksConnection
 	unreachable
@@ -131,6 +132,8 @@
 		return exchanger.Response{Status: http.StatusOK, Header: header, Body: []byte("ok")}, nil
 	case returns500:
 		return exchanger.Response{Status: http.StatusInternalServerError, Header: header}, nil
+	case returns503:
+		return exchanger.Response{Status: http.StatusServiceUnavailable, Header: header}, nil
 	case refuses:
 		header.Set(h.NotRun, "1")
 		return exchanger.Response{Status: http.StatusServiceUnavailable, Header: header}, nil
@@ -168,9 +171,15 @@
 }
 
 func newSteerer(t interface{ Fatal(...any) }, up *fakeUpstreams, count, slots int) *steerer.Steerer {
+	return newSteererWithClock(t, up, count, slots, clockwork.NewRealClock())
+}
+
+func newSteererWithClock(
+	t interface{ Fatal(...any) }, up *fakeUpstreams, count, slots int, clock clockwork.Clock,
+) *steerer.Steerer {
 	self := selector.Self{VM: "v", Zone: "z", Region: "r", Regions: map[namer.Zone]namer.Region{"z": "r"}}
 	s := steerer.New(self, namer.WaxwingHeaderNames(), steerer.RetryBudget{Ratio: 1, Window: 10 * time.Second}, up,
-		clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+		clock, slog.New(slog.DiscardHandler))
 	doc, err := parser.Parse(parser.Sources{{Section: parser.Services, Text: []byte(document)}})
 	if err != nil {
 		t.Fatal(err)
@@ -374,6 +383,64 @@
 	}
 }
 
+// TestRetryAfterIgnoredInRefusal checks that an upstream that answers 503 with Retry-After
+// gets no request in that time, and that the header has no effect on other responses.
+func TestRetryAfterIgnoredInRefusal(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name     string
+		behavior behavior
+		paused   bool
+	}{
+		{"refusal", refuses, true},
+		{"refusal with free slots", refusesWithFreeSlots, true},
+		{"failure with status 503", returns503, true},
+		{"failure with status 500", returns500, false},
+		{"another upstream at the address", refusesOtherUpstream, false},
+		{"success", returnsOK, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			up := &fakeUpstreams{behaviors: []behavior{tc.behavior}, extra: http.Header{"Retry-After": {"30"}}}
+			s := newSteerer(t, up, 1, 4)
+			first := s.Steer(t.Context(), request("/urgent/"))
+			if first.Code == steerer.CodeRefused && tc.paused {
+				assert.Assert(t, first.RetryAfter >= 200*time.Millisecond, "%v: coming back at once finds the upstream paused", first.RetryAfter)
+			}
+			result := s.Steer(t.Context(), request("/order/"))
+			assert.Equal(t, result.SendCount == 0, tc.paused, "%+v", result)
+			if tc.paused {
+				assert.Equal(t, result.Code, steerer.CodeRefused)
+				assert.Assert(t, result.RetryAfter > 29*time.Second && result.RetryAfter <= 30*time.Second, "%v", result.RetryAfter)
+			}
+		})
+	}
+}
+
+// TestQueuedThroughPause checks that a request is queued until the pause of the only
+// upstream ends, if that is before the request's deadline.
+func TestQueuedThroughPause(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	up := &fakeUpstreams{behaviors: []behavior{refusesWithFreeSlots}, extra: http.Header{"Retry-After": {"0.3"}}}
+	s := newSteererWithClock(t, up, 1, 4, clock)
+	order := request("/order/")
+	order.ReceivedAt = clock.Now()
+	assert.Equal(t, s.Steer(t.Context(), order).Code, steerer.CodeRefused)
+	done := make(chan steerer.Result, 1)
+	go func() { done <- s.Steer(context.Background(), order) }()
+	poll.WaitOn(t, waitedAtLeast(s, 1))
+	// Two timers run while a request is queued: its own and the next check of the queue.
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
+	clock.Advance(299 * time.Millisecond)
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
+	up.mu.Lock()
+	assert.Equal(t, len(up.sent), 1)
+	up.mu.Unlock()
+	clock.Advance(10 * time.Millisecond)
+	assert.Equal(t, (<-done).Status, http.StatusOK)
+}
+
 // TestPropertyNoUnsafeRetry sends requests to upstreams of random behavior. A once-only
 // request must never be sent again after it may have run, a request must not be refused
 // if it may have run, and no upstream gets the same request twice.
