steerer: test requests that race with a notice

Concurrent requests over connections that take a moment to open, to upstreams that announce their end or a pause at random, while half of the records come and go. Once the response with the notice was passed on, no request may reach its upstream against it.

--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -170,12 +170,12 @@
 	return exchanger.Response{}, errors.New("broken")
 }
 
-func newSteerer(t interface{ Fatal(...any) }, up *fakeUpstreams, count, slots int) *steerer.Steerer {
+func newSteerer(t interface{ Fatal(...any) }, up steerer.UpstreamClient, count, slots int) *steerer.Steerer {
 	return newSteererWithClock(t, up, count, slots, clockwork.NewRealClock())
 }
 
 func newSteererWithClock(
-	t interface{ Fatal(...any) }, up *fakeUpstreams, count, slots int, clock clockwork.Clock,
+	t interface{ Fatal(...any) }, up steerer.UpstreamClient, count, slots int, clock clockwork.Clock,
 ) *steerer.Steerer {
 	self := selector.Self{VM: "v", Zone: "z", Region: "r", Regions: map[namer.Zone]namer.Region{"z": "r"}}
 	s := steerer.New(self, namer.WaxwingHeaderNames(), steerer.RetryBudget{Ratio: 1, Window: 10 * time.Second}, up,
