steerer: do not send callers back into a pause of all upstreams

What callers saw: a request that was refused by an upstream that asks for a pause, with no attempt or retry budget left, was told to come back after half of its target latency, 200 ms at the least, and was refused again if all upstreams of the service were paused longer. Callers have few retries.

Cause: the time until the first pause ends was given by the selector's decision only, which this path does not ask.

Fix: the selector answers the question on its own, PauseLeft, for its decision and for a refusal without one.

Test: TestRetryAfterIgnoredInRefusal now asks for the rest of the pause of 30 s; it failed before the fix with 250 ms, in both cases of a refusal. TestRetryAfterRefusal has one more case, free slots and a pause, which passed before. go test -race -count=1 of selector and steerer passed, one run.

--- a/internal/route/selector/notice.go
+++ b/internal/route/selector/notice.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 )
 
@@ -76,33 +77,46 @@
 }
 
 // decideAfterPause decides on a request that would be refused by the upstreams that take
-// requests now. It waits if a paused upstream can answer it in time after the pause. If
-// all upstreams are paused, its refusal names the time until the first pause ends.
+// requests now. It waits if a paused upstream can answer it in time after the pause.
 func (s *Selector) decideAfterPause(now time.Time, svc *service, r Request, refusal Decision) Decision {
 	usual := s.processingTime(r.Route)
-	allPaused := true
-	var shortest time.Duration
 	for _, u := range svc.upstreams {
-		if s.isDraining(u) || !r.Route.AllowsRegion(u.region) {
-			continue
-		}
 		pause := s.noticeOf(u).pausedUntil.Sub(now)
-		if pause <= 0 {
-			allPaused = false
+		if pause <= 0 || s.isDraining(u) || !r.Route.AllowsRegion(u.region) || slices.Contains(r.Tried, u.Upstream.Upstream) {
 			continue
 		}
 		// The queue at the upstream shortens during the pause.
 		expected := max(s.evaluate(now, u, 0, usual).ExpectedLatency, pause+u.expectedProcessingTime(now, usual)+s.rtt(u))
-		if expected <= r.Deadline.Sub(now) && !slices.Contains(r.Tried, u.Upstream.Upstream) {
+		if expected <= r.Deadline.Sub(now) {
 			return Decision{Action: Wait, Reason: ReasonPaused}
 		}
-		if shortest == 0 || pause < shortest {
-			shortest = pause
-		}
 	}
-	if allPaused && shortest > 0 {
+	if pause := s.PauseLeft(now, r.Route, r.Service); pause > 0 {
 		refusal.Reason = ReasonPaused
-		refusal.RetryAfter = shortest
+		refusal.RetryAfter = pause
 	}
 	return refusal
 }
+
+// PauseLeft returns the time until the first upstream of a service takes requests of a
+// route again, or 0 if not all of them are paused.
+func (s *Selector) PauseLeft(now time.Time, route *parser.Route, name namer.Service) time.Duration {
+	svc := s.services[name]
+	if svc == nil {
+		return 0
+	}
+	var shortest time.Duration
+	for _, u := range svc.upstreams {
+		if s.isDraining(u) || !route.AllowsRegion(u.region) {
+			continue
+		}
+		pause := s.noticeOf(u).pausedUntil.Sub(now)
+		if pause <= 0 {
+			return 0
+		}
+		if shortest == 0 || pause < shortest {
+			shortest = pause
+		}
+	}
+	return shortest
+}
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -156,7 +156,7 @@
 // refusal only if no upstream may have run the request.
 func (s *Steerer) failedResult(a *activeRequest) Result {
 	if !a.mayHaveRun {
-		return failure(http.StatusServiceUnavailable, CodeRefused, "no upstream took the request", s.retryAfter(a))
+		return failure(http.StatusServiceUnavailable, CodeRefused, "no upstream took the request", s.retryAfterRefusal(a))
 	}
 	if a.lastResult.Code == "" {
 		return a.lastResult
@@ -195,6 +195,18 @@
 	return max(a.route.LatencyTarget/2, defaultRetryAfter)
 }
 
+// retryAfterRefusal returns the Retry-After of a request that upstreams refused: the time
+// until the first pause ends if all upstreams that may serve it are paused.
+func (s *Steerer) retryAfterRefusal(a *activeRequest) time.Duration {
+	s.mu.Lock()
+	pause := s.selector.PauseLeft(s.clock.Now(), a.route, a.service)
+	s.mu.Unlock()
+	if pause > 0 {
+		return pause
+	}
+	return s.retryAfter(a)
+}
+
 // attempt sends a request to the upstream of a decision, and reports the result to the
 // selector.
 func (s *Steerer) attempt(ctx context.Context, a *activeRequest, d selector.Decision) (Result, attemptOutcome) {
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -367,15 +367,17 @@
 	for _, tc := range []struct {
 		name      string
 		behaviors []behavior
+		extra     http.Header
 		immediate bool
 	}{
-		{"free slots", []behavior{refusesWithFreeSlots}, true},
-		{"full", []behavior{refusesWhenFull}, false},
-		{"no load reported", []behavior{refuses}, false},
+		{"free slots", []behavior{refusesWithFreeSlots}, nil, true},
+		{"free slots and a pause", []behavior{refusesWithFreeSlots}, http.Header{"Retry-After": {"0.02"}}, false},
+		{"full", []behavior{refusesWhenFull}, nil, false},
+		{"no load reported", []behavior{refuses}, nil, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			s := newSteerer(t, &fakeUpstreams{behaviors: tc.behaviors}, 5, 4)
+			s := newSteerer(t, &fakeUpstreams{behaviors: tc.behaviors, extra: tc.extra}, 5, 4)
 			result := s.Steer(t.Context(), request("/urgent/"))
 			assert.Equal(t, result.Code, steerer.CodeRefused)
 			assert.Equal(t, result.RetryAfter < 50*time.Millisecond, tc.immediate, "%v", result.RetryAfter)
@@ -405,7 +407,7 @@
 			s := newSteerer(t, up, 1, 4)
 			first := s.Steer(t.Context(), request("/urgent/"))
 			if first.Code == steerer.CodeRefused && tc.paused {
-				assert.Assert(t, first.RetryAfter >= 200*time.Millisecond, "%v: coming back at once finds the upstream paused", first.RetryAfter)
+				assert.Assert(t, first.RetryAfter > 29*time.Second && first.RetryAfter <= 30*time.Second, "%v", first.RetryAfter)
 			}
 			result := s.Steer(t.Context(), request("/order/"))
 			assert.Equal(t, result.SendCount == 0, tc.paused, "%+v", result)
