selector: keep the notice with the upstream's state

Each decision looked up the notice of every candidate by name, twice. The state of an upstream in the view now points to it, set when the view changes and when a notice is recorded. No change of behavior.

TestNoticeLostBetweenStates is new: a response may belong to a state of the upstream that the view has replaced.

--- a/internal/route/selector/leaving_test.go
+++ b/internal/route/selector/leaving_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	"gotest.tools/v3/assert"
 
@@ -94,6 +95,27 @@
 	}
 }
 
+// The notice must also hold if it comes after the upstream's record has disappeared and
+// come back, so that the decision knows another state of the upstream than the view.
+func TestNoticeLostBetweenStates(t *testing.T) {
+	t.Parallel()
+	for name, r := range map[string]selector.Report{
+		"leaving": {Leaving: true, Load: -1},
+		"pause":   refused(1, time.Second),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, "a1", startedView())
+			d := f.Decide(f.now, f.request("o"))
+			f.Begin(f.now, d)
+			f.Update(f.now, without(startedView(), d.Target().Upstream), f.doc)
+			f.Update(f.now, startedView(), f.doc)
+			f.End(f.now, d, r)
+			assert.Assert(t, f.pick(t, "o") != d.Target().Upstream)
+		})
+	}
+}
+
 // With all upstreams leaving, requests are refused instead of queued.
 func TestRequestQueuedForLeavingUpstreams(t *testing.T) {
 	t.Parallel()
--- a/internal/route/selector/notice.go
+++ b/internal/route/selector/notice.go
@@ -29,17 +29,22 @@
 	}
 	name := u.Upstream.Upstream
 	n := s.notices[name]
-	if u.StartedMs > n.startedMs {
-		n = notice{startedMs: u.StartedMs}
+	if n == nil || u.StartedMs > n.startedMs {
+		n = &notice{startedMs: u.StartedMs}
+		s.notices[name] = n
 	}
 	n.leaving = n.leaving || r.Leaving
 	if until := now.Add(r.RetryAfter); until.After(n.pausedUntil) {
 		n.pausedUntil = until
 	}
 	n.updated = now
-	s.notices[name] = n
 	s.forgetNotices()
-	if svc := s.services[u.Service]; svc != nil && n.leaving {
+	current := s.upstreams[name]
+	if current == nil {
+		return
+	}
+	current.notice = s.noticeOf(current)
+	if svc := s.services[current.Service]; svc != nil && n.leaving {
 		s.countSlots(svc)
 	}
 }
@@ -61,19 +66,26 @@
 	}
 }
 
-// noticeOf returns the notice that holds for an upstream. Records of the same name with an
-// earlier start stand for the same process or for one that is gone.
-func (s *Selector) noticeOf(u *upstreamState) notice {
+// noticeOf returns the notice that holds for an upstream, or nil. Records of the same name
+// with an earlier start stand for the same process or for one that is gone.
+func (s *Selector) noticeOf(u *upstreamState) *notice {
 	n := s.notices[u.Upstream.Upstream]
-	if u.StartedMs > n.startedMs {
-		return notice{}
+	if n == nil || u.StartedMs > n.startedMs {
+		return nil
 	}
 	return n
 }
 
-// isPaused reports whether an upstream wants no requests now.
-func (s *Selector) isPaused(now time.Time, u *upstreamState) bool {
-	return now.Before(s.noticeOf(u).pausedUntil)
+func (n *notice) isLeaving() bool {
+	return n != nil && n.leaving
+}
+
+// pauseLeft returns how much longer the upstream wants no requests, at least 0.
+func (n *notice) pauseLeft(now time.Time) time.Duration {
+	if n == nil {
+		return 0
+	}
+	return max(0, n.pausedUntil.Sub(now))
 }
 
 // decideAfterPause decides on a request that would be refused by the upstreams that take
@@ -81,8 +93,8 @@
 func (s *Selector) decideAfterPause(now time.Time, svc *service, r Request, refusal Decision) Decision {
 	usual := s.processingTime(r.Route)
 	for _, u := range svc.upstreams {
-		pause := s.noticeOf(u).pausedUntil.Sub(now)
-		if pause <= 0 || s.isDraining(u) || !r.Route.AllowsRegion(u.region) || slices.Contains(r.Tried, u.Upstream.Upstream) {
+		pause := u.notice.pauseLeft(now)
+		if pause == 0 || s.isDraining(u) || !r.Route.AllowsRegion(u.region) || slices.Contains(r.Tried, u.Upstream.Upstream) {
 			continue
 		}
 		// The queue at the upstream shortens during the pause.
@@ -110,8 +122,8 @@
 		if s.isDraining(u) || !route.AllowsRegion(u.region) {
 			continue
 		}
-		pause := s.noticeOf(u).pausedUntil.Sub(now)
-		if pause <= 0 {
+		pause := u.notice.pauseLeft(now)
+		if pause == 0 {
 			return 0
 		}
 		if shortest == 0 || pause < shortest {
--- a/internal/route/selector/notice_test.go
+++ b/internal/route/selector/notice_test.go
@@ -27,6 +27,7 @@
 	}
 	assert.Equal(t, len(s.notices), maxNotices)
 	assert.Assert(t, s.isDraining(listed))
-	assert.Assert(t, !s.isDraining(process(1)))
-	assert.Assert(t, s.isDraining(process(leavers-1)))
+	assert.Assert(t, s.noticeOf(listed).isLeaving())
+	assert.Assert(t, !s.noticeOf(process(1)).isLeaving())
+	assert.Assert(t, s.noticeOf(process(leavers-1)).isLeaving())
 }
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -48,6 +48,7 @@
 		state.region = s.self.Regions[u.Zone]
 		state.maxIdleConns = max(1, svc.MaxConns/s.vms)
 		state.coldRate = svc.MaxColdRate
+		state.notice = s.noticeOf(state)
 		if returned[u.Zone] {
 			state.ColdUntil = now.Add(svc.Warmup)
 		}
@@ -166,7 +167,7 @@
 // eligible reports whether a request may be sent to an upstream now. A cold upstream is
 // eligible while this VM's share of its rate limit is not used up.
 func (s *Selector) eligible(now time.Time, u *upstreamState, r Request) bool {
-	if s.isDraining(u) || s.isPaused(now, u) || now.Before(u.retryAt) || !r.Route.AllowsRegion(u.region) {
+	if s.isDraining(u) || u.notice.pauseLeft(now) > 0 || now.Before(u.retryAt) || !r.Route.AllowsRegion(u.region) {
 		return false
 	}
 	if slices.Contains(r.Tried, u.Upstream.Upstream) {
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -119,7 +119,7 @@
 		regionZones []namer.Zone
 		stats       map[statsKey]*routeStats
 		drained     map[namer.Zone]bool
-		notices     map[namer.Upstream]notice
+		notices     map[namer.Upstream]*notice
 		spreaders   map[namer.Service]*spreader.Spreader
 		crossRegion crossRegionLimiter
 		vms         int
@@ -145,7 +145,7 @@
 		rtts:            zoneRTTs{smoothed: make(map[namer.Zone]time.Duration), lowest: make(map[namer.Zone]time.Duration)},
 		regionZones:     zonesOfRegion(self),
 		stats:           make(map[statsKey]*routeStats),
-		notices:         make(map[namer.Upstream]notice),
+		notices:         make(map[namer.Upstream]*notice),
 		spreaders:       make(map[namer.Service]*spreader.Spreader),
 		vms:             1,
 		zoneVMs:         1,
@@ -293,12 +293,12 @@
 // Usable reports whether the upstream of a decision still runs as the same process and
 // may get a request now.
 func (s *Selector) Usable(now time.Time, d Decision) bool {
-	return s.upstreams[d.target.Upstream] == d.upstream && !s.isDraining(d.upstream) && !s.isPaused(now, d.upstream)
+	return s.upstreams[d.target.Upstream] == d.upstream && !s.isDraining(d.upstream) && d.upstream.notice.pauseLeft(now) == 0
 }
 
 // isDraining reports whether an upstream or its zone must get no new work.
 func (s *Selector) isDraining(u *upstreamState) bool {
-	return u.Draining || s.drained[u.Zone] || s.noticeOf(u).leaving
+	return u.Draining || s.drained[u.Zone] || u.notice.isLeaving()
 }
 
 // Target returns the upstream of a decision as it was at the time of the decision.
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -60,6 +60,9 @@
 	// all VMs together.
 	coldRate int
 
+	// notice is nil if the upstream has announced nothing.
+	notice *notice
+
 	// inFlight counts this VM's own requests at the upstream.
 	inFlight int
 	reported loadReport
