--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -48,16 +48,27 @@
 		state.region = s.self.Regions[u.Zone]
 		state.maxIdleConns = max(1, svc.MaxConns/s.vms)
 		state.coldRate = svc.MaxColdRate
+		state.notice = s.noticeOf(state)
 		if returned[u.Zone] {
 			state.ColdUntil = now.Add(svc.Warmup)
 		}
 		upstreams[u.Upstream] = state
 		svc.upstreams = append(svc.upstreams, state)
-		if !u.Draining && !v.Drained[u.Zone] {
+	}
+	s.upstreams = upstreams
+	for _, svc := range s.services {
+		s.countSlots(svc)
+	}
+}
+
+// countSlots counts the slots of a service in each zone that gets new work.
+func (s *Selector) countSlots(svc *service) {
+	clear(svc.slots)
+	for _, u := range svc.upstreams {
+		if !s.isDraining(u) {
 			svc.slots[u.Zone] += float64(u.Slots)
 		}
 	}
-	s.upstreams = upstreams
 }
 
 // stateOf returns the state of an upstream. A new process starts with fresh state.
@@ -156,7 +167,7 @@
 // eligible reports whether a request may be sent to an upstream now. A cold upstream is
 // eligible while this VM's share of its rate limit is not used up.
 func (s *Selector) eligible(now time.Time, u *upstreamState, r Request) bool {
-	if s.isDraining(u) || now.Before(u.retryAt) || !r.Route.AllowsRegion(u.region) {
+	if s.isDraining(u) || u.notice.pauseLeft(now) > 0 || now.Before(u.retryAt) || !r.Route.AllowsRegion(u.region) {
 		return false
 	}
 	if slices.Contains(r.Tried, u.Upstream.Upstream) {
--- a/internal/route/steerer/load_test.go
+++ b/internal/route/steerer/load_test.go
@@ -48,7 +48,7 @@
 		t.Run(load, func(t *testing.T) {
 			t.Parallel()
 			up := &loadReporter{load: load}
-			s := newSteererOf(t, up, 2, 4)
+			s := newSteerer(t, up, 2, 4)
 			for range 3 {
 				result := s.Steer(t.Context(), request("/read/"))
 				assert.Equal(t, result.Status, http.StatusOK, "%+v", result)
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -61,6 +61,7 @@
 const (
 	returnsOK behavior = iota
 	returns500
+	returns503
 	refuses
 	breaksConnection
 	unreachable
@@ -70,6 +71,10 @@
 	// none, and refuses reports no load.
 	refusesWithFreeSlots
 	refusesWhenFull
+	// refusesOtherUpstream is the response of an upstream that is not the expected one.
+	refusesOtherUpstream
+	// returnsEncoded adds a Content-Encoding, as something between might.
+	returnsEncoded
 	// connectsSlowly waits for release before anything is sent, as if opening the
 	// connection took long.
 	connectsSlowly
@@ -77,7 +82,7 @@
 
 // mayRun reports whether an upstream with this behavior may have run the request.
 func (b behavior) mayRun() bool {
-	return b != refuses && b != unreachable && b != refusesWithFreeSlots && b != refusesWhenFull
+	return b != refuses && b != unreachable && b != refusesWithFreeSlots && b != refusesWhenFull && b != refusesOtherUpstream
 }
 
 // fakeUpstreams stands in for all upstreams. The next requests get the given behaviors
@@ -90,6 +95,8 @@
 	timeouts  []time.Duration
 	release   chan struct{}
 	canceled  int
+	// extra is added to the headers of all responses.
+	extra http.Header
 }
 
 func (u *fakeUpstreams) CloseIdleExcept([]cataloger.Target) {}
@@ -112,15 +119,22 @@
 		ms, _ := strconv.Atoi(req.Header.Get(namer.WaxwingHeaderNames().RemainingMs))
 		u.timeouts = append(u.timeouts, time.Duration(ms)*time.Millisecond)
 	}
+	header := u.extra.Clone()
 	u.mu.Unlock()
+	if header == nil {
+		header = http.Header{}
+	}
 	h := namer.WaxwingHeaderNames()
-	header := http.Header{}
-	header.Set(h.Signature, "s")
+	if b != returnsUnsigned {
+		header.Set(h.Signature, "s")
+	}
 	switch b {
 	case returnsOK:
 		return exchanger.Response{Status: http.StatusOK, Header: header, Body: []byte("ok")}, nil
 	case returns500:
 		return exchanger.Response{Status: http.StatusInternalServerError, Header: header}, nil
+	case returns503:
+		return exchanger.Response{Status: http.StatusServiceUnavailable, Header: header}, nil
 	case refuses:
 		header.Set(h.NotRun, "1")
 		return exchanger.Response{Status: http.StatusServiceUnavailable, Header: header}, nil
@@ -128,8 +142,13 @@
 		header.Set(h.NotRun, "1")
 		header.Set(h.Load, map[behavior]string{refusesWithFreeSlots: "1,0,4", refusesWhenFull: "4,2,4"}[b])
 		return exchanger.Response{Status: http.StatusServiceUnavailable, Header: header}, nil
+	case refusesOtherUpstream:
+		return exchanger.Response{Status: http.StatusMisdirectedRequest, Header: header}, nil
+	case returnsEncoded:
+		header.Set("Content-Encoding", "gzip")
+		return exchanger.Response{Status: http.StatusOK, Header: header}, nil
 	case returnsUnsigned:
-		return exchanger.Response{Status: http.StatusOK, Header: http.Header{}}, nil
+		return exchanger.Response{Status: http.StatusOK, Header: header}, nil
 	case unreachable:
 		return exchanger.Response{}, errors.Mark(errors.New("refused"), exchanger.ErrNotSent)
 	case connectsSlowly:
@@ -159,14 +178,16 @@
 	return exchanger.Response{}, errors.New("broken")
 }
 
-func newSteerer(t interface{ Fatal(...any) }, up *fakeUpstreams, count, slots int) *steerer.Steerer {
-	return newSteererOf(t, up, count, slots)
+func newSteerer(t interface{ Fatal(...any) }, up steerer.UpstreamClient, count, slots int) *steerer.Steerer {
+	return newSteererWithClock(t, up, count, slots, clockwork.NewRealClock())
 }
 
-func newSteererOf(t interface{ Fatal(...any) }, up steerer.UpstreamClient, count, slots int) *steerer.Steerer {
+func newSteererWithClock(
+	t interface{ Fatal(...any) }, up steerer.UpstreamClient, count, slots int, clock clockwork.Clock,
+) *steerer.Steerer {
 	self := selector.Self{VM: "v", Zone: "z", Region: "r", Regions: map[namer.Zone]namer.Region{"z": "r"}}
 	s := steerer.New(self, namer.WaxwingHeaderNames(), steerer.RetryBudget{Ratio: 1, Window: 10 * time.Second}, up,
-		clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+		clock, slog.New(slog.DiscardHandler))
 	doc, err := parser.Parse(parser.Sources{{Section: parser.Services, Text: []byte(document)}})
 	if err != nil {
 		t.Fatal(err)
@@ -295,6 +316,58 @@
 	}
 }
 
+// TestLeavingIgnoredInResponse checks that an upstream that says in a response of any kind
+// that it is leaving gets no further request, while its record still says it is ready.
+func TestLeavingIgnoredInResponse(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name     string
+		behavior behavior
+		value    string
+		leaving  bool
+	}{
+		{"success", returnsOK, "1", true},
+		{"failure", returns500, "1", true},
+		{"refusal", refuses, "1", true},
+		{"refusal with free slots", refusesWithFreeSlots, "1", true},
+		{"another upstream at the address", refusesOtherUpstream, "1", false},
+		{"no signature", returnsUnsigned, "1", true},
+		{"content encoding", returnsEncoded, "1", true},
+		{"not leaving", returnsOK, "0", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			up := &fakeUpstreams{behaviors: []behavior{tc.behavior}, extra: http.Header{}}
+			up.extra.Set(namer.WaxwingHeaderNames().Leaving, tc.value)
+			s := newSteerer(t, up, 1, 4)
+			s.Steer(t.Context(), request("/urgent/"))
+			result := s.Steer(t.Context(), request("/order/"))
+			assert.Equal(t, result.SendCount == 0, tc.leaving, "%+v", result)
+			assert.Equal(t, result.Code == steerer.CodeRefused, tc.leaving)
+		})
+	}
+}
+
+// TestLeavingLearnedWhileConnecting checks that a request goes to another upstream if the
+// first one says in the response to another request, while the connection is being
+// opened, that it is leaving.
+func TestLeavingLearnedWhileConnecting(t *testing.T) {
+	t.Parallel()
+	up := &fakeUpstreams{behaviors: []behavior{connectsSlowly, returnsOK}, release: make(chan struct{}), extra: http.Header{}}
+	up.extra.Set(namer.WaxwingHeaderNames().Leaving, "1")
+	s := newSteerer(t, up, 2, 4)
+	done := make(chan steerer.Result, 1)
+	go func() { done <- s.Steer(context.Background(), request("/order/")) }()
+	poll.WaitOn(t, up.sentAtLeast(1))
+	s.Steer(t.Context(), request("/order/"))
+	close(up.release)
+	result := <-done
+	assert.Equal(t, result.Status, http.StatusOK)
+	assert.Equal(t, len(up.sentTo), 3)
+	assert.Equal(t, up.sentTo[1], up.sentTo[0])
+	assert.Assert(t, up.sentTo[2] != up.sentTo[0])
+}
+
 // TestRetryAfterRefusal checks that Retry-After is almost zero if the upstream refused the
 // request although it had free slots, and longer if it was full or reported no load.
 func TestRetryAfterRefusal(t *testing.T) {
@@ -302,15 +375,17 @@
 	for _, tc := range []struct {
 		name      string
 		behaviors []behavior
+		extra     http.Header
 		immediate bool
 	}{
-		{"free slots", []behavior{refusesWithFreeSlots}, true},
-		{"full", []behavior{refusesWhenFull}, false},
-		{"no load reported", []behavior{refuses}, false},
+		{"free slots", []behavior{refusesWithFreeSlots}, nil, true},
+		{"free slots and a pause", []behavior{refusesWithFreeSlots}, http.Header{"Retry-After": {"0.02"}}, false},
+		{"full", []behavior{refusesWhenFull}, nil, false},
+		{"no load reported", []behavior{refuses}, nil, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			s := newSteerer(t, &fakeUpstreams{behaviors: tc.behaviors}, 5, 4)
+			s := newSteerer(t, &fakeUpstreams{behaviors: tc.behaviors, extra: tc.extra}, 5, 4)
 			result := s.Steer(t.Context(), request("/urgent/"))
 			assert.Equal(t, result.Code, steerer.CodeRefused)
 			assert.Equal(t, result.RetryAfter < 50*time.Millisecond, tc.immediate, "%v", result.RetryAfter)
@@ -318,6 +393,64 @@
 	}
 }
 
+// TestRetryAfterIgnoredInRefusal checks that an upstream that answers 503 with Retry-After
+// gets no request in that time, and that the header has no effect on other responses.
+func TestRetryAfterIgnoredInRefusal(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name     string
+		behavior behavior
+		paused   bool
+	}{
+		{"refusal", refuses, true},
+		{"refusal with free slots", refusesWithFreeSlots, true},
+		{"failure with status 503", returns503, true},
+		{"failure with status 500", returns500, false},
+		{"another upstream at the address", refusesOtherUpstream, false},
+		{"success", returnsOK, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			up := &fakeUpstreams{behaviors: []behavior{tc.behavior}, extra: http.Header{"Retry-After": {"30"}}}
+			s := newSteerer(t, up, 1, 4)
+			first := s.Steer(t.Context(), request("/urgent/"))
+			if first.Code == steerer.CodeRefused && tc.paused {
+				assert.Assert(t, first.RetryAfter > 29*time.Second && first.RetryAfter <= 30*time.Second, "%v", first.RetryAfter)
+			}
+			result := s.Steer(t.Context(), request("/order/"))
+			assert.Equal(t, result.SendCount == 0, tc.paused, "%+v", result)
+			if tc.paused {
+				assert.Equal(t, result.Code, steerer.CodeRefused)
+				assert.Assert(t, result.RetryAfter > 29*time.Second && result.RetryAfter <= 30*time.Second, "%v", result.RetryAfter)
+			}
+		})
+	}
+}
+
+// TestQueuedThroughPause checks that a request is queued until the pause of the only
+// upstream ends, if that is before the request's deadline.
+func TestQueuedThroughPause(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	up := &fakeUpstreams{behaviors: []behavior{refusesWithFreeSlots}, extra: http.Header{"Retry-After": {"0.3"}}}
+	s := newSteererWithClock(t, up, 1, 4, clock)
+	order := request("/order/")
+	order.ReceivedAt = clock.Now()
+	assert.Equal(t, s.Steer(t.Context(), order).Code, steerer.CodeRefused)
+	done := make(chan steerer.Result, 1)
+	go func() { done <- s.Steer(context.Background(), order) }()
+	poll.WaitOn(t, waitedAtLeast(s, 1))
+	// Two timers run while a request is queued: its own and the next check of the queue.
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
+	clock.Advance(299 * time.Millisecond)
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
+	up.mu.Lock()
+	assert.Equal(t, len(up.sent), 1)
+	up.mu.Unlock()
+	clock.Advance(10 * time.Millisecond)
+	assert.Equal(t, (<-done).Status, http.StatusOK)
+}
+
 // TestPropertyNoUnsafeRetry sends requests to upstreams of random behavior. A once-only
 // request must never be sent again after it may have run, a request must not be refused
 // if it may have run, and no upstream gets the same request twice.
