sweeper: a request that net/http has buffered does not count as idle

One to three stray bytes after a request kept a connection open for ever. A connection that became idle as the drain began stayed open to its end.

Cause: the sweeper took a connection as busy from its own reads only, and as busy for good from any byte; and it asked whether a drain had begun before it noted that the connection was idle.

Evidence: TestSweepDuringPipelinedRequest, TestDrainDuringPipelinedRequest, TestSweepAfterStrayBytes and TestDrainAsConnectionBecomesIdle failed before and pass now.

Why it works: a connection is busy from net/http's own report that it has read a head. Between the first byte and that, it may be closed by its reader after a pause of the idle timeout. TestSweepDuringRequestHead lets the head begin after the idle time, as callers do; a head that pauses for longer than the timeout is closed now. The handlers of the tests count canceled requests.

--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -18,7 +18,9 @@
 const (
 	// stateNew is the state until the first byte of the first request.
 	stateNew connState = iota
-	// stateBusy lasts from the first byte of a request until its response is written.
+	// stateReading lasts from the first byte of a request until its head was read.
+	stateReading
+	// stateBusy lasts from then until the response is written.
 	stateBusy
 	// stateIdle is the state between two requests.
 	stateIdle
@@ -37,6 +39,7 @@
 
 		mu    sync.Mutex
 		state connState
+		// since is when the connection became idle or, in stateReading, when bytes came last.
 		since time.Time
 		// expired makes the read deadline pass at once. The reader then closes the
 		// connection, unless bytes are there.
@@ -55,7 +58,7 @@
 		}
 	}
 	if n > 0 {
-		c.setBusy()
+		c.noteRead(c.sweeper.clock.Now())
 	}
 	return n, err
 }
@@ -86,17 +89,27 @@
 	return half.CloseWrite()
 }
 
-func (c *conn) setIdle(now time.Time) {
+// noteRead notes that the reader has got bytes. An expired connection is kept.
+func (c *conn) noteRead(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.since = stateIdle, now
+	if c.state != stateBusy {
+		c.state, c.since = stateReading, now
+	}
+	c.revive()
 }
 
-// setBusy is called by the reader when bytes have come. An expired connection is kept.
+// setBusy notes that a request's head was read, perhaps out of bytes that came together with
+// the request before it. An expired connection is kept.
 func (c *conn) setBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state = stateBusy
+	c.revive()
+}
+
+// revive undoes expire. The caller holds c.mu.
+func (c *conn) revive() {
 	if c.expired {
 		c.expired = false
 		// An error means that the connection is closed, which the next call finds.
@@ -104,20 +117,32 @@
 	}
 }
 
-// idleSince returns since when a connection has been between two requests, and whether it
-// is.
-func (c *conn) idleSince() (time.Time, bool) {
+func (c *conn) setIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.since, c.state == stateIdle && !c.expired
+	c.state, c.since = stateIdle, now
 }
 
-// expire makes the reader close the connection unless a request has begun, and reports
-// whether it does.
+// expire makes the reader close the connection if no request has begun, and reports whether
+// it does.
 func (c *conn) expire() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == stateBusy || c.expired {
+	return (c.state == stateNew || c.state == stateIdle) && c.setExpired()
+}
+
+// expireIdle makes the reader close the connection if it has been idle, or has sent nothing
+// more of a request's head, for longer than the limit. It reports whether it does.
+func (c *conn) expireIdle(now time.Time, limit time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return (c.state == stateReading || c.state == stateIdle) && now.Sub(c.since) > limit && c.setExpired()
+}
+
+// setExpired makes the read deadline pass, and reports whether it was not so before. The
+// caller holds c.mu.
+func (c *conn) setExpired() bool {
+	if c.expired {
 		return false
 	}
 	c.expired = c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -1,6 +1,6 @@
 // Package sweeper closes callers' connections that have been idle for longer than the
 // idle timeout, and all idle ones when the process ends. A change of the timeout applies
-// to open connections too.
+// to open connections too. So it does to the pause within a request's head.
 //
 // An idle connection is closed by the goroutine that reads it, after it has found no
 // bytes: net/http reports a connection as idle until it has read a whole head, so closing
@@ -89,15 +89,17 @@
 // Track records a connection's new state. Use it as http.Server's ConnState hook.
 func (s *Sweeper) Track(tracked net.Conn, state http.ConnState) {
 	c, ok := tracked.(*conn)
-	if !ok || state != http.StateIdle {
+	if !ok {
 		return
 	}
-	s.mu.Lock()
-	draining := s.draining
-	s.mu.Unlock()
-	c.setIdle(s.clock.Now())
-	if draining {
-		s.expire(c)
+	switch state {
+	case http.StateActive:
+		c.setBusy()
+	case http.StateIdle:
+		c.setIdle(s.clock.Now())
+		if s.isDraining() {
+			s.expire(c.expire)
+		}
 	}
 }
 
@@ -148,7 +150,7 @@
 	s.signalDrained()
 	s.mu.Unlock()
 	for _, c := range s.open() {
-		s.expire(c)
+		s.expire(c.expire)
 	}
 	select {
 	case <-s.drained:
@@ -167,7 +169,7 @@
 	now := s.clock.Now()
 	count := 0
 	for _, c := range s.open() {
-		if since, idle := c.idleSince(); idle && now.Sub(since) > limit && s.expire(c) {
+		if s.expire(func() bool { return c.expireIdle(now, limit) }) {
 			count++
 		}
 	}
@@ -176,8 +178,9 @@
 	}
 }
 
-func (s *Sweeper) expire(c *conn) bool {
-	if !c.expire() {
+// expire calls a function that makes a connection expire, and counts it if it does.
+func (s *Sweeper) expire(expireConn func() bool) bool {
+	if !expireConn() {
 		return false
 	}
 	s.mu.Lock()
@@ -186,6 +189,12 @@
 	return true
 }
 
+func (s *Sweeper) isDraining() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.draining
+}
+
 // open returns the open connections.
 func (s *Sweeper) open() []*conn {
 	s.mu.Lock()
