sweeper: parts of a streamed response reach callers at once

Found by the review: a part of a long response waited in net/http's buffer until more of the response came, since the connections of the sweeper hid that they are an io.ReaderFrom, to which net/http copies directly.

Evidence: TestStreamedPartIsHeldBack failed on a tracked listener (1 KiB did not arrive within 2 s), passed on a plain one, and passes on both now.

--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -1,6 +1,7 @@
 package sweeper
 
 import (
+	"io"
 	"net"
 	"os"
 	"sync"
@@ -63,6 +64,15 @@
 	return n, err
 }
 
+// ReadFrom implements io.ReaderFrom. Without it, net/http holds parts of a streamed
+// response back until its buffer is full.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	if to, ok := c.Conn.(io.ReaderFrom); ok {
+		return to.ReadFrom(r)
+	}
+	return io.Copy(struct{ io.Writer }{c.Conn}, r)
+}
+
 // SetReadDeadline implements net.Conn. It does nothing on an expired connection.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
