runner: all HTTP servers end by their readers

Found by the review, in the same class as the planned stop of the callers' listener: look-ups, readiness checks and calls of operators whose head was arriving got no answer at a planned stop, since these servers still ended by http.Server.Shutdown. And answers of a daemon without routes lacked "Connection: close" while its callers' server ended, which Shutdown adds.

Why it works: one webServer serves all listeners, with the sweeper's drain at its end, and adds the header to what is answered once it stops.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -276,7 +276,7 @@
 		}
 		return sweeper.New(idleTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	r.Register(frontName, []registrar.Name{portsName, callersName, sweepName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(frontName, []registrar.Name{portsName, callersName, sweepName, clockName}, func(f registrar.Finder) (any, func(), error) {
 		sweep := f.Find(sweepName).(*sweeper.Sweeper)
 		front := f.Find(callersName).(*receiver.Receiver)
 		server := &http.Server{
@@ -287,12 +287,12 @@
 			MaxHeaderBytes:    maxHeadBytes,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		}
-		return &callerServer{
-			server: server, listener: f.Find(portsName).(*listeners).callers, sweeper: sweep, refuseNew: front.RefuseNew,
-			shutdownTimeout: httpShutdownTimeoutOf(s), log: log,
+		return &webServer{
+			server: server, listener: f.Find(portsName).(*listeners).callers, sweeper: sweep, beginStop: front.RefuseNew,
+			shutdownTimeout: httpShutdownTimeoutOf(s), clock: f.Find(clockName).(clockwork.Clock), log: log,
 		}, nil, nil
 	})
-	r.Register(lookupServerName, []registrar.Name{membersName, steerName, reloadName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(lookupServerName, []registrar.Name{membersName, steerName, reloadName, clockName}, func(f registrar.Finder) (any, func(), error) {
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		st := f.Find(steerName).(*steerer.Steerer)
 		locate := func(host string, p locator.Location) []string {
@@ -300,17 +300,18 @@
 		}
 		settings := f.Find(reloadName).(*reloader.Reloader)
 		ttl := func() time.Duration { return settings.Current().Routing.LookupTTL }
-		return newAdminServer(s, s.Routing.LookupAddress, platform.LookupHandler(locate, ttl))
+		return newAdminServer(f, s, s.Routing.LookupAddress, platform.LookupHandler(locate, ttl), log)
 	})
-	r.Register(readyName, []registrar.Name{steerName, callersName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(readyName, []registrar.Name{steerName, callersName, clockName}, func(f registrar.Finder) (any, func(), error) {
 		st := f.Find(steerName).(*steerer.Steerer)
 		front := f.Find(callersName).(*receiver.Receiver)
-		return newAdminServer(s, s.Routing.ReadyAddress, platform.ReadyHandler(func() bool { return st.Ready() && !front.ShuttingDown() }))
+		ready := func() bool { return st.Ready() && !front.ShuttingDown() }
+		return newAdminServer(f, s, s.Routing.ReadyAddress, platform.ReadyHandler(ready), log)
 	})
-	deps := append([]registrar.Name{portsName, platformName, steerName, documentsName, callersName, sweepName}, followerNames...)
+	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeadTimeout}
-		return &webServer{server: server, listener: f.Find(portsName).(*listeners).operators, shutdownTimeout: httpShutdownTimeoutOf(s)}, nil, nil
+		return newWebServer(server, f.Find(portsName).(*listeners).operators, httpShutdownTimeoutOf(s), f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
 }
 
@@ -325,13 +326,14 @@
 
 // newAdminServer returns a server for a handler that is not on callers' request path, and
 // opens its listener.
-func newAdminServer(s loader.Settings, address string, handler http.Handler) (any, func(), error) {
+func newAdminServer(f registrar.Finder, s loader.Settings, address string, handler http.Handler, log *slog.Logger) (any, func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "opening a listener")
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminHeadTimeout}
-	return &webServer{server: server, listener: listener, shutdownTimeout: httpShutdownTimeoutOf(s)}, func() { _ = listener.Close() }, nil
+	clock := f.Find(clockName).(clockwork.Clock)
+	return newWebServer(server, listener, httpShutdownTimeoutOf(s), clock, log), func() { _ = listener.Close() }, nil
 }
 
 func routedMetrics(f registrar.Finder) http.Handler {
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -16,7 +16,6 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/watcher"
 	"github.com/waxwingloom/waxwingloom/internal/front/operator"
 	"github.com/waxwingloom/waxwingloom/internal/front/responder"
-	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
 	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
@@ -74,14 +73,6 @@
 		incarnation namer.Incarnation
 	}
 
-	// webServer serves HTTP on a listener. When its context ends, it waits up to
-	// shutdownTimeout for requests in progress and then closes all connections.
-	webServer struct {
-		server          *http.Server
-		listener        net.Listener
-		shutdownTimeout time.Duration
-	}
-
 	// peerServer serves requests of other entry VMs.
 	peerServer struct {
 		messenger *messenger.Messenger
@@ -89,23 +80,6 @@
 	}
 )
 
-// Serve implements registrar.Server.
-func (s *webServer) Serve(ctx context.Context) error {
-	failed := make(chan error, 1)
-	go func() { failed <- s.server.Serve(s.listener) }()
-	select {
-	case err := <-failed:
-		return errors.Wrap(err, "serving HTTP")
-	case <-ctx.Done():
-	}
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.shutdownTimeout)
-	defer cancel()
-	if err := s.server.Shutdown(ctx); err != nil {
-		return errors.Wrap(s.server.Close(), "closing connections")
-	}
-	return nil
-}
-
 // Serve implements registrar.Server.
 func (s *peerServer) Serve(ctx context.Context) error {
 	return s.messenger.Serve(ctx, s.answerer)
@@ -214,20 +188,14 @@
 		return responder.New(self, deps, s.Limits, s.Timing.TokenTTL, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
 	r.Register(frontName, []registrar.Name{portsName, callersName, clockName}, func(f registrar.Finder) (any, func(), error) {
-		// The server's own IdleTimeout applies.
-		sweep := sweeper.New(func() time.Duration { return 0 }, f.Find(clockName).(clockwork.Clock), log)
 		server := &http.Server{
 			Handler:           f.Find(callersName).(*responder.Responder).Handler(),
-			ConnState:         sweep.Track,
 			ReadHeaderTimeout: s.Limits.ReadTimeout,
 			IdleTimeout:       idleTimeout,
 			MaxHeaderBytes:    s.Limits.MaxHeadBytes + headMarginBytes,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		}
-		return &callerServer{
-			server: server, listener: f.Find(portsName).(*listeners).callers, sweeper: sweep, refuseNew: func() {},
-			shutdownTimeout: httpShutdownTimeout, log: log,
-		}, nil, nil
+		return newWebServer(server, f.Find(portsName).(*listeners).callers, httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
 	deps = []registrar.Name{callersName, documentsName, routerName, tokensName}
 	r.Register(metricsName, deps, func(f registrar.Finder) (any, func(), error) {
@@ -248,7 +216,7 @@
 			ReadHeaderTimeout: s.Limits.ReadTimeout,
 			ReadTimeout:       s.Limits.ReadTimeout,
 		}
-		return &webServer{server: server, listener: f.Find(portsName).(*listeners).operators, shutdownTimeout: httpShutdownTimeout}, nil, nil
+		return newWebServer(server, f.Find(portsName).(*listeners).operators, httpShutdownTimeout, clock, log), nil, nil
 	})
 	deps = []registrar.Name{clockName, peersName, membersName, tokensName, routerName, documentsName}
 	r.Register(peerServerName, deps, func(f registrar.Finder) (any, func(), error) {
