runner, sweeper: a planned stop serves connections that have just come

Cause: closing the listener resets the connections that the kernel has taken and the process has not accepted, and the drain closed accepted connections on which no byte had come at once, although their callers are about to send.

Evidence: TestStopBeforeAccept ("connection reset by peer") and TestRequestOnNewConnectionDuringDrain failed before and pass now.

Why it works: the listener closes once the kernel's queue is empty, and new connections are closed last, at the end of the drain. What remains is a connection that the kernel takes between the two steps.

--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -136,12 +136,12 @@
 	c.state, c.since = stateIdle, now
 }
 
-// expire makes the reader close the connection if no request has begun, and reports whether
-// it does.
-func (c *conn) expire() bool {
+// expire makes the reader close the connection if it is in a state, and reports whether it
+// does.
+func (c *conn) expire(state connState) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return (c.state == stateNew || c.state == stateIdle) && c.setExpired()
+	return c.state == state && c.setExpired()
 }
 
 // expireIdle makes the reader close the connection if it has been idle, or has sent nothing
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -98,7 +98,7 @@
 	case http.StateIdle:
 		c.setIdle(s.clock.Now())
 		if s.isDraining() {
-			s.expire(c.expire)
+			s.expire(func() bool { return c.expire(stateIdle) })
 		}
 	}
 }
@@ -142,21 +142,29 @@
 }
 
 // Drain closes all connections that are idle, or become so, and waits until none is left
-// or ctx is done. It returns the number of those that are left. The listener must be
-// closed before.
+// or ctx is done. Only then does it close those on which no request has come yet, since
+// callers that have just connected are about to send one. It returns the number of those
+// that are left with a request. The listener must be closed before.
 func (s *Sweeper) Drain(ctx context.Context) int {
 	s.mu.Lock()
 	s.draining = true
 	s.signalDrained()
 	s.mu.Unlock()
 	for _, c := range s.open() {
-		s.expire(c.expire)
+		s.expire(func() bool { return c.expire(stateIdle) })
 	}
 	select {
 	case <-s.drained:
+		return 0
 	case <-ctx.Done():
 	}
-	return len(s.open())
+	left := 0
+	for _, c := range s.open() {
+		if !s.expire(func() bool { return c.expire(stateNew) }) {
+			left++
+		}
+	}
+	return left
 }
 
 // sweep closes the connections that have been idle for longer than the timeout. It
--- a/internal/front/sweeper/sweeper_test.go
+++ b/internal/front/sweeper/sweeper_test.go
@@ -381,3 +381,21 @@
 		})
 	}
 }
+
+// TestRequestOnNewConnectionDuringDrain guards against a planned stop that closes a
+// connection on which the caller is about to send its first request.
+func TestRequestOnNewConnectionDuringDrain(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	conn, idle := f.connect(t), f.connectIdle(t)
+	f.waitAccepted(t, 2)
+	assert.NilError(t, f.listener.Close())
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	left := make(chan int, 1)
+	go func() { left <- f.sweeper.Drain(ctx) }()
+	waitClosed(t, idle)
+	send(t, conn, wholeRequest)
+	waitAnswer(t, conn)
+	assert.Equal(t, <-left, 0)
+}
--- a/internal/kernel/runner/webserver.go
+++ b/internal/kernel/runner/webserver.go
@@ -7,14 +7,23 @@
 	"net"
 	"net/http"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
 
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 )
 
+const (
+	// maxBacklogWait bounds the wait for connections that the server has not accepted yet. It
+	// exceeds the time for which the CPU of a small VM may stall.
+	maxBacklogWait       = 200 * time.Millisecond
+	backlogCheckInterval = time.Millisecond
+)
+
 type (
 	// webServer serves HTTP on a listener. When its context ends, it calls beginStop and waits
 	// up to shutdownTimeout for requests in progress. http.Server.Shutdown is not used: it
@@ -66,6 +75,7 @@
 	case <-ctx.Done():
 	}
 	s.beginStop()
+	s.acceptBacklog()
 	if err := s.listener.Close(); err != nil {
 		return errors.Wrap(err, "closing a listener")
 	}
@@ -78,6 +88,39 @@
 	return errors.Wrap(s.server.Close(), "closing connections")
 }
 
+// acceptBacklog waits until the server has accepted the connections that the kernel has
+// taken, at most for maxBacklogWait. The kernel resets those that are left when the listener
+// closes, with the requests that were sent on them.
+func (s *webServer) acceptBacklog() {
+	end := s.clock.Now().Add(maxBacklogWait)
+	for backlogOf(s.listener) > 0 && s.clock.Now().Before(end) {
+		s.clock.Sleep(backlogCheckInterval)
+	}
+}
+
+// backlogOf returns the number of connections that wait to be accepted, 0 if it is not known.
+func backlogOf(l net.Listener) int {
+	s, ok := l.(syscall.Conn)
+	if !ok {
+		return 0
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return 0
+	}
+	waiting := 0
+	err = raw.Control(func(fd uintptr) {
+		// Of a listener, the kernel reports the length of its queue in this field.
+		if info, err := unix.GetsockoptTCPInfo(int(fd), unix.IPPROTO_TCP, unix.TCP_INFO); err == nil {
+			waiting = int(info.Unacked)
+		}
+	})
+	if err != nil {
+		return 0
+	}
+	return waiting
+}
+
 // announceClose tells the caller that the connection ends. It has no effect after the
 // header was written.
 func (w *closingWriter) announceClose() {
--- a/internal/kernel/runner/webserver_test.go
+++ b/internal/kernel/runner/webserver_test.go
@@ -157,3 +157,41 @@
 	assert.Equal(t, requestStatus(t, conn, wholeRequest[10:]), http.StatusOK)
 	assert.NilError(t, <-done)
 }
+
+// gatedListener accepts nothing until its gate is closed.
+type gatedListener struct {
+	*net.TCPListener
+	gate chan struct{}
+}
+
+// Accept implements net.Listener.
+func (l gatedListener) Accept() (net.Conn, error) {
+	<-l.gate
+	return l.TCPListener.Accept()
+}
+
+// TestStopBeforeAccept guards against a planned stop that resets connections which the
+// kernel has taken and the server has not accepted yet, with the requests on them.
+func TestStopBeforeAccept(t *testing.T) {
+	t.Parallel()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	gated := gatedListener{TCPListener: listener.(*net.TCPListener), gate: make(chan struct{})}
+	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
+	s := newWebServer(&http.Server{Handler: handler}, gated, 10*time.Second, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	s.beginStop = func() {
+		time.AfterFunc(20*time.Millisecond, func() { close(gated.gate) })
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() { done <- s.Serve(ctx) }()
+	conn, err := net.Dial("tcp", listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
+	_, err = conn.Write([]byte(wholeRequest))
+	assert.NilError(t, err)
+	cancel()
+	assert.Equal(t, requestStatus(t, conn, ""), http.StatusOK)
+	assert.NilError(t, <-done)
+}
