exchanger, steerer: a caller that left before a send is told apart and costs nothing

Found by the review: a caller that left before the first byte was logged as "the upstream left", so the two could not be told apart; it cost a sound pooled connection, and after an upstream's refusal a retry out of the budget.

Evidence: TestRetryForCallerThatLeft failed before (a retry was counted), as did the cases that TestCallerGoneBeforeRequest gains (a second connection, and the wrong error). TestCallerLeavesAfterConnectionIsPooled, by the review, shows the pool's fault without chance; it counts the calls of the clock itself now.

The receiver logs requests that it refuses at the end of a stop.

--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -138,7 +138,9 @@
 	}
 	if r.refusing.Load() {
 		w.Header().Set("Connection", "close")
-		r.writeError(w, in, steerer.ShuttingDownResult())
+		result := steerer.ShuttingDownResult()
+		r.logResult(in, steerer.Request{AttemptID: in.Header.Get(r.headers.AttemptID), ReceivedAt: arrived}, result)
+		r.writeError(w, in, result)
 		return
 	}
 	if r.inFlight.Add(1) > r.limits.MaxInFlight {
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -126,6 +126,9 @@
 			a.mayHaveRun = true
 			a.lastResult = result
 		}
+		if a.callerGone(ctx) {
+			return failure(http.StatusBadGateway, CodeCallerGone, "the caller has gone", 0)
+		}
 		if !s.mayRetry(a, outcome) {
 			return s.failedResult(a)
 		}
@@ -229,7 +232,8 @@
 			AttemptHeader: s.headers.AttemptID,
 			AttemptID:     a.request.AttemptID,
 			Deadline:      a.deadline,
-			Usable:        func() bool { return !a.callerGone(ctx) && s.usable(d) },
+			Usable:        func() bool { return s.usable(d) },
+			CallerGone:    func() bool { return a.callerGone(ctx) },
 			// A once-only request that was sent goes on when its caller disconnects.
 			Detached: a.route.Once,
 		})
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -157,7 +157,7 @@
 		case <-ctx.Done():
 			return exchanger.Response{}, errors.Mark(ctx.Err(), exchanger.ErrNotSent)
 		}
-		if !r.Usable() {
+		if r.CallerGone() || !r.Usable() {
 			return exchanger.Response{}, errors.Mark(errors.New("left"), exchanger.ErrNotSent)
 		}
 		return exchanger.Response{Status: http.StatusOK, Header: header, Body: []byte("ok")}, nil
@@ -576,6 +576,29 @@
 	}
 }
 
+// TestRetryForCallerThatLeft guards against a retry that is taken out of the budget for a
+// caller whose connection shows that it has left.
+func TestRetryForCallerThatLeft(t *testing.T) {
+	t.Parallel()
+	for _, b := range []behavior{refuses, breaksConnection} {
+		up := &fakeUpstreams{behaviors: []behavior{b}}
+		s := newSteerer(t, up, 2, 4)
+		for range 4 {
+			s.Steer(t.Context(), request("/none/"))
+		}
+		r := request("/read/")
+		r.CallerGone = func() bool {
+			up.mu.Lock()
+			defer up.mu.Unlock()
+			return len(up.sent) > 0
+		}
+		result := s.Steer(t.Context(), r)
+		assert.Equal(t, result.Code, steerer.CodeCallerGone)
+		assert.Equal(t, len(up.sent), 1)
+		assert.Equal(t, s.Counts().Resent, int64(0))
+	}
+}
+
 // sentAtLeast returns a check that at least n requests were sent.
 func (u *fakeUpstreams) sentAtLeast(n int) poll.Check {
 	return func(poll.LogT) poll.Result {
--- a/internal/upstream/exchanger/caller_test.go
+++ b/internal/upstream/exchanger/caller_test.go
@@ -36,16 +36,19 @@
 	clock := &countingClock{Clock: clockwork.NewRealClock()}
 	x, cleanup := exchanger.New(clock)
 	t.Cleanup(cleanup)
-	_, err := x.Exchange(t.Context(), u.target(), request("a1"))
-	assert.NilError(t, err)
+	for _, id := range []string{"a0", "a1"} {
+		clock.calls = 0
+		_, err := x.Exchange(t.Context(), u.target(), request(id))
+		assert.NilError(t, err)
+	}
 	// The pool asks for the time last, after it has taken the connection.
-	clock.at, clock.calls = clock.calls-1, 0
+	clock.at, clock.calls = clock.calls, 0
 	ctx, cancel := context.WithCancel(t.Context())
 	clock.now = func() {
 		cancel()
 		time.Sleep(20 * time.Millisecond)
 	}
-	_, err = x.Exchange(ctx, u.target(), request("a2"))
+	_, err := x.Exchange(ctx, u.target(), request("a2"))
 	assert.NilError(t, err)
 	assert.ErrorIs(t, ctx.Err(), context.Canceled)
 	response, err := x.Exchange(t.Context(), u.target(), request("a3"))
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -48,7 +48,8 @@
 	ErrNotSent         = errors.New("nothing was sent to the upstream")
 	ErrAttemptMismatch = errors.New("the answer belongs to another request")
 
-	errNotUsable = errors.New("the upstream left before the request was sent")
+	errCallerGone = errors.New("the caller left before the request was sent")
+	errNotUsable  = errors.New("the upstream left before the request was sent")
 )
 
 type (
@@ -63,6 +64,9 @@
 		AttemptID     string
 		Deadline      time.Time
 		Usable        func() bool
+		// CallerGone reports whether the caller has left; it is called as Usable is, and nil
+		// means no.
+		CallerGone func() bool
 		// Detached makes the exchange go on when its context ends after the first byte.
 		Detached bool
 	}
@@ -130,6 +134,18 @@
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
+	if err := c.conn.SetDeadline(r.Deadline.Add(deadlineGrace)); err != nil {
+		c.close()
+		return Response{}, errors.Mark(errors.Wrap(err, "setting a deadline"), ErrNotSent)
+	}
+	if ctx.Err() != nil || r.CallerGone != nil && r.CallerGone() {
+		x.putUnused(t, c)
+		return Response{}, errors.Mark(errCallerGone, ErrNotSent)
+	}
+	if r.Usable != nil && !r.Usable() {
+		c.close()
+		return Response{}, errors.Mark(errNotUsable, ErrNotSent)
+	}
 	stop := func() bool { return true }
 	if !r.Detached {
 		stop = context.AfterFunc(ctx, c.close)
@@ -141,18 +157,6 @@
 			stop()
 		}
 	}()
-	if err := c.conn.SetDeadline(r.Deadline.Add(deadlineGrace)); err != nil {
-		c.close()
-		return Response{}, errors.Mark(errors.Wrap(err, "setting a deadline"), ErrNotSent)
-	}
-	if ctx.Err() != nil {
-		c.close()
-		return Response{}, errors.Mark(errors.Wrap(ctx.Err(), "connected"), ErrNotSent)
-	}
-	if r.Usable != nil && !r.Usable() {
-		c.close()
-		return Response{}, errors.Mark(errNotUsable, ErrNotSent)
-	}
 	written := c.writeRequest(r)
 	response, err := c.readResponse(r)
 	if err != nil {
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -447,8 +447,16 @@
 		_, err := x.Exchange(ctx, u.target(), r)
 		assert.Assert(t, errors.Is(err, exchanger.ErrNotSent), "%v", err)
 	}
-	_, attemptIDs := u.seen()
-	assert.DeepEqual(t, attemptIDs, []string{"a1", "a2"})
+	r = request("a4")
+	r.CallerGone = func() bool { return true }
+	_, err = x.Exchange(t.Context(), u.target(), r)
+	assert.Assert(t, errors.Is(err, exchanger.ErrNotSent), "%v", err)
+	assert.ErrorContains(t, err, "the caller left")
+	_, err = x.Exchange(t.Context(), u.target(), request("a5"))
+	assert.NilError(t, err)
+	conns, attemptIDs := u.seen()
+	assert.DeepEqual(t, attemptIDs, []string{"a1", "a2", "a5"})
+	assert.Equal(t, conns, 1, "a connection on which nothing was sent stays in the pool")
 }
 
 // TestCallerLeavesAsResponseArrives guards against a caller that leaves as its response
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -186,6 +186,14 @@
 	p.closeExpired(x.clock.Now())
 }
 
+// putUnused returns a connection on which nothing was sent since it was acquired.
+func (x *Exchanger) putUnused(t cataloger.Target, c *connection) {
+	if c.idleUntil.IsZero() {
+		c.idleUntil = x.clock.Now().Add(defaultIdleTimeout)
+	}
+	x.putIdle(t, c)
+}
+
 // closeExpired closes the connections whose idle timeout has passed.
 func (p *pool) closeExpired(now time.Time) {
 	p.idle = slices.DeleteFunc(p.idle, func(c *connection) bool {
