sweeper: work ends for a caller that left behind further bytes

Callers saw: an upstream went on with an idempotent request after its caller had closed the connection (GONE), if bytes had followed the request.

Cause: net/http looks for the close with a read of one byte beside the handler, and stops at the first byte that comes.

Why it works: connections on which that read got a byte are asked for the caller's close every 200 ms, and the contexts of their requests end with it. Other connections cost nothing.

--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -1,6 +1,7 @@
 package sweeper
 
 import (
+	"context"
 	"io"
 	"net"
 	"os"
@@ -48,6 +49,11 @@
 		// expired makes the read deadline pass at once. The reader then closes the
 		// connection, unless bytes are there.
 		expired bool
+		// hidden is whether bytes that follow the request in progress hide the caller's
+		// close from net/http.
+		hidden bool
+		// cancel ends the contexts of the connection's requests.
+		cancel context.CancelFunc
 	}
 )
 
@@ -62,7 +68,8 @@
 		}
 	}
 	if n > 0 {
-		c.noteRead(c.sweeper.clock.Now())
+		// Beside a handler, net/http reads one byte.
+		c.noteRead(c.sweeper.clock.Now(), len(p) == 1)
 	}
 	return n, err
 }
@@ -89,6 +96,7 @@
 // Close implements net.Conn.
 func (c *conn) Close() error {
 	c.sweeper.remove(c)
+	c.cancelRequests()
 	return c.Conn.Close()
 }
 
@@ -102,11 +110,14 @@
 	return half.CloseWrite()
 }
 
-// noteRead notes that the reader has got bytes. An expired connection is kept.
-func (c *conn) noteRead(now time.Time) {
+// noteRead notes that the reader has got bytes, and whether it read beside a handler. An
+// expired connection is kept.
+func (c *conn) noteRead(now time.Time, besideHandler bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state != stateBusy {
+	if c.state == stateBusy {
+		c.hidden = c.hidden || besideHandler
+	} else {
 		c.state, c.since = stateReading, now
 	}
 	c.revive()
@@ -117,7 +128,7 @@
 func (c *conn) setBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state = stateBusy
+	c.state, c.hidden = stateBusy, false
 	c.revive()
 }
 
@@ -133,7 +144,7 @@
 func (c *conn) setIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.state, c.since = stateIdle, now
+	c.state, c.since, c.hidden = stateIdle, now, false
 }
 
 // expire makes the reader close the connection if it is in a state, and reports whether it
@@ -162,6 +173,28 @@
 	return c.expired
 }
 
+func (c *conn) isHidden() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hidden
+}
+
+// withCancel returns a context that ends with the connection, or by cancelRequests.
+func (c *conn) withCancel(ctx context.Context) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ctx, c.cancel = context.WithCancel(ctx)
+	return ctx
+}
+
+func (c *conn) cancelRequests() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil {
+		c.cancel()
+	}
+}
+
 func (c *conn) isExpired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/front/sweeper/conn_test.go
+++ b/internal/front/sweeper/conn_test.go
@@ -37,7 +37,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go func() { _ = s.Serve(ctx) }()
-	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
 	inSecond, canceled := make(chan struct{}), make(chan bool, 1)
 	ln := serveWith(t, s, func(_ http.ResponseWriter, r *http.Request) {
 		if r.URL.Path != "/second" {
@@ -99,7 +99,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	defer cancel()
 	go func() { _ = s.Serve(ctx) }()
-	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
 	ln := serveWith(t, s, func(http.ResponseWriter, *http.Request) {})
 	conn, err := net.Dial("tcp", ln.Addr().String())
 	assert.NilError(t, err)
@@ -184,3 +184,30 @@
 	waitAnswer(t, conn)
 	waitClosed(t, conn)
 }
+
+// TestWorkForCallerThatLeftBehindFurtherBytes guards against a request that goes on after its
+// caller has left, because bytes that follow it keep net/http from noticing the close.
+func TestWorkForCallerThatLeftBehindFurtherBytes(t *testing.T) {
+	t.Parallel()
+	s := sweeper.New(func() time.Duration { return 0 }, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	ctx, stop := context.WithCancel(t.Context())
+	defer stop()
+	go func() { _ = s.Serve(ctx) }()
+	started, canceled := make(chan struct{}, 2), make(chan bool, 1)
+	ln := serveWith(t, s, func(_ http.ResponseWriter, r *http.Request) {
+		started <- struct{}{}
+		select {
+		case <-r.Context().Done():
+			canceled <- true
+		case <-time.After(5 * time.Second):
+			canceled <- false
+		}
+	})
+	conn, err := net.Dial("tcp", ln.Addr().String())
+	assert.NilError(t, err)
+	send(t, conn, wholeRequest)
+	<-started
+	send(t, conn, wholeRequest)
+	assert.NilError(t, conn.Close())
+	assert.Assert(t, <-canceled)
+}
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -27,10 +27,15 @@
 	"github.com/jonboulle/clockwork"
 )
 
-// sweepInterval is the interval between checks of the idle connections. It is also
-// the longest delay after the idle timeout, which is a number of seconds, before a
-// connection is closed.
-const sweepInterval = time.Second
+const (
+	// sweepInterval is the interval between checks of the idle connections. It is also
+	// the longest delay after the idle timeout, which is a number of seconds, before a
+	// connection is closed.
+	sweepInterval = time.Second
+	// hiddenCheckInterval is the interval between checks for callers whose close net/http
+	// does not notice. Upstreams should stop within half a second after a caller has left.
+	hiddenCheckInterval = 200 * time.Millisecond
+)
 
 type (
 	// IdleTimeoutFunc returns the current idle timeout, 0 while it is unknown.
@@ -106,7 +111,11 @@
 // WithConn returns a context from which CallerGone finds the connection. Use it as
 // http.Server's ConnContext hook.
 func (s *Sweeper) WithConn(ctx context.Context, accepted net.Conn) context.Context {
-	return context.WithValue(ctx, connKey{}, accepted)
+	c, ok := accepted.(*conn)
+	if !ok {
+		return ctx
+	}
+	return context.WithValue(c.withCancel(ctx), connKey{}, c)
 }
 
 // CallerGone returns a function that reports whether the caller of a request has closed
@@ -127,16 +136,29 @@
 	return s.counts
 }
 
-// Serve closes idle connections until ctx is done.
+// Serve closes idle connections, and cancels the requests of callers that have left, until
+// ctx is done.
 func (s *Sweeper) Serve(ctx context.Context) error {
-	ticker := s.clock.NewTicker(sweepInterval)
-	defer ticker.Stop()
+	sweeps, checks := s.clock.NewTicker(sweepInterval), s.clock.NewTicker(hiddenCheckInterval)
+	defer sweeps.Stop()
+	defer checks.Stop()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
-		case <-ticker.Chan():
+		case <-sweeps.Chan():
 			s.sweep()
+		case <-checks.Chan():
+			s.cancelHidden()
+		}
+	}
+}
+
+// cancelHidden cancels the requests of callers that have left without net/http noticing it.
+func (s *Sweeper) cancelHidden() {
+	for _, c := range s.open() {
+		if c.isHidden() && c.peerClosed() {
+			c.cancelRequests()
 		}
 	}
 }
--- a/internal/front/sweeper/sweeper_test.go
+++ b/internal/front/sweeper/sweeper_test.go
@@ -94,7 +94,7 @@
 		assert.NilError(t, <-done)
 		_ = f.server.Close()
 	})
-	assert.NilError(t, f.clock.BlockUntilContext(t.Context(), 1))
+	assert.NilError(t, f.clock.BlockUntilContext(t.Context(), 2))
 	return f
 }
 
--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -1,6 +1,7 @@
 package runner_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"encoding/json"
@@ -447,3 +448,81 @@
 	t.Cleanup(cleanup)
 	return c
 }
+
+// TestCallersConnections checks that a daemon closes callers' connections by the idle timeout
+// of its configuration, gives up the request of a caller that left behind further bytes, and
+// answers a request whose head arrives during a planned stop.
+func TestCallersConnections(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := start(t, "vm-1", f.storeAddress, "")
+	d.waitReady(t)
+	// The request can be served before the end of a planned stop.
+	request := "GET /stock/1 HTTP/1.1\r\nHost: shop.example\r\n" + platform.Headers().RemainingMs + ": 500\r\n\r\n"
+
+	idle := dial(t, d.callers)
+	assert.Equal(t, exchangeRaw(t, idle, request), http.StatusOK)
+	f.configureIdleTimeout(t, 2, "1s")
+	_, err := idle.Read(make([]byte, 1))
+	assert.ErrorIs(t, err, io.EOF)
+
+	stuck := dial(t, d.callers)
+	_, err = stuck.Write([]byte("GET /stock/stuck HTTP/1.1\r\nHost: shop.example\r\n\r\n"))
+	assert.NilError(t, err)
+	<-f.stuckStarted
+	_, err = stuck.Write([]byte("GET"))
+	assert.NilError(t, err)
+	assert.NilError(t, stuck.Close())
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if strings.Contains(d.log.String(), "code=caller-gone") {
+			return poll.Success()
+		}
+		return poll.Continue("the caller counts as there")
+	}, poll.WithDelay(time.Millisecond))
+
+	f.configureIdleTimeout(t, 3, "15s")
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if strings.Contains(d.log.String(), "generation=3") {
+			return poll.Success()
+		}
+		return poll.Continue("generation 3 is not in force")
+	}, poll.WithDelay(time.Millisecond))
+	partial := dial(t, d.callers)
+	assert.Equal(t, exchangeRaw(t, partial, request), http.StatusOK)
+	_, err = partial.Write([]byte(request[:10]))
+	assert.NilError(t, err)
+	d.stop()
+	assert.Equal(t, exchangeRaw(t, partial, request[10:]), http.StatusOK)
+	assert.NilError(t, <-d.done)
+	d.done <- nil
+}
+
+// configureIdleTimeout writes a configuration with an idle timeout of callers' connections.
+func (f *fixture) configureIdleTimeout(t *testing.T, version int, timeout string) {
+	t.Helper()
+	text := string(sample(t, "configuration", "VERSION", strconv.Itoa(version), "PATH", "/stock/"))
+	text = strings.Replace(text, `"idleTimeout":"15s"`, `"idleTimeout":"`+timeout+`"`, 1)
+	assert.NilError(t, f.storekeeper.Write(platform.ConfigKind, platform.ConfigName, json.RawMessage(text)))
+}
+
+func dial(t *testing.T, address string) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", address)
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+	return conn
+}
+
+// exchangeRaw sends bytes on a connection and returns the status of the answer.
+func exchangeRaw(t *testing.T, conn net.Conn, text string) int {
+	t.Helper()
+	_, err := conn.Write([]byte(text))
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	assert.NilError(t, resp.Body.Close())
+	return resp.StatusCode
+}
