--- a/internal/document/editor/editor.go
+++ b/internal/document/editor/editor.go
@@ -219,7 +219,7 @@
 		return keeper.Head{}, storer.Absent, nil
 	}
 	if err != nil {
-		return keeper.Head{}, 0, err
+		return keeper.Head{}, storer.Absent, err
 	}
 	head, err := keeper.DecodeHead(obj.Body)
 	return head, obj.Version, err
--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -42,13 +42,18 @@
 		historyBytes int
 		version      storer.Version
 		seen         storer.Version
-		confirmedAt  time.Time
+		// firstEra is the first era that this VM knew, or 0.
+		firstEra    storer.Era
+		confirmedAt time.Time
 		// maxAge is the greatest age that a confirmation reached before the next one.
 		maxAge time.Duration
 		// The store has answered without an outage from reachableSince to lastAnswer. An
 		// outage is a period longer than minOutage without an answer.
+		// A restoration from an older copy ends the period too, since records are missing
+		// until they are written again. reachableEra is the era of the period.
 		reachableSince   time.Time
 		lastAnswer       time.Time
+		reachableEra     storer.Era
 		minOutage        time.Duration
 		storeUnreachable bool
 		// updated is closed when there is an update for waiting peers.
@@ -91,24 +96,26 @@
 func (f *feed) updateAfter(p Position) (storer.Update, Position, <-chan struct{}, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if !f.listed || p.Version >= f.version && !f.confirmedAt.After(p.ConfirmedAt) && f.storeUnreachable == p.StoreUnreachable {
+	p.Version = f.withEra(p.Version)
+	if !f.listed || !p.Version.Before(f.version) && !f.confirmedAt.After(p.ConfirmedAt) && f.storeUnreachable == p.StoreUnreachable {
 		return storer.Update{}, p, f.updated, false
 	}
 	u := storer.Update{Version: f.version, SeenVersion: f.seen, StoreUnreachable: f.storeUnreachable, StoreReachableFor: max(0, f.confirmedAt.Sub(f.reachableSince))}
 	u.Changes, u.Full = f.changesSince(p.Version)
-	return u, Position{Version: max(p.Version, f.version), ConfirmedAt: f.confirmedAt, StoreUnreachable: f.storeUnreachable}, nil, true
+	return u, Position{Version: p.Version.Later(f.version), ConfirmedAt: f.confirmedAt, StoreUnreachable: f.storeUnreachable}, nil, true
 }
 
 // changesSince returns the changes after a version, or all records and true when the
 // history does not reach back to that version.
 func (f *feed) changesSince(since storer.Version) ([]storer.Change, bool) {
-	if since >= f.version && since > 0 {
+	known := since != storer.Absent
+	if known && !since.Before(f.version) {
 		return nil, false
 	}
 	var changes []storer.Change
-	if len(f.history) > 0 && f.history[0].from <= since && since > 0 {
+	if known && len(f.history) > 0 && !since.Before(f.history[0].from) {
 		for _, d := range f.history {
-			if d.to > since {
+			if since.Before(d.to) {
 				changes = append(changes, d.changes...)
 			}
 		}
@@ -121,11 +128,13 @@
 }
 
 // replace sets all records. Their difference from the previous ones is added to the
-// history as a delta, so that peers need not be sent all records.
+// history as a delta, so that peers need not be sent all records. The history does not
+// reach back to an earlier era: peers must learn that the store was restored.
 func (f *feed) replace(now time.Time, records []storer.Record, version storer.Version, confirmedAt time.Time) {
 	f.mu.Lock()
+	defer f.mu.Unlock()
 	known := f.records
-	listed := f.listed
+	continued := f.listed && version.Era == f.version.Era
 	f.listed = true
 	f.records = make(map[string]storer.Record, len(records))
 	for _, r := range records {
@@ -142,12 +151,12 @@
 			changes = append(changes, storer.Change{Record: r, Removed: true})
 		}
 	}
-	if !listed {
+	if !continued {
 		f.version = version
+		f.history, f.historyBytes = nil, 0
 		changes = nil
 	}
-	f.mu.Unlock()
-	f.add(now, changes, version, confirmedAt)
+	f.addLocked(now, changes, version, confirmedAt)
 }
 
 // add applies changes up to a version that the store confirmed at confirmedAt, and
@@ -155,6 +164,11 @@
 func (f *feed) add(now time.Time, changes []storer.Change, version storer.Version, confirmedAt time.Time) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.addLocked(now, changes, version, confirmedAt)
+}
+
+// addLocked is add for callers that hold f.mu.
+func (f *feed) addLocked(now time.Time, changes []storer.Change, version storer.Version, confirmedAt time.Time) {
 	for _, c := range changes {
 		if c.Removed {
 			delete(f.records, c.Record.Name)
@@ -162,7 +176,7 @@
 		}
 		f.records[c.Record.Name] = c.Record
 	}
-	if version > f.version {
+	if f.version.Before(version) {
 		d := delta{from: f.version, to: version, changes: changes}
 		f.history = append(f.history, d)
 		f.historyBytes += d.size()
@@ -183,13 +197,17 @@
 
 // markReachable joins a period in which the store answered this VM or another without
 // an outage to the known one. It returns the start of the known period, and whether
-// that changed. Periods that are more than minOutage apart are not joined: the later
-// one counts.
-func (f *feed) markReachable(since, until time.Time) (time.Time, bool) {
+// that changed. Periods that are more than minOutage apart, or of different eras, are not
+// joined: the later one counts.
+func (f *feed) markReachable(era storer.Era, since, until time.Time) (time.Time, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	before := f.reachableSince
+	restored := f.reachableEra != 0 && era > f.reachableEra
+	f.reachableEra = max(f.reachableEra, era)
 	switch {
+	case restored:
+		f.reachableSince = since
 	case since.Sub(f.lastAnswer) > f.minOutage:
 		f.reachableSince = since
 	case f.reachableSince.Sub(until) <= f.minOutage && since.Before(f.reachableSince):
@@ -204,7 +222,33 @@
 func (f *feed) setSeen(version storer.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.seen = max(f.seen, version)
+	f.seen = f.seen.Later(version)
+}
+
+// completeVersion adds the era to a version that a peer of an earlier build sent without
+// it. Such a version counts in the first era that this VM knew, so that it is an old one
+// after a restoration.
+func (f *feed) completeVersion(version storer.Version) storer.Version {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.withEra(version)
+}
+
+// setEra notes an era of the store.
+func (f *feed) setEra(era storer.Era) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.firstEra == 0 {
+		f.firstEra = era
+	}
+}
+
+// withEra is completeVersion for callers that hold f.mu.
+func (f *feed) withEra(version storer.Version) storer.Version {
+	if version.Era == 0 && version != storer.Absent {
+		version.Era = f.firstEra
+	}
+	return version
 }
 
 // lastConfirmed returns when the store last confirmed the records.
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -90,8 +90,15 @@
 	unreachableGrace = 300 * time.Millisecond
 )
 
-// errInterrupted is returned by a watch that was canceled for a poll of the store.
-var errInterrupted = errors.New("watch interrupted: a peer has seen a later version")
+var (
+	// errInterrupted is returned by a watch that was canceled for a poll of the store.
+	errInterrupted = errors.New("watch interrupted: a peer has seen a later version")
+	// errRestored is returned when an answer shows that the store was restored from an older
+	// copy since the records were listed.
+	errRestored = errors.New("the store was restored from an older copy")
+	// errEarlierEra is returned for an answer that the store gave before it was restored.
+	errEarlierEra = errors.New("the answer is from before the store was restored")
+)
 
 type (
 	// Source is the store's API for one kind of records.
@@ -107,8 +114,9 @@
 		// Apply applies changes that were learned together, in their order.
 		Apply(changes []storer.Change)
 		// StoreReachableSince sets since when the store has answered without an outage in
-		// which records may expire. It is called before what was learned by then is passed
-		// to Reset or Apply.
+		// which records may expire, and without a restoration from an older copy, in which
+		// records may be missing. It is called before what was learned by then is passed to
+		// Reset or Apply.
 		StoreReachableSince(since time.Time)
 	}
 
@@ -129,6 +137,8 @@
 		// has got all records, from the store or from a relay parent.
 		since  storer.Version
 		listed bool
+		// era is the latest era that this VM knows, from the store or a relay parent.
+		era storer.Era
 		// failures counts the calls that failed since the last one that was answered.
 		failures int
 		// lastWatchEmpty is whether the last watch ended without changes.
@@ -228,7 +238,8 @@
 // ObservePeerVersion polls the store if a peer has seen a version that this VM does not
 // learn within catchUpGrace.
 func (f *Follower) ObservePeerVersion(version storer.Version) {
-	if version <= f.SeenVersion() {
+	version = f.feed.completeVersion(version)
+	if !f.SeenVersion().Before(version) {
 		return
 	}
 	f.clock.AfterFunc(catchUpGrace, func() { f.pollIfBehind(version) })
@@ -244,7 +255,7 @@
 func (f *Follower) pollIfBehind(version storer.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if version <= f.seen || f.polling || f.seen == 0 || f.clock.Now().Before(f.retryAt) {
+	if !f.seen.Before(version) || f.polling || f.seen == storer.Absent || f.clock.Now().Before(f.retryAt) {
 		return
 	}
 	f.pollDue = true
@@ -277,8 +288,10 @@
 			backoff = initialBackoff
 		case errors.Is(err, errInterrupted):
 			// The next call is a poll for the version that a peer has seen.
+		case errors.Is(err, errRestored):
+			f.listed = false
 		case errors.Is(err, storer.ErrCompacted):
-			f.log.Info("the store dropped the change history", "since", uint64(f.since), "reason", "listing again")
+			f.log.Info("the store dropped the change history", "since", f.since, "reason", "listing again")
 			f.listed = false
 		case ctx.Err() == nil:
 			f.noteStoreLost(err)
@@ -329,21 +342,24 @@
 		}
 		return err
 	}
+	if err := f.checkEra(changes.StoreVersion); err != nil {
+		return err
+	}
 	f.noteStoreAnswered()
-	f.markReachable(begun, begun)
+	f.markReachable(f.era, begun, begun)
 	if len(changes.Items) > 0 {
 		f.logLearned(len(changes.Items), changes.StoreVersion, f.clock.Since(begun))
 		f.handler.Apply(changes.Items)
 		// Only an answer with changes advances the version from which the next watch
 		// begins: a watch without changes may have missed some.
-		f.since = max(f.since, changes.StoreVersion)
+		f.since = f.since.Later(changes.StoreVersion)
 	}
 	if len(changes.Items) > 0 || polls {
 		f.setSeen(changes.StoreVersion)
 	}
 	f.feed.add(f.clock.Now(), changes.Items, f.since, begun)
 	if len(changes.Items) > 0 && f.lastWatchEmpty && f.clock.Since(begun) < missedMaxWait {
-		f.log.Info("changes were missed", "since", uint64(f.since), "count", len(changes.Items), "reason", "the last watch heard nothing")
+		f.log.Info("changes were missed", "since", f.since, "count", len(changes.Items), "reason", "the last watch heard nothing")
 		f.notifyPeers()
 	}
 	f.lastWatchEmpty = len(changes.Items) == 0
@@ -393,25 +409,55 @@
 func (f *Follower) setSeen(version storer.Version) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.seen = max(f.seen, version)
+	f.seen = f.seen.Later(version)
 	f.feed.setSeen(version)
 }
 
+// checkEra returns why an answer of the store must not be applied to the known records; nil
+// if it may. Records of an earlier era are to be listed again: a later era gives out
+// revisions again, so the answer lacks changes.
+func (f *Follower) checkEra(version storer.Version) error {
+	if version.Era < f.era {
+		return errEarlierEra
+	}
+	f.noteEra(version)
+	if f.listed && f.since.Era < f.era {
+		return errRestored
+	}
+	return nil
+}
+
+// noteEra records the era of an answer of the store or of a relay parent's update, and logs a
+// restoration.
+func (f *Follower) noteEra(version storer.Version) {
+	if f.era != 0 && version.Era > f.era {
+		f.log.Warn("store restored from an older copy", "since", f.since, "at", version, "reason", "listing again")
+	}
+	f.era = version.Era
+	f.feed.setEra(version.Era)
+}
+
 // list reads all pages. The next watch begins at the version of the first page, so it
 // brings the changes that were made between two pages.
 func (f *Follower) list(ctx context.Context) error {
 	var records []storer.Record
 	begun := f.clock.Now()
 	after := ""
-	first := storer.Version(0)
+	var first storer.Version
 	for {
 		page, err := f.source.List(ctx, f.kind, after)
 		if err != nil {
 			return err
 		}
+		if err := f.checkEra(page.StoreVersion); err != nil {
+			return err
+		}
 		if after == "" {
 			first = page.StoreVersion
 		}
+		if page.StoreVersion.Era != first.Era {
+			return errRestored
+		}
 		records = append(records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
 			break
@@ -419,7 +465,7 @@
 		after = page.Records[len(page.Records)-1].Name
 	}
 	f.noteStoreAnswered()
-	f.markReachable(begun, begun)
+	f.markReachable(f.era, begun, begun)
 	f.since = first
 	f.listed = true
 	f.logLearned(len(records), first, f.clock.Since(begun))
@@ -437,7 +483,7 @@
 	if f.parent != "" {
 		from = string(f.parent)
 	}
-	f.log.Info("learned", "from", from, "count", count, "since", uint64(f.since), "at", uint64(at), "age", age)
+	f.log.Info("learned", "from", from, "count", count, "since", f.since, "at", at, "age", age)
 }
 
 // noteStoreLost records that a call of this VM failed, and logs the first failure.
@@ -452,13 +498,13 @@
 	if known {
 		return
 	}
-	f.log.Warn("store lost", "since", uint64(f.since), "reason", err.Error())
+	f.log.Warn("store lost", "since", f.since, "reason", err.Error())
 }
 
 // markReachable records a period in which the store answered this VM or another without
 // an outage, and informs the handler if that changes the start of the known period.
-func (f *Follower) markReachable(since, until time.Time) {
-	start, changed := f.feed.markReachable(since, until)
+func (f *Follower) markReachable(era storer.Era, since, until time.Time) {
+	start, changed := f.feed.markReachable(era, since, until)
 	if changed {
 		f.handler.StoreReachableSince(start)
 	}
@@ -476,7 +522,7 @@
 		return
 	}
 	f.feed.setStoreUnreachable(false)
-	f.log.Info("store regained", "since", uint64(f.since), "away", f.clock.Since(lost))
+	f.log.Info("store regained", "since", f.since, "away", f.clock.Since(lost))
 }
 
 // sleep waits for d or until ctx ends.
--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -17,6 +17,9 @@
 
 const kind storer.Kind = "things"
 
+// version returns the version of a revision in a store without eras.
+func version(r storer.Revision) storer.Version { return storer.Version{Revision: r} }
+
 // shortestMaxDelay is the shortest time that the platform sets for a change to be known.
 const shortestMaxDelay = 2 * time.Second
 
@@ -28,12 +31,15 @@
 	mu           sync.Mutex
 	records      map[string]storer.Record
 	changes      []storer.Change
-	version      storer.Version
-	historyStart storer.Version
+	era          storer.Era
+	version      storer.Revision
+	historyStart storer.Revision
 	pageSize     int
-	dropEvents   bool
-	failing      error
-	failedCalls  int
+	// afterPage is called after each page of a list.
+	afterPage   func()
+	dropEvents  bool
+	failing     error
+	failedCalls int
 	// unanswered is how many of the next watches get no answer.
 	unanswered int
 	lists      int
@@ -64,14 +70,14 @@
 }
 
 func newSource(clock clockwork.Clock) *source {
-	return &source{clock: clock, records: make(map[string]storer.Record), pageSize: 500, changed: make(chan struct{})}
+	return &source{clock: clock, records: make(map[string]storer.Record), pageSize: 500, afterPage: func() {}, changed: make(chan struct{})}
 }
 
 func (s *source) put(name string) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.version++
-	r := storer.Record{Name: name, Version: s.version}
+	r := storer.Record{Name: name, Version: s.storeVersion()}
 	s.records[name] = r
 	s.changes = append(s.changes, storer.Change{Record: r})
 	if !s.dropEvents {
@@ -80,6 +86,30 @@
 	}
 }
 
+// storeVersion returns the version of the whole store. The caller holds s.mu.
+func (s *source) storeVersion() storer.Version {
+	return storer.Version{Era: s.era, Revision: s.version}
+}
+
+// restore sets the store back to a revision, from which it gives out revisions again, and
+// begins a new era. Its history reaches back to that revision.
+func (s *source) restore(to storer.Revision) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.era++
+	s.version = to
+	s.changes = nil
+	s.historyStart = to
+	for name, r := range s.records {
+		if r.Version.Revision > to {
+			delete(s.records, name)
+			continue
+		}
+		r.Version.Era = s.era
+		s.records[name] = r
+	}
+}
+
 func (s *source) fail(err error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -100,15 +130,16 @@
 
 func (s *source) List(_ context.Context, _ storer.Kind, after string) (storer.Page, error) {
 	s.mu.Lock()
+	defer s.afterPage()
 	defer s.mu.Unlock()
 	if s.failing != nil {
 		return storer.Page{}, s.failing
 	}
 	s.lists++
-	page := storer.Page{StoreVersion: s.version}
-	for v := storer.Version(1); v <= s.version; v++ {
+	page := storer.Page{StoreVersion: s.storeVersion()}
+	for v := storer.Revision(1); v <= s.version; v++ {
 		for _, r := range s.records {
-			if r.Version != v || r.Name <= after {
+			if r.Version.Revision != v || r.Name <= after {
 				continue
 			}
 			if len(page.Records) == s.pageSize {
@@ -157,13 +188,13 @@
 			s.failedCalls++
 			return storer.Changes{}, s.failing
 		}
-		if since < s.historyStart {
+		if since.Revision < s.historyStart || s.era > 0 && since.Revision > s.version {
 			s.mu.Unlock()
 			return storer.Changes{}, storer.ErrCompacted
 		}
-		out := storer.Changes{StoreVersion: s.version}
+		out := storer.Changes{StoreVersion: s.storeVersion()}
 		for _, c := range s.changes {
-			if c.Record.Version > since {
+			if c.Record.Version.Revision > since.Revision {
 				out.Items = append(out.Items, c)
 			}
 		}
@@ -176,7 +207,7 @@
 		case <-end:
 			s.mu.Lock()
 			defer s.mu.Unlock()
-			out.StoreVersion = s.version
+			out.StoreVersion = s.storeVersion()
 			return out, nil
 		case <-changed:
 		case <-ctx.Done():
@@ -400,7 +431,7 @@
 	src.mu.Unlock()
 	src.put("missed")
 	for range 5 {
-		f.ObservePeerVersion(2)
+		f.ObservePeerVersion(version(2))
 		clock.Advance(400 * time.Millisecond)
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			src.mu.Lock()
@@ -427,7 +458,7 @@
 	age, oldest := f.Age()
 	assert.Equal(t, age, 700*time.Millisecond)
 	assert.Equal(t, oldest, 700*time.Millisecond)
-	p.updates <- storer.Update{Version: 2, SeenVersion: 2, Age: 100 * time.Millisecond}
+	p.updates <- storer.Update{Version: version(2), SeenVersion: version(2), Age: 100 * time.Millisecond}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		age, oldest = f.Age()
 		if age == 100*time.Millisecond && oldest == 700*time.Millisecond {
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -27,6 +27,7 @@
 	// ErrRelayRoot is returned on a relay root, a VM that reads the store itself.
 	ErrRelayRoot = errors.New("this VM asks the store itself")
 
+	errParentRestored         = errors.New("the peer's changes are from after the store was restored, this VM's records from before")
 	errParentBehind           = errors.New("the peer's records are older than this VM's")
 	errParentStale            = errors.New("the last confirmation by the store that the peer reports is too old")
 	errParentStoreUnreachable = errors.New("the store does not answer the peer")
@@ -73,7 +74,7 @@
 	defer f.end()
 	since := f.since
 	if !f.listed {
-		since = 0
+		since = storer.Absent
 	}
 	timeout := f.clock.AfterFunc(f.parentTimeout(), cancel)
 	defer func() { timeout.Stop() }()
@@ -98,7 +99,8 @@
 		peer, current := updates.Peer()
 		f.setParent(peer)
 		left := f.staleAge() - u.Age
-		if err := f.checkSnapshot(u, left); err != nil {
+		f.completeUpdate(&u)
+		if err := f.checkUpdate(u, left); err != nil {
 			return f.unfollow(err)
 		}
 		if left > 0 && !u.StoreUnreachable {
@@ -144,14 +146,31 @@
 	return changed
 }
 
-// checkSnapshot returns why this VM, which had records before, must not replace them with
-// the relay parent's snapshot of all records; nil if it may. left is the time until the
-// snapshot is stale.
-func (f *Follower) checkSnapshot(u storer.Update, left time.Duration) error {
+// completeUpdate adds the era to the versions in an update of a peer of an earlier build.
+func (f *Follower) completeUpdate(u *storer.Update) {
+	if u.Version.Era != 0 {
+		return
+	}
+	u.Version = f.feed.completeVersion(u.Version)
+	u.SeenVersion = f.feed.completeVersion(u.SeenVersion)
+	for i := range u.Changes {
+		u.Changes[i].Record.Version = f.feed.completeVersion(u.Changes[i].Record.Version)
+	}
+}
+
+// checkUpdate returns why this VM, which had records before, must not apply the relay
+// parent's update; nil if it may. left is the time until the update is stale.
+func (f *Follower) checkUpdate(u storer.Update, left time.Duration) error {
 	switch {
-	case !u.Full || f.since == 0:
+	case u.Version.Era < f.era:
+		// Its records, and its confirmations, are from before the store was restored.
+		return errParentBehind
+	case !u.Full && f.listed && u.Version.Era > f.since.Era:
+		// Changes of another era don't apply to this VM's records.
+		return errParentRestored
+	case !u.Full || f.since == storer.Absent:
 		return nil
-	case u.Version < f.since:
+	case u.Version.Before(f.since):
 		// The snapshot would restore records that were removed since.
 		return errParentBehind
 	case left <= 0:
@@ -168,11 +187,12 @@
 	}
 	now := f.clock.Now()
 	confirmedAt := now.Add(-u.Age)
-	f.markReachable(confirmedAt.Add(-u.StoreReachableFor), confirmedAt)
+	f.noteEra(u.Version)
+	f.markReachable(u.Version.Era, confirmedAt.Add(-u.StoreReachableFor), confirmedAt)
 	if u.Full || len(u.Changes) > 0 {
 		f.logLearned(len(u.Changes), u.Version, u.Age)
 	}
-	f.since = max(f.since, u.Version)
+	f.since = f.since.Later(u.Version)
 	if u.Full {
 		records := make([]storer.Record, len(u.Changes))
 		for i, c := range u.Changes {
@@ -222,7 +242,7 @@
 // setParent sets the relay parent whose updates are applied, and logs a change.
 func (f *Follower) setParent(peer namer.VM) {
 	if f.parent != peer {
-		f.log.Info("peer followed", "peer", string(peer), "since", uint64(f.since))
+		f.log.Info("peer followed", "peer", string(peer), "since", f.since)
 	}
 	f.parent = peer
 }
@@ -230,7 +250,7 @@
 // unfollow clears the relay parent, logs why if there was one, and returns the next step.
 func (f *Follower) unfollow(err error) nextStep {
 	if f.parent != "" {
-		f.log.Info("peer not followed", "peer", string(f.parent), "since", uint64(f.since), "reason", err.Error())
+		f.log.Info("peer not followed", "peer", string(f.parent), "since", f.since, "reason", err.Error())
 	}
 	f.parent = ""
 	if errors.Is(err, ErrRelayRoot) {
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -117,9 +117,9 @@
 		cancel()
 		assert.NilError(t, <-done)
 	})
-	assert.Equal(t, <-p.opened, storer.Version(0))
-	p.updates <- storer.Update{Full: true, Changes: []storer.Change{change("first", 1)}, Version: 1, SeenVersion: 1}
-	poll.WaitOn(t, hasSeen(f, 1))
+	assert.Equal(t, <-p.opened, version(0))
+	p.updates <- storer.Update{Full: true, Changes: []storer.Change{change("first", 1)}, Version: version(1), SeenVersion: version(1)}
+	poll.WaitOn(t, hasSeen(f, version(1)))
 	return src, p, handler, clock, f
 }
 
@@ -137,12 +137,12 @@
 		if f.SeenVersion() == version {
 			return poll.Success()
 		}
-		return poll.Continue("seen %d", f.SeenVersion())
+		return poll.Continue("seen %s", f.SeenVersion())
 	}
 }
 
-func change(name string, version storer.Version) storer.Change {
-	return storer.Change{Record: storer.Record{Name: name, Version: version}}
+func change(name string, r storer.Revision) storer.Change {
+	return storer.Change{Record: storer.Record{Name: name, Version: version(r)}}
 }
 
 // TestPeerReplacesStore checks that a VM with fresh updates from its relay parent makes no
@@ -152,7 +152,7 @@
 	src, p, handler, clock, f := startWithPeer(t)
 	for i := range 10 {
 		clock.Advance(shortestMaxDelay / 2)
-		u := storer.Update{Version: storer.Version(i + 2), SeenVersion: storer.Version(i + 2)}
+		u := storer.Update{Version: version(storer.Revision(i + 2)), SeenVersion: version(storer.Revision(i + 2))}
 		if i == 5 {
 			u.Changes = []storer.Change{change("second", 7)}
 		}
@@ -172,10 +172,12 @@
 		act  func(p *peer)
 	}{
 		{"silent", func(*peer) {}},
-		{"stale update", func(p *peer) { p.updates <- storer.Update{Version: 1, SeenVersion: 1, Age: shortestMaxDelay} }},
+		{"stale update", func(p *peer) {
+			p.updates <- storer.Update{Version: version(1), SeenVersion: version(1), Age: shortestMaxDelay}
+		}},
 		{"no peer", func(p *peer) {
 			p.leave()
-			p.updates <- storer.Update{Version: 1, SeenVersion: 1}
+			p.updates <- storer.Update{Version: version(1), SeenVersion: version(1)}
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
@@ -211,7 +213,7 @@
 			p.mu.Unlock()
 			clock.Advance(shortestMaxDelay)
 			poll.WaitOn(t, src.hasFailedCall)
-			u := storer.Update{Changes: []storer.Change{change("news", 2)}, Version: 2, SeenVersion: 2, Age: tc.age}
+			u := storer.Update{Changes: []storer.Change{change("news", 2)}, Version: version(2), SeenVersion: version(2), Age: tc.age}
 			poll.WaitOn(t, func(l poll.LogT) poll.Result {
 				clock.Advance(10 * time.Millisecond)
 				select {
@@ -236,7 +238,7 @@
 	p.mu.Unlock()
 	// Many peers together report all the time.
 	for range 100 {
-		f.ObservePeerVersion(2)
+		f.ObservePeerVersion(version(2))
 		clock.Advance(10 * time.Millisecond)
 		time.Sleep(time.Millisecond)
 	}
@@ -244,9 +246,9 @@
 	begun := clock.Now()
 	poll.WaitOn(t, func(l poll.LogT) poll.Result {
 		clock.Advance(10 * time.Millisecond)
-		f.ObservePeerVersion(2)
+		f.ObservePeerVersion(version(2))
 		select {
-		case p.updates <- storer.Update{Changes: []storer.Change{change("news", 2)}, Version: 2, SeenVersion: 2}:
+		case p.updates <- storer.Update{Changes: []storer.Change{change("news", 2)}, Version: version(2), SeenVersion: version(2)}:
 		default:
 		}
 		return handler.has("news")(l)
@@ -266,14 +268,14 @@
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		select {
 		case since := <-p.opened:
-			assert.Equal(t, since, storer.Version(2))
+			assert.Equal(t, since, version(2))
 			return poll.Success()
 		default:
 			clock.Advance(10 * time.Millisecond)
 			return poll.Continue("not followed again")
 		}
 	})
-	p.updates <- storer.Update{Changes: []storer.Change{change("third", 3)}, Version: 3, SeenVersion: 3}
+	p.updates <- storer.Update{Changes: []storer.Change{change("third", 3)}, Version: version(3), SeenVersion: version(3)}
 	poll.WaitOn(t, handler.has("third"))
 }
 
@@ -283,14 +285,14 @@
 	t.Parallel()
 	src, p, handler, clock, f := startWithPeer(t)
 	src.put("missed")
-	p.updates <- storer.Update{Version: 1, SeenVersion: 1}
+	p.updates <- storer.Update{Version: version(1), SeenVersion: version(1)}
 	assert.Equal(t, src.calls(), 0)
-	f.ObservePeerVersion(2)
+	f.ObservePeerVersion(version(2))
 	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
 	clock.Advance(400 * time.Millisecond)
 	poll.WaitOn(t, handler.has("missed"))
-	poll.WaitOn(t, hasSeen(f, 2))
-	f.ObservePeerVersion(2)
+	poll.WaitOn(t, hasSeen(f, version(2)))
+	f.ObservePeerVersion(version(2))
 }
 
 // TestSilentCall covers a VM whose relay parent is silent and whose own next calls get no
@@ -326,7 +328,7 @@
 	t.Parallel()
 	src, p, handler, clock, f := startWithPeer(t, follower.WithMaxDelay(time.Minute))
 	src.put("missed")
-	p.updates <- storer.Update{Version: 1, SeenVersion: 1, StoreUnreachable: true}
+	p.updates <- storer.Update{Version: version(1), SeenVersion: version(1), StoreUnreachable: true}
 	poll.WaitOn(t, handler.has("missed"))
 	clock.Advance(time.Second)
 	assert.Assert(t, !f.StoreUnreachable())
@@ -339,14 +341,14 @@
 	t.Parallel()
 	src, p, handler, _, f := startWithPeer(t, follower.WithMaxDelay(time.Minute))
 	src.fail(storer.ErrBusy)
-	p.updates <- storer.Update{Version: 1, SeenVersion: 1, StoreUnreachable: true}
+	p.updates <- storer.Update{Version: version(1), SeenVersion: version(1), StoreUnreachable: true}
 	poll.WaitOn(t, src.hasFailedCall)
 	for range 3 {
-		p.updates <- storer.Update{Version: 1, SeenVersion: 1, StoreUnreachable: true}
+		p.updates <- storer.Update{Version: version(1), SeenVersion: version(1), StoreUnreachable: true}
 	}
-	p.updates <- storer.Update{Changes: []storer.Change{change("news", 2)}, Version: 2, SeenVersion: 2}
+	p.updates <- storer.Update{Changes: []storer.Change{change("news", 2)}, Version: version(2), SeenVersion: version(2)}
 	poll.WaitOn(t, handler.has("news"))
-	poll.WaitOn(t, hasSeen(f, 2))
+	poll.WaitOn(t, hasSeen(f, version(2)))
 	src.mu.Lock()
 	defer src.mu.Unlock()
 	assert.Equal(t, src.failedCalls, 1)
@@ -358,7 +360,7 @@
 	t.Parallel()
 	src, p, _, clock, f := startWithPeer(t)
 	src.fail(storer.ErrBusy)
-	p.updates <- storer.Update{Version: 1, SeenVersion: 1, StoreUnreachable: true}
+	p.updates <- storer.Update{Version: version(1), SeenVersion: version(1), StoreUnreachable: true}
 	poll.WaitOn(t, src.hasFailedCall)
 	src.mu.Lock()
 	src.failing = nil
@@ -367,7 +369,7 @@
 	p.leave()
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		clock.Advance(10 * time.Millisecond)
-		f.ObservePeerVersion(2)
+		f.ObservePeerVersion(version(2))
 		src.mu.Lock()
 		defer src.mu.Unlock()
 		if src.unanswered < 996 {
@@ -385,7 +387,7 @@
 	src, p, _, clock, f := startWithPeer(t)
 	src.fail(storer.ErrBusy)
 	for range 2 {
-		p.updates <- storer.Update{Version: 1, SeenVersion: 1, StoreUnreachable: true}
+		p.updates <- storer.Update{Version: version(1), SeenVersion: version(1), StoreUnreachable: true}
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			clock.Advance(10 * time.Millisecond)
 			u, _, err := f.Await(t.Context(), follower.Position{})
@@ -394,7 +396,7 @@
 			}
 			return poll.Continue("no outage reported")
 		}, poll.WithDelay(time.Millisecond))
-		p.updates <- storer.Update{Version: 1, SeenVersion: 1}
+		p.updates <- storer.Update{Version: version(1), SeenVersion: version(1)}
 		poll.WaitOn(t, func(poll.LogT) poll.Result {
 			u, _, err := f.Await(t.Context(), follower.Position{})
 			if err == nil && !u.StoreUnreachable {
@@ -429,8 +431,8 @@
 			src, p, handler, clock, f := startWithPeer(t, follower.WithMaxDelay(time.Minute), follower.WithMinOutage(minOutage))
 			src.fail(storer.ErrBusy)
 			clock.Advance(tc.silent)
-			p.updates <- storer.Update{Version: 1, SeenVersion: 2, Age: 100 * time.Millisecond, StoreReachableFor: tc.steady}
-			poll.WaitOn(t, hasSeen(f, 2))
+			p.updates <- storer.Update{Version: version(1), SeenVersion: version(2), Age: 100 * time.Millisecond, StoreReachableFor: tc.steady}
+			poll.WaitOn(t, hasSeen(f, version(2)))
 			if tc.want > 0 {
 				poll.WaitOn(t, handler.wasReachableSince(clock.Now().Add(-tc.want)))
 				return
@@ -448,25 +450,25 @@
 func TestOlderPeerAfterLostHistory(t *testing.T) {
 	t.Parallel()
 	src, p, handler, clock, f := startWithPeer(t)
-	p.updates <- storer.Update{Changes: []storer.Change{change("gone", 2)}, Version: 2, SeenVersion: 2}
+	p.updates <- storer.Update{Changes: []storer.Change{change("gone", 2)}, Version: version(2), SeenVersion: version(2)}
 	poll.WaitOn(t, handler.has("gone"))
 	removed := change("gone", 5)
 	removed.Removed = true
-	p.updates <- storer.Update{Changes: []storer.Change{removed}, Version: 5, SeenVersion: 5}
-	poll.WaitOn(t, hasSeen(f, 5))
+	p.updates <- storer.Update{Changes: []storer.Change{removed}, Version: version(5), SeenVersion: version(5)}
+	poll.WaitOn(t, hasSeen(f, version(5)))
 	src.mu.Lock()
 	src.historyStart, src.version = 10, 12
 	src.mu.Unlock()
 	for len(p.opened) > 0 {
 		<-p.opened
 	}
-	f.ObservePeerVersion(12)
-	older := storer.Update{Full: true, Changes: []storer.Change{change("first", 1), change("gone", 2)}, Version: 3, SeenVersion: 3}
+	f.ObservePeerVersion(version(12))
+	older := storer.Update{Full: true, Changes: []storer.Change{change("first", 1), change("gone", 2)}, Version: version(3), SeenVersion: version(3)}
 	poll.WaitOn(t, func(poll.LogT) poll.Result {
 		clock.Advance(10 * time.Millisecond)
 		select {
 		case since := <-p.opened:
-			if since == 0 {
+			if since == storer.Absent {
 				return poll.Success()
 			}
 		default:
@@ -480,7 +482,7 @@
 		if handler.names["gone"] {
 			return poll.Error(errors.New("what was removed is back"))
 		}
-		return hasSeen(f, 12)(l)
+		return hasSeen(f, version(12))(l)
 	})
 }
 
@@ -492,12 +494,12 @@
 	src, p, handler, clock, _ := startWithPeer(t)
 	src.mu.Lock()
 	src.historyStart, src.version = 10, 12
-	src.records["new"] = storer.Record{Name: "new", Version: 12}
+	src.records["new"] = storer.Record{Name: "new", Version: version(12)}
 	src.mu.Unlock()
 	poll.WaitOn(t, func(l poll.LogT) poll.Result {
 		clock.Advance(10 * time.Millisecond)
 		select {
-		case p.updates <- storer.Update{Full: true, Changes: []storer.Change{change("first", 1)}, Version: 1, SeenVersion: 1, Age: shortestMaxDelay}:
+		case p.updates <- storer.Update{Full: true, Changes: []storer.Change{change("first", 1)}, Version: version(1), SeenVersion: version(1), Age: shortestMaxDelay}:
 		default:
 		}
 		return handler.has("new")(l)
@@ -536,12 +538,12 @@
 	src, p, handler, clock, f := startWithPeer(t, follower.WithMaxDelay(time.Minute), follower.WithMinOutage(3*time.Second))
 	src.fail(storer.ErrBusy)
 	clock.Advance(6 * time.Second)
-	p.updates <- storer.Update{Version: 1, SeenVersion: 2}
+	p.updates <- storer.Update{Version: version(1), SeenVersion: version(2)}
 	poll.WaitOn(t, handler.wasReachableSince(clock.Now()))
 	clock.Advance(time.Second)
-	p.updates <- storer.Update{Version: 1, SeenVersion: 3}
-	poll.WaitOn(t, hasSeen(f, 3))
-	p.updates <- storer.Update{Version: 1, SeenVersion: 3}
+	p.updates <- storer.Update{Version: version(1), SeenVersion: version(3)}
+	poll.WaitOn(t, hasSeen(f, version(3)))
+	p.updates <- storer.Update{Version: version(1), SeenVersion: version(3)}
 	u, _, err := f.Await(t.Context(), follower.Position{})
 	assert.NilError(t, err)
 	assert.Equal(t, u.StoreReachableFor, time.Second)
@@ -558,7 +560,7 @@
 	}
 	for _, tc := range []struct {
 		name  string
-		since storer.Version
+		since storer.Revision
 		all   bool
 		want  int
 	}{
@@ -570,11 +572,11 @@
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			u, next, err := f.Await(t.Context(), follower.Position{Version: tc.since})
+			u, next, err := f.Await(t.Context(), follower.Position{Version: version(tc.since)})
 			assert.NilError(t, err)
 			assert.Equal(t, u.Full, tc.all)
 			assert.Equal(t, len(u.Changes), tc.want)
-			assert.Equal(t, next.Version, max(tc.since, 3))
+			assert.Equal(t, next.Version, version(max(tc.since, 3)))
 		})
 	}
 }
@@ -596,7 +598,7 @@
 	src.mu.Unlock()
 	advance(t, clock, shortestMaxDelay/2)
 	poll.WaitOn(t, handler.has("missed"))
-	u, _, err := f.Await(t.Context(), follower.Position{Version: 1})
+	u, _, err := f.Await(t.Context(), follower.Position{Version: version(1)})
 	assert.NilError(t, err)
 	assert.Assert(t, !u.Full)
 	assert.Equal(t, len(u.Changes), 1)
@@ -609,19 +611,19 @@
 	t.Parallel()
 	_, p, handler, _, f := startWithPeer(t)
 	large := make([]byte, 100<<10)
-	for v := storer.Version(2); v < 42; v++ {
-		u := storer.Update{Changes: []storer.Change{change("large", v)}, Version: v, SeenVersion: v}
+	for v := storer.Revision(2); v < 42; v++ {
+		u := storer.Update{Changes: []storer.Change{change("large", v)}, Version: version(v), SeenVersion: version(v)}
 		u.Changes[0].Record.Spec = large
 		p.updates <- u
-		poll.WaitOn(t, hasSeen(f, v), poll.WithDelay(time.Millisecond))
+		poll.WaitOn(t, hasSeen(f, version(v)), poll.WithDelay(time.Millisecond))
 	}
 	poll.WaitOn(t, handler.has("large"))
 	for _, tc := range []struct {
-		since storer.Version
+		since storer.Revision
 		all   bool
 		want  int
 	}{{1, true, 2}, {39, false, 2}} {
-		u, _, err := f.Await(t.Context(), follower.Position{Version: tc.since})
+		u, _, err := f.Await(t.Context(), follower.Position{Version: version(tc.since)})
 		assert.NilError(t, err)
 		assert.Equal(t, u.Full, tc.all)
 		assert.Equal(t, len(u.Changes), tc.want)
@@ -646,7 +648,7 @@
 		assert.NilError(t, <-done)
 	})
 	<-p.opened
-	f.ObservePeerVersion(7)
+	f.ObservePeerVersion(version(7))
 	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
 	clock.Advance(500 * time.Millisecond)
 	time.Sleep(20 * time.Millisecond)
--- a/internal/document/importer/importer.go
+++ b/internal/document/importer/importer.go
@@ -66,7 +66,7 @@
 	}
 	generation, sources, err := i.translate(c.Record)
 	if err != nil {
-		i.log.Error("translating the document record failed; keeping the current document", "version", uint64(c.Record.Version), "reason", err.Error())
+		i.log.Error("translating the document record failed; keeping the current document", "version", c.Record.Version, "reason", err.Error())
 		return
 	}
 	head := keeper.Head{Generation: generation}
--- a/internal/peer/answerer/answerer.go
+++ b/internal/peer/answerer/answerer.go
@@ -212,7 +212,7 @@
 		defer cancel()
 		a.receiveMarks(s, m)
 	}()
-	position := follower.Position{Version: storer.Version(f.GetSince())}
+	position := follower.Position{Version: converter.VersionFrom(f.GetEra(), f.GetSince())}
 	for {
 		update, next, err := records.Await(ctx, position)
 		if err != nil {
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -171,7 +171,9 @@
 	}
 	out.Need = demands(m.Demands)
 	for _, seen := range m.SeenVersions {
-		out.Seen = append(out.Seen, &encoder.Seen{Kind: string(seen.Kind), Version: uint64(seen.Version)})
+		out.Seen = append(out.Seen, &encoder.Seen{
+			Kind: string(seen.Kind), Version: uint64(seen.Version.Revision), Era: uint64(seen.Version.Era),
+		})
 	}
 	for _, r := range m.FreeCapacity {
 		out.Room = append(out.Room, &encoder.Room{Service: string(r.Service), Weight: int64(r.Weight)})
@@ -207,7 +209,9 @@
 	}
 	out.Demands = demandsFrom(m.GetNeed())
 	for _, seen := range m.GetSeen() {
-		out.SeenVersions = append(out.SeenVersions, tracker.SeenVersion{Kind: storer.Kind(seen.GetKind()), Version: storer.Version(seen.GetVersion())})
+		out.SeenVersions = append(out.SeenVersions, tracker.SeenVersion{
+			Kind: storer.Kind(seen.GetKind()), Version: VersionFrom(seen.GetEra(), seen.GetVersion()),
+		})
 	}
 	for _, r := range m.GetRoom() {
 		out.FreeCapacity = append(out.FreeCapacity, tracker.FreeCapacity{
@@ -266,7 +270,8 @@
 	for _, u := range v.Upstreams {
 		out.Upstreams = append(out.Upstreams, &encoder.Upstream{
 			Name:     string(u.Upstream),
-			Version:  uint64(u.Version),
+			Version:  uint64(u.Version.Revision),
+			Era:      uint64(u.Version.Era),
 			Born:     u.StartedMs,
 			Service:  string(u.Service),
 			Zone:     string(u.Zone),
@@ -288,7 +293,7 @@
 	v := &cataloger.View{Drained: make(map[namer.Zone]bool)}
 	for _, u := range in.GetUpstreams() {
 		v.Upstreams = append(v.Upstreams, cataloger.Upstream{
-			Version: storer.Version(u.GetVersion()),
+			Version: VersionFrom(u.GetEra(), u.GetVersion()),
 			Entry: cataloger.Entry{
 				Upstream:  namer.Upstream(u.GetName()),
 				StartedMs: u.GetBorn(),
@@ -307,21 +312,28 @@
 	return v
 }
 
+// VersionFrom returns the version of the store in a message.
+func VersionFrom(era, revision uint64) storer.Version {
+	return storer.Version{Era: storer.Era(era), Revision: storer.Revision(revision)}
+}
+
 // Update returns an update of a kind's records as a message.
 func Update(u storer.Update) *encoder.Update {
 	out := &encoder.Update{
-		All:    u.Full,
-		At:     uint64(u.Version),
-		Seen:   uint64(u.SeenVersion),
-		Age:    u.Age.Milliseconds(),
-		Away:   u.StoreUnreachable,
-		Steady: u.StoreReachableFor.Milliseconds(),
-		Mark:   u.Mark,
+		All:     u.Full,
+		At:      uint64(u.Version.Revision),
+		Seen:    uint64(u.SeenVersion.Revision),
+		Age:     u.Age.Milliseconds(),
+		Away:    u.StoreUnreachable,
+		Steady:  u.StoreReachableFor.Milliseconds(),
+		Mark:    u.Mark,
+		Era:     uint64(u.Version.Era),
+		SeenEra: uint64(u.SeenVersion.Era),
 	}
 	for _, c := range u.Changes {
 		out.Changes = append(out.Changes, &encoder.Change{
 			Name:    c.Record.Name,
-			Version: uint64(c.Record.Version),
+			Version: uint64(c.Record.Version.Revision),
 			Spec:    c.Record.Spec,
 			Status:  c.Record.Status,
 			Removed: c.Removed,
@@ -334,8 +346,8 @@
 func UpdateFrom(in *encoder.Update) storer.Update {
 	u := storer.Update{
 		Full:              in.GetAll(),
-		Version:           storer.Version(in.GetAt()),
-		SeenVersion:       storer.Version(in.GetSeen()),
+		Version:           VersionFrom(in.GetEra(), in.GetAt()),
+		SeenVersion:       VersionFrom(in.GetSeenEra(), in.GetSeen()),
 		Age:               time.Duration(in.GetAge()) * time.Millisecond,
 		Mark:              in.GetMark(),
 		StoreUnreachable:  in.GetAway(),
@@ -345,7 +357,7 @@
 		u.Changes = append(u.Changes, storer.Change{
 			Record: storer.Record{
 				Name:    c.GetName(),
-				Version: storer.Version(c.GetVersion()),
+				Version: VersionFrom(in.GetEra(), c.GetVersion()),
 				Spec:    c.GetSpec(),
 				Status:  c.GetStatus(),
 			},
--- a/internal/peer/relayer/relayer_test.go
+++ b/internal/peer/relayer/relayer_test.go
@@ -34,10 +34,13 @@
 type fakeRecords struct {
 	awaited chan struct{}
 	next    chan confirmation
+	// position is the position of the last call. It is read after a receive from awaited.
+	position follower.Position
 }
 
 // Await implements answerer.RecordSource.
 func (r *fakeRecords) Await(ctx context.Context, p follower.Position) (storer.Update, follower.Position, error) {
+	r.position = p
 	select {
 	case r.awaited <- struct{}{}:
 	case <-ctx.Done():
@@ -106,7 +109,7 @@
 	own, _ := newMessenger(t, 2, answerer.New(answerer.Dependencies{}, receiverClock, slog.New(slog.DiscardHandler)))
 	relay := relayer.New(own, fixedParent{tracker.Member{PeerAddress: address, Incarnation: namer.Incarnation{1}}}, receiverClock)
 
-	updates, err := relay.Open(t.Context(), kind, 0)
+	updates, err := relay.Open(t.Context(), kind, storer.Absent)
 	assert.NilError(t, err)
 	defer updates.Close()
 	for i, delay := range []time.Duration{0, 1400 * time.Millisecond, 5 * time.Second, 0, time.Second} {
@@ -117,7 +120,7 @@
 			<-senderClock.read
 		}
 		advance(time.Second)
-		r.next <- confirmation{update: storer.Update{Version: 1, Age: 100 * time.Millisecond}, confirmedAt: senderClock.FakeClock.Now().Add(-100 * time.Millisecond)}
+		r.next <- confirmation{update: storer.Update{Version: storer.Version{Revision: 1}, Age: 100 * time.Millisecond}, confirmedAt: senderClock.FakeClock.Now().Add(-100 * time.Millisecond)}
 		advance(delay)
 		u, err := updates.Next()
 		assert.NilError(t, err)
@@ -126,3 +129,33 @@
 		assert.Assert(t, excess <= 2*time.Millisecond, "the age is %s too high", excess)
 	}
 }
+
+// TestErasAreRelayed guards against versions that lose their era between two VMs, so that
+// records from before a restoration of the store count as later ones.
+func TestErasAreRelayed(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	r := &fakeRecords{awaited: make(chan struct{}), next: make(chan confirmation)}
+	deps := answerer.Dependencies{Records: map[storer.Kind]answerer.RecordSource{kind: r}}
+	_, address := newMessenger(t, 1, answerer.New(deps, clock, slog.New(slog.DiscardHandler)))
+	own, _ := newMessenger(t, 2, answerer.New(answerer.Dependencies{}, clock, slog.New(slog.DiscardHandler)))
+	relay := relayer.New(own, fixedParent{tracker.Member{PeerAddress: address, Incarnation: namer.Incarnation{1}}}, clock)
+
+	since := storer.Version{Era: 2, Revision: 90}
+	updates, err := relay.Open(t.Context(), kind, since)
+	assert.NilError(t, err)
+	defer updates.Close()
+	<-r.awaited
+	assert.Equal(t, r.position.Version, since)
+	sent := storer.Update{
+		Version:     storer.Version{Era: 3, Revision: 80},
+		SeenVersion: storer.Version{Era: 4, Revision: 70},
+		Changes:     []storer.Change{{Record: storer.Record{Name: "a", Version: storer.Version{Era: 3, Revision: 79}}}},
+	}
+	r.next <- confirmation{update: sent, confirmedAt: clock.Now()}
+	got, err := updates.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, got.Version, sent.Version)
+	assert.Equal(t, got.SeenVersion, sent.SeenVersion)
+	assert.Equal(t, got.Changes[0].Record.Version, sent.Changes[0].Record.Version)
+}
--- a/internal/platform/storer/storer.go
+++ b/internal/platform/storer/storer.go
@@ -36,7 +36,7 @@
 )
 
 // Absent is the version of an object that does not exist.
-const Absent Version = 0
+var Absent Version
 
 // Errors of the platform's object API for a single object.
 var (
@@ -46,10 +46,6 @@
 )
 
 type (
-	// Version is the number of a write, counted over the whole store. An object's version
-	// is that of its last write.
-	Version uint64
-
 	// Object is a stored value with its version.
 	Object struct {
 		Body    []byte
@@ -91,7 +87,7 @@
 // the changes since that version.
 func (s *Storer) Watch(ctx context.Context, key string, above Version, wait time.Duration) (Object, error) {
 	since := above
-	for above != Absent && since > 0 {
+	for above != Absent && since.Revision > 0 {
 		begun := time.Now()
 		changes, err := s.api.Changes(ctx, DocumentKind, since, wait)
 		if errors.Is(err, ErrCompacted) {
@@ -102,7 +98,7 @@
 		}
 		wait -= time.Since(begun)
 		since = changes.StoreVersion
-		if wait <= 0 || changes.contains(key) {
+		if wait <= 0 || changes.contains(key) || since.Era != above.Era {
 			break
 		}
 	}
@@ -114,7 +110,7 @@
 func (s *Storer) Put(ctx context.Context, key string, body []byte, version Version) (Version, error) {
 	spec, err := json.Marshal(body)
 	if err != nil {
-		return 0, errors.Wrapf(err, "encoding %s", key)
+		return Absent, errors.Wrapf(err, "encoding %s", key)
 	}
 	if version == Absent {
 		version, err = s.api.Create(ctx, DocumentKind, key, spec)
--- a/internal/stand/storekeeper/storekeeper.go
+++ b/internal/stand/storekeeper/storekeeper.go
@@ -14,11 +14,13 @@
 import (
 	"bytes"
 	"encoding/json"
+	"maps"
 	"net/http"
 	"slices"
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -63,6 +65,9 @@
 	Storekeeper struct {
 		clock clockwork.Clock
 
+		// era counts the restorations. It is written with mu held.
+		era atomic.Uint64
+
 		mu       sync.Mutex
 		revision uint64
 		objects  map[objectKey]platform.Object
@@ -96,13 +101,16 @@
 
 // New returns an empty store.
 func New(clock clockwork.Clock) *Storekeeper {
-	return &Storekeeper{clock: clock, revision: 1, objects: make(map[objectKey]platform.Object), changed: make(chan struct{})}
+	s := &Storekeeper{clock: clock, revision: 1, objects: make(map[objectKey]platform.Object), changed: make(chan struct{})}
+	s.era.Store(1)
+	return s
 }
 
 // Handler serves the store's API, and under /stand the calls with which tests
 // control it.
 func (s *Storekeeper) Handler() http.Handler {
 	e := echo.New()
+	e.Use(s.reportEra)
 	e.GET(platform.ObjectsPath+":kind", s.list, s.injectFaults)
 	e.GET(platform.ObjectsPath+":kind/:name", s.get, s.injectFaults)
 	e.POST(platform.ObjectsPath+":kind", s.create, s.injectFaults)
@@ -169,6 +177,45 @@
 	s.oldestRevision = s.revision + 1
 }
 
+// Save keeps a copy of the objects for Restore.
+func (s *Storekeeper) Save() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.saved = maps.Clone(s.objects)
+	s.savedRevision = s.revision
+}
+
+// Restore replaces the objects by those of the last call of Save, and begins a new era. The
+// revisions after that of the copy are given out again.
+func (s *Storekeeper) Restore() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.objects = make(map[objectKey]platform.Object, len(s.saved))
+	maps.Copy(s.objects, s.saved)
+	s.era.Add(1)
+	s.revision = s.savedRevision
+	s.history = nil
+	s.oldestRevision = s.revision + 1
+	s.wakeWatchers()
+}
+
+// reportEra is the middleware that sets the header with the era when the response is
+// written, unless the handler has set it.
+func (s *Storekeeper) reportEra(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		c.Response().Before(func() {
+			if c.Response().Header().Get(platform.EraHeader) == "" {
+				s.setEra(c)
+			}
+		})
+		return next(c)
+	}
+}
+
+func (s *Storekeeper) setEra(c echo.Context) {
+	c.Response().Header().Set(platform.EraHeader, strconv.FormatUint(s.era.Load(), 10))
+}
+
 // injectFaults is the middleware for the faults that apply before a call takes
 // effect: the delay and the outage.
 func (s *Storekeeper) injectFaults(next echo.HandlerFunc) echo.HandlerFunc {
@@ -238,6 +285,7 @@
 	for {
 		s.mu.Lock()
 		out := platform.WatchResponse{Events: []platform.Event{}, StoreRevision: s.revision}
+		s.setEra(c)
 		gone := since > s.revision || since+1 < s.oldestRevision
 		outage := s.faults.Outage
 		changed := s.changed
@@ -405,27 +453,12 @@
 }
 
 func (s *Storekeeper) save(c echo.Context) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.saved = make(map[objectKey]platform.Object, len(s.objects))
-	for key, obj := range s.objects {
-		s.saved[key] = obj
-	}
-	s.savedRevision = s.revision
+	s.Save()
 	return c.NoContent(http.StatusOK)
 }
 
 func (s *Storekeeper) restore(c echo.Context) error {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.objects = make(map[objectKey]platform.Object, len(s.saved))
-	for key, obj := range s.saved {
-		s.objects[key] = obj
-	}
-	s.revision = s.savedRevision
-	s.history = nil
-	s.oldestRevision = s.revision + 1
-	s.wakeWatchers()
+	s.Restore()
 	return c.NoContent(http.StatusOK)
 }
 
--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -97,7 +97,7 @@
 // cold period keeps its end while the same process reports the same time left.
 func (c *Cataloger) Put(now time.Time, version storer.Version, e Entry) bool {
 	known, ok := c.entries[e.Upstream]
-	if ok && version < known.upstream.Version {
+	if ok && version.Before(known.upstream.Version) {
 		return false
 	}
 	u := Upstream{Entry: e, Version: version, ColdUntil: now.Add(e.ColdLeft)}
--- a/internal/upstream/cataloger/cataloger_test.go
+++ b/internal/upstream/cataloger/cataloger_test.go
@@ -7,11 +7,15 @@
 	"gotest.tools/v3/assert"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
 var startTime = time.Unix(1000, 0)
 
+// version returns the version of a revision in a store without eras.
+func version(r storer.Revision) storer.Version { return storer.Version{Revision: r} }
+
 func entry(name string) cataloger.Entry {
 	return cataloger.Entry{Upstream: namer.Upstream(name), StartedMs: 1, Service: "s", Zone: "z", Address: "10.0.0.1:80", Slots: 4}
 }
@@ -27,7 +31,7 @@
 func TestRemovalIsImmediate(t *testing.T) {
 	t.Parallel()
 	c := cataloger.New()
-	c.Put(startTime, 1, entry("a"))
+	c.Put(startTime, version(1), entry("a"))
 	c.Remove(startTime, "a")
 	assert.DeepEqual(t, names(c), []string{})
 }
@@ -37,13 +41,13 @@
 func TestGraceAfterOutage(t *testing.T) {
 	t.Parallel()
 	c := cataloger.New()
-	c.Put(startTime, 1, entry("back"))
-	c.Put(startTime, 2, entry("gone"))
+	c.Put(startTime, version(1), entry("back"))
+	c.Put(startTime, version(2), entry("gone"))
 	outageEnd := startTime.Add(5 * time.Second)
 	c.SetStoreReachableSince(outageEnd)
 	c.RemoveUnlisted(outageEnd, map[namer.Upstream]bool{})
 	assert.DeepEqual(t, names(c), []string{"back", "gone"})
-	c.Put(outageEnd.Add(time.Second), 9, entry("back"))
+	c.Put(outageEnd.Add(time.Second), version(9), entry("back"))
 	assert.Equal(t, len(c.Expire(outageEnd.Add(1900*time.Millisecond))), 0)
 	assert.DeepEqual(t, c.Expire(outageEnd.Add(2*time.Second)), []namer.Upstream{"gone"})
 	assert.DeepEqual(t, names(c), []string{"back"})
@@ -57,7 +61,7 @@
 func TestOutageRuledOut(t *testing.T) {
 	t.Parallel()
 	c := cataloger.New()
-	c.Put(startTime, 1, entry("a"))
+	c.Put(startTime, version(1), entry("a"))
 	outageEnd := startTime.Add(5 * time.Second)
 	c.SetStoreReachableSince(outageEnd)
 	assert.Assert(t, !c.Remove(outageEnd, "a"))
@@ -72,8 +76,8 @@
 	c := cataloger.New()
 	draining := entry("a")
 	draining.Draining = true
-	assert.Assert(t, c.Put(startTime, 5, draining))
-	assert.Assert(t, !c.Put(startTime, 4, entry("a")), "an older version must be ignored")
+	assert.Assert(t, c.Put(startTime, version(5), draining))
+	assert.Assert(t, !c.Put(startTime, version(4), entry("a")), "an older version must be ignored")
 	assert.Assert(t, c.View().Upstreams[0].Draining)
 }
 
@@ -84,10 +88,10 @@
 	c := cataloger.New()
 	e := entry("a")
 	e.ColdLeft = 3 * time.Second
-	c.Put(startTime, 1, e)
-	c.Put(startTime.Add(2*time.Second), 2, e)
+	c.Put(startTime, version(1), e)
+	c.Put(startTime.Add(2*time.Second), version(2), e)
 	assert.Equal(t, c.View().Upstreams[0].ColdUntil, startTime.Add(3*time.Second))
 	e.StartedMs = 2
-	c.Put(startTime.Add(4*time.Second), 3, e)
+	c.Put(startTime.Add(4*time.Second), version(3), e)
 	assert.Equal(t, c.View().Upstreams[0].ColdUntil, startTime.Add(7*time.Second))
 }
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -168,7 +168,7 @@
 			continue
 		}
 		inUse := !u.catalog.Remove(now, namer.Upstream(c.Record.Name))
-		u.log.Info("upstream removed", "upstream", c.Record.Name, "version", uint64(c.Record.Version), "used", inUse)
+		u.log.Info("upstream removed", "upstream", c.Record.Name, "version", c.Record.Version, "used", inUse)
 	}
 	u.onChange(u.catalog.View())
 }
@@ -177,11 +177,11 @@
 func (d *Discoverer) put(now time.Time, r storer.Record) bool {
 	e, err := d.decode(r)
 	if err != nil {
-		d.log.Warn("entry unreadable; treating it as removed", "entry", r.Name, "version", uint64(r.Version), "reason", err.Error())
+		d.log.Warn("entry unreadable; treating it as removed", "entry", r.Name, "version", r.Version, "reason", err.Error())
 		return false
 	}
 	d.catalog.Put(now, r.Version, e)
-	d.log.Info("upstream", "upstream", r.Name, "version", uint64(r.Version), "service", string(e.Service), "zone", string(e.Zone),
+	d.log.Info("upstream", "upstream", r.Name, "version", r.Version, "service", string(e.Service), "zone", string(e.Zone),
 		"address", e.Address, "born", e.StartedMs, "draining", e.Draining, "cold", e.ColdLeft)
 	return true
 }
--- a/internal/upstream/discoverer/discoverer_test.go
+++ b/internal/upstream/discoverer/discoverer_test.go
@@ -21,8 +21,11 @@
 	return cataloger.Entry{Upstream: namer.Upstream(r.Name), Service: "s", Zone: "z", Address: "a", Slots: 1}, nil
 }
 
-func record(name, spec string, version storer.Version) storer.Record {
-	return storer.Record{Name: name, Version: version, Spec: []byte(spec)}
+// version returns the version of a revision in a store without eras.
+func version(r storer.Revision) storer.Version { return storer.Version{Revision: r} }
+
+func record(name, spec string, r storer.Revision) storer.Record {
+	return storer.Record{Name: name, Version: version(r), Spec: []byte(spec)}
 }
 
 // start returns a discoverer, and a function that returns the upstreams' names in the last
@@ -72,7 +75,7 @@
 	t.Parallel()
 	d, names := start()
 	other := &cataloger.View{
-		Upstreams: []cataloger.Upstream{{Version: 7, Entry: cataloger.Entry{Upstream: "a", Service: "s", Zone: "z", Address: "a", Slots: 1}}},
+		Upstreams: []cataloger.Upstream{{Version: version(7), Entry: cataloger.Entry{Upstream: "a", Service: "s", Zone: "z", Address: "a", Slots: 1}}},
 		Drained:   map[namer.Zone]bool{"z": true},
 	}
 	assert.Assert(t, d.Borrow(other))
@@ -91,7 +94,7 @@
 	d, names := start()
 	d.Drains().Reset([]storer.Record{record("z", "", 9)})
 	older := &cataloger.View{
-		Upstreams: []cataloger.Upstream{{Version: 7, Entry: cataloger.Entry{Upstream: "a", Service: "s", Zone: "z", Address: "a", Slots: 1}}},
+		Upstreams: []cataloger.Upstream{{Version: version(7), Entry: cataloger.Entry{Upstream: "a", Service: "s", Zone: "z", Address: "a", Slots: 1}}},
 	}
 	assert.Assert(t, d.Borrow(older))
 	assert.DeepEqual(t, names(), []string{"a"})
--- a/internal/upstream/discoverer/removal_test.go
+++ b/internal/upstream/discoverer/removal_test.go
@@ -76,11 +76,11 @@
 		cancel()
 		assert.NilError(t, <-done)
 	})
-	p.updates <- storer.Update{Full: true, Changes: []storer.Change{{Record: record("a", "", 1)}}, Version: 1, SeenVersion: 1}
+	p.updates <- storer.Update{Full: true, Changes: []storer.Change{{Record: record("a", "", 1)}}, Version: version(1), SeenVersion: version(1)}
 	poll.WaitOn(t, inView(d, "a", true))
 	for range 60 {
 		clock.Advance(time.Second)
-		p.updates <- storer.Update{Version: 1, SeenVersion: 1}
+		p.updates <- storer.Update{Version: version(1), SeenVersion: version(1)}
 	}
 	return d, p, clock
 }
@@ -109,11 +109,11 @@
 	d, p, clock := followPeer(t)
 	for range 2 {
 		// The second update is received only after the first one was applied.
-		p.updates <- storer.Update{Version: 1, SeenVersion: 1, StoreUnreachable: true}
+		p.updates <- storer.Update{Version: version(1), SeenVersion: version(1), StoreUnreachable: true}
 	}
 	clock.Advance(900 * time.Millisecond)
 	removed := []storer.Change{{Record: record("a", "", 2), Removed: true}}
-	p.updates <- storer.Update{Changes: removed, Version: 2, SeenVersion: 2}
+	p.updates <- storer.Update{Changes: removed, Version: version(2), SeenVersion: version(2)}
 	poll.WaitOn(t, inView(d, "a", false))
 }
 
@@ -136,7 +136,7 @@
 			clock.Advance(4 * reportInterval)
 			removed := []storer.Change{{Record: record("a", "", 2), Removed: true}}
 			for range 2 {
-				p.updates <- storer.Update{Changes: removed, Version: 2, SeenVersion: 2, StoreReachableFor: tc.reachableFor}
+				p.updates <- storer.Update{Changes: removed, Version: version(2), SeenVersion: version(2), StoreReachableFor: tc.reachableFor}
 			}
 			poll.WaitOn(t, inView(d, "a", tc.inUse))
 		})
