cataloger: order an upstream's reports by process and number after a restoration

Cause: the copy from which the store comes back holds entries of upstreams that have begun to leave, or have left, since. Their versions are of a later era, so they replaced what the VM knew: a draining upstream, or one that was gone, was used again.

Fix: Entry has the number of the report (status.sequence; one that is missing or odd is 0 and never rejects an entry). In a later era, an entry that is no later report of its upstream (a later process, or a higher number of the same one) does not end a drain or begin a cold period, does not replace a later process, and does not bring back an upstream that was gone. Removed upstreams are remembered for 10 minutes, 4,096 at most. Since an entry does not change while only its number does, a running upstream whose entry had expired just before the restoration would stay out of use: an entry that the store keeps for 30 s is used. Within an era the store's order counts as before. The number also goes to peers (Upstream.sequence).

--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -272,6 +272,7 @@
 			Name:     string(u.Upstream),
 			Version:  uint64(u.Version.Revision),
 			Era:      uint64(u.Version.Era),
+			Sequence: uint64(u.Sequence),
 			Born:     u.StartedMs,
 			Service:  string(u.Service),
 			Zone:     string(u.Zone),
@@ -297,6 +298,7 @@
 			Entry: cataloger.Entry{
 				Upstream:  namer.Upstream(u.GetName()),
 				StartedMs: u.GetBorn(),
+				Sequence:  cataloger.Sequence(u.GetSequence()),
 				Service:   namer.Service(u.GetService()),
 				Zone:      namer.Zone(u.GetZone()),
 				Address:   u.GetAddress(),
--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -4,7 +4,8 @@
 //
 // It handles outages of the store that the entries come from: entries expire during
 // an outage although their upstreams still run, and are written again shortly after
-// the store is back.
+// the store is back. It also handles a store that is restored from an older copy: an
+// upstream that is known to drain, or to be gone, stays so until it reports otherwise.
 //
 // # Usage
 //
@@ -29,15 +30,28 @@
 	// before its upstream counts as gone. The platform promises that the entries of
 	// running upstreams are back about two seconds after an outage.
 	outageGrace = 2 * time.Second
+	// goneRetention is how long a removed upstream is remembered, in case the store is
+	// restored from a copy that still has its entry. Such copies are seconds old.
+	goneRetention = 10 * time.Minute
+	// maxGone limits the number of removed upstreams that are remembered.
+	maxGone = 4096
+	// heldTimeout is how long an entry that a restoration brought back is not used. The
+	// store removes the entry of an upstream that is gone after three missing reports, so
+	// an entry that stays longer belongs to one that runs.
+	heldTimeout = 30 * time.Second
 )
 
 type (
+	// Sequence counts the reports of one process of an upstream. It is 0 if it is not known.
+	Sequence uint64
+
 	// Entry describes one discovered upstream. StartedMs is the start time of its
 	// process in Unix milliseconds; it distinguishes successive processes with the
 	// same name. ColdLeft is how much longer the upstream is cold.
 	Entry struct {
 		Upstream  namer.Upstream
 		StartedMs int64
+		Sequence  Sequence
 		Service   namer.Service
 		Zone      namer.Zone
 		Address   string
@@ -74,10 +88,16 @@
 	// Cataloger collects entries.
 	Cataloger struct {
 		entries map[namer.Upstream]item
+		// gone has the last reports of removed upstreams. held has the entries of such
+		// upstreams that a restoration of the store brought back.
+		gone    map[namer.Upstream]goneItem
+		held    map[namer.Upstream]heldItem
 		drained map[namer.Zone]bool
 		// reachableSince is the start of the period in which the store has answered
-		// without an outage.
+		// without an outage and without a restoration.
 		reachableSince time.Time
+		// era is the latest era of the entries.
+		era storer.Era
 	}
 
 	item struct {
@@ -85,39 +105,107 @@
 		// missing marks an entry that was missing from the store within the grace
 		// period after an outage. Expire removes it unless it is put again.
 		missing bool
+		// restored marks an entry whose upstream has not reported, as far as the catalog
+		// knows, since the store was restored.
+		restored bool
+	}
+
+	goneItem struct {
+		last      Entry
+		era       storer.Era
+		removedAt time.Time
+	}
+
+	heldItem struct {
+		upstream Upstream
+		since    time.Time
 	}
 )
 
 // New returns an empty catalog.
 func New() *Cataloger {
-	return &Cataloger{entries: make(map[namer.Upstream]item), drained: make(map[namer.Zone]bool)}
+	return &Cataloger{
+		entries: make(map[namer.Upstream]item),
+		gone:    make(map[namer.Upstream]goneItem),
+		held:    make(map[namer.Upstream]heldItem),
+		drained: make(map[namer.Zone]bool),
+	}
 }
 
-// Put stores an entry and returns true, unless a later version of it is stored. The
-// cold period keeps its end while the same process reports the same time left.
+// Put stores an entry and returns true, unless a later version of it is stored. After a
+// restoration of the store, an entry that is no later report of its upstream is not stored if
+// the upstream is known to be gone or to have started again since, and does not end its
+// draining. The cold period keeps its end while the same process reports the same time left.
 func (c *Cataloger) Put(now time.Time, version storer.Version, e Entry) bool {
-	known, ok := c.entries[e.Upstream]
-	if ok && version.Before(known.upstream.Version) {
+	c.era = max(c.era, version.Era)
+	u := Upstream{Entry: e, Version: version, ColdUntil: now.Add(e.ColdLeft)}
+	if known, ok := c.entries[e.Upstream]; ok {
+		return c.update(now, known, u)
+	}
+	if g, ok := c.gone[e.Upstream]; ok && version.Era > g.era && now.Sub(g.removedAt) < goneRetention && !e.laterThan(g.last) {
+		c.hold(now, u, g.last)
 		return false
 	}
-	u := Upstream{Entry: e, Version: version, ColdUntil: now.Add(e.ColdLeft)}
-	if ok && known.upstream.StartedMs == e.StartedMs && known.upstream.ColdLeft == e.ColdLeft {
+	delete(c.gone, e.Upstream)
+	delete(c.held, e.Upstream)
+	c.entries[e.Upstream] = item{upstream: u}
+	return true
+}
+
+// hold keeps an entry that is not used yet. last is the last report before it was removed.
+func (c *Cataloger) hold(now time.Time, u Upstream, last Entry) {
+	since := now
+	if h, ok := c.held[u.Upstream]; ok {
+		since = h.since
+	}
+	u.Draining = u.Draining || last.Draining && u.StartedMs == last.StartedMs
+	c.held[u.Upstream] = heldItem{upstream: u, since: since}
+}
+
+// update replaces a known entry as Put describes.
+func (c *Cataloger) update(now time.Time, known item, u Upstream) bool {
+	if u.Version.Before(known.upstream.Version) {
+		return false
+	}
+	restored := (known.restored || u.Version.Era > known.upstream.Version.Era) && !u.laterThan(known.upstream.Entry)
+	if restored && u.StartedMs < known.upstream.StartedMs {
+		// The entry of the running process is missing.
+		c.Remove(now, u.Upstream)
+		return false
+	}
+	sameProcess := u.StartedMs == known.upstream.StartedMs
+	if restored {
+		u.Draining = u.Draining || known.upstream.Draining
+		u.Sequence = known.upstream.Sequence
+		u.ColdLeft = known.upstream.ColdLeft
+	}
+	if sameProcess && known.upstream.ColdLeft == u.ColdLeft {
 		u.ColdUntil = known.upstream.ColdUntil
 	}
-	c.entries[e.Upstream] = item{upstream: u}
+	c.entries[u.Upstream] = item{upstream: u, restored: restored}
 	return true
 }
 
+// laterThan reports whether an entry is a later report of an upstream than another one: that
+// of a later process, or a later one of the same process.
+func (e Entry) laterThan(other Entry) bool {
+	if e.StartedMs != other.StartedMs {
+		return e.StartedMs > other.StartedMs
+	}
+	return e.Sequence > other.Sequence
+}
+
 // Remove removes an entry that is missing from the store, and reports whether its
 // upstream is no longer in use. Within the grace period after an outage, it only marks
 // the entry as missing, and the upstream stays in use.
 func (c *Cataloger) Remove(now time.Time, name namer.Upstream) bool {
+	delete(c.held, name)
 	known, ok := c.entries[name]
 	if !ok {
 		return true
 	}
 	if c.graceElapsed(now) {
-		delete(c.entries, name)
+		c.forget(now, known)
 		return true
 	}
 	known.missing = true
@@ -125,6 +213,24 @@
 	return false
 }
 
+// forget removes an entry and remembers its last report.
+func (c *Cataloger) forget(now time.Time, it item) {
+	delete(c.entries, it.upstream.Upstream)
+	c.gone[it.upstream.Upstream] = goneItem{last: it.upstream.Entry, era: c.era, removedAt: now}
+	if len(c.gone) <= maxGone {
+		return
+	}
+	oldest := it.upstream.Upstream
+	for name, g := range c.gone {
+		if now.Sub(g.removedAt) > goneRetention {
+			delete(c.gone, name)
+		} else if g.removedAt.Before(c.gone[oldest].removedAt) {
+			oldest = name
+		}
+	}
+	delete(c.gone, oldest)
+}
+
 // RemoveUnlisted calls Remove for every entry that is not listed.
 func (c *Cataloger) RemoveUnlisted(now time.Time, listed map[namer.Upstream]bool) {
 	for name := range c.entries {
@@ -132,10 +238,15 @@
 			c.Remove(now, name)
 		}
 	}
+	for name := range c.held {
+		if !listed[name] {
+			delete(c.held, name)
+		}
+	}
 }
 
 // SetStoreReachableSince sets the start of the period in which the store has answered
-// without an outage.
+// without an outage and without a restoration.
 func (c *Cataloger) SetStoreReachableSince(since time.Time) {
 	c.reachableSince = since
 }
@@ -149,7 +260,7 @@
 	var expired []namer.Upstream
 	for name, it := range c.entries {
 		if it.missing {
-			delete(c.entries, name)
+			c.forget(now, it)
 			expired = append(expired, name)
 		}
 	}
@@ -157,6 +268,22 @@
 	return expired
 }
 
+// Release stores the entries that have been held for heldTimeout, and returns their names.
+func (c *Cataloger) Release(now time.Time) []namer.Upstream {
+	var released []namer.Upstream
+	for name, h := range c.held {
+		if now.Sub(h.since) < heldTimeout {
+			continue
+		}
+		delete(c.held, name)
+		delete(c.gone, name)
+		c.entries[name] = item{upstream: h.upstream, restored: true}
+		released = append(released, name)
+	}
+	slices.Sort(released)
+	return released
+}
+
 // graceElapsed reports whether running upstreams have had the time to write their
 // entries again since the last outage.
 func (c *Cataloger) graceElapsed(now time.Time) bool {
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -90,6 +90,10 @@
 			d.log.Info("upstreams gone", "upstreams", expired, "reason", "their entries did not come back after an outage")
 			d.onChange(d.catalog.View())
 		}
+		if released := d.catalog.Release(d.clock.Now()); len(released) > 0 {
+			d.log.Info("upstreams used again", "upstreams", released, "reason", "their entries stayed in the store after it was restored")
+			d.onChange(d.catalog.View())
+		}
 		d.mu.Unlock()
 	}
 }
@@ -180,7 +184,10 @@
 		d.log.Warn("entry unreadable; treating it as removed", "entry", r.Name, "version", r.Version, "reason", err.Error())
 		return false
 	}
-	d.catalog.Put(now, r.Version, e)
+	if !d.catalog.Put(now, r.Version, e) {
+		d.log.Info("entry ignored", "entry", r.Name, "version", r.Version, "reason", "a later state of the upstream is known")
+		return true
+	}
 	d.log.Info("upstream", "upstream", r.Name, "version", r.Version, "service", string(e.Service), "zone", string(e.Zone),
 		"address", e.Address, "born", e.StartedMs, "draining", e.Draining, "cold", e.ColdLeft)
 	return true
