cataloger, discoverer: a drained zone that a restored store lacks stays drained for the grace period

Cause: the records that name drained zones were replaced by the store's list. After a restoration from an older copy, the list lacks what the operator wrote since, until it is written again; in between, requests went to a zone that was drained.

Fix: the catalog keeps the drained zones as it keeps upstreams. A removal that arrives as a change takes effect at once: it was made in the restored store.

Evidence: TestDrainedZoneMissingAfterRestore without the grace period, as before: "drained map[ended kept], not map[again ended gone kept]"; it passes now, 3 times with -race.

--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -17,6 +17,7 @@
 package cataloger
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -92,10 +93,12 @@
 		// upstreams that a restoration of the store brought back.
 		gone    map[namer.Upstream]goneItem
 		held    map[namer.Upstream]heldItem
-		drained map[namer.Zone]bool
+		drained map[namer.Zone]drainedZone
 		// reachableSince is the start of the period in which the store has answered
 		// without an outage and without a restoration.
 		reachableSince time.Time
+		// drainsReachableSince is the same for the records that name drained zones.
+		drainsReachableSince time.Time
 		// era is the latest era of the entries.
 		era storer.Era
 	}
@@ -116,6 +119,12 @@
 		removedAt time.Time
 	}
 
+	drainedZone struct {
+		// missing marks a zone whose record was missing from the store within the grace
+		// period. ExpireDrained removes it unless it is drained again.
+		missing bool
+	}
+
 	heldItem struct {
 		upstream Upstream
 		since    time.Time
@@ -128,7 +137,7 @@
 		entries: make(map[namer.Upstream]item),
 		gone:    make(map[namer.Upstream]goneItem),
 		held:    make(map[namer.Upstream]heldItem),
-		drained: make(map[namer.Zone]bool),
+		drained: make(map[namer.Zone]drainedZone),
 	}
 }
 
@@ -284,20 +293,65 @@
 	return released
 }
 
+// ResetDrained replaces the set of drained zones. Zones that are missing from the store
+// within the grace period after a restoration stay drained, since their records may be
+// written again.
+func (c *Cataloger) ResetDrained(now time.Time, zones map[namer.Zone]bool) {
+	for zone := range c.drained {
+		switch {
+		case zones[zone]:
+		case now.Sub(c.drainsReachableSince) < outageGrace:
+			c.drained[zone] = drainedZone{missing: true}
+		default:
+			delete(c.drained, zone)
+		}
+	}
+	for zone, drained := range zones {
+		if drained {
+			c.drained[zone] = drainedZone{}
+		}
+	}
+}
+
+// SetDrained sets whether a zone is drained.
+func (c *Cataloger) SetDrained(zone namer.Zone, drained bool) {
+	if drained {
+		c.drained[zone] = drainedZone{}
+	} else {
+		delete(c.drained, zone)
+	}
+}
+
+// SetDrainsReachableSince is SetStoreReachableSince for the records that name drained zones.
+func (c *Cataloger) SetDrainsReachableSince(since time.Time) {
+	c.drainsReachableSince = since
+}
+
+// ExpireDrained removes the drained zones that are still missing after the grace period.
+func (c *Cataloger) ExpireDrained(now time.Time) {
+	if now.Sub(c.drainsReachableSince) >= outageGrace {
+		maps.DeleteFunc(c.drained, func(_ namer.Zone, d drainedZone) bool { return d.missing })
+	}
+}
+
 // graceElapsed reports whether running upstreams have had the time to write their
 // entries again since the last outage.
 func (c *Cataloger) graceElapsed(now time.Time) bool {
 	return now.Sub(c.reachableSince) >= outageGrace
 }
 
-// SetDrained replaces the set of drained zones.
-func (c *Cataloger) SetDrained(zones map[namer.Zone]bool) {
-	c.drained = zones
+// Drained returns the drained zones.
+func (c *Cataloger) Drained() map[namer.Zone]bool {
+	zones := make(map[namer.Zone]bool, len(c.drained))
+	for zone := range c.drained {
+		zones[zone] = true
+	}
+	return zones
 }
 
 // View returns the upstreams, ordered by name, and the drained zones.
 func (c *Cataloger) View() *View {
-	v := &View{Drained: c.drained}
+	v := &View{Drained: c.Drained()}
 	for _, it := range c.entries {
 		v.Upstreams = append(v.Upstreams, it.upstream)
 	}
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -46,7 +46,6 @@
 		// kind, from the store or from its relay parent.
 		upstreamsListed bool
 		drainsListed    bool
-		drained         map[namer.Zone]bool
 		onChange        func(*cataloger.View)
 	}
 
@@ -61,7 +60,6 @@
 		clock:    clock,
 		log:      log,
 		catalog:  cataloger.New(),
-		drained:  make(map[namer.Zone]bool),
 		onChange: func(*cataloger.View) {},
 	}
 }
@@ -94,6 +92,7 @@
 			d.log.Info("upstreams used again", "upstreams", released, "reason", "their entries stayed in the store after it was restored")
 			d.onChange(d.catalog.View())
 		}
+		d.changeDrained(func() { d.catalog.ExpireDrained(d.clock.Now()) })
 		d.mu.Unlock()
 	}
 }
@@ -127,8 +126,7 @@
 		d.catalog.Put(now, u.Version, u.Entry)
 	}
 	if !d.drainsListed {
-		d.drained = v.Drained
-		d.catalog.SetDrained(v.Drained)
+		d.catalog.ResetDrained(now, v.Drained)
 	}
 	d.log.Info("upstreams borrowed", "count", len(v.Upstreams), "reason", "the store was not read yet")
 	d.onChange(d.catalog.View())
@@ -202,41 +200,45 @@
 
 // Reset implements follower.Handler.
 func (d *drains) Reset(records []storer.Record) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	zones := make(map[namer.Zone]bool, len(records))
 	for _, r := range records {
 		zones[namer.Zone(r.Name)] = true
 	}
-	d.setDrained(zones)
+	d.drainsListed = true
+	d.changeDrained(func() { d.catalog.ResetDrained(d.clock.Now(), zones) })
 }
 
 // Apply implements follower.Handler.
 func (d *drains) Apply(changes []storer.Change) {
 	d.mu.Lock()
-	zones := maps.Clone(d.drained)
-	d.mu.Unlock()
-	for _, c := range changes {
-		if c.Removed {
-			delete(zones, namer.Zone(c.Record.Name))
-		} else {
-			zones[namer.Zone(c.Record.Name)] = true
+	defer d.mu.Unlock()
+	d.drainsListed = true
+	d.changeDrained(func() {
+		for _, c := range changes {
+			d.catalog.SetDrained(namer.Zone(c.Record.Name), !c.Removed)
 		}
-	}
-	d.setDrained(zones)
+	})
 }
 
-func (d *drains) setDrained(zones map[namer.Zone]bool) {
-	d.mu.Lock()
-	defer d.mu.Unlock()
-	d.drainsListed = true
-	if maps.Equal(zones, d.drained) {
+// changeDrained changes the set of drained zones, and reports the new view if it differs. The
+// caller holds d.mu.
+func (d *Discoverer) changeDrained(change func()) {
+	before := d.catalog.Drained()
+	change()
+	after := d.catalog.Drained()
+	if maps.Equal(before, after) {
 		return
 	}
-	d.drained = zones
-	d.log.Info("zones drained", "zones", len(zones), "names", slices.Sorted(maps.Keys(zones)))
-	d.catalog.SetDrained(zones)
+	d.log.Info("zones drained", "zones", len(after), "names", slices.Sorted(maps.Keys(after)))
 	d.onChange(d.catalog.View())
 }
 
-// StoreReachableSince implements follower.Handler. It does nothing, since records that
-// name drained zones don't expire.
-func (d *drains) StoreReachableSince(time.Time) {}
+// StoreReachableSince implements follower.Handler. Records that name drained zones don't
+// expire, but a restored store may lack them until they are written again.
+func (d *drains) StoreReachableSince(since time.Time) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.catalog.SetDrainsReachableSince(since)
+}
