enroller: add the VM to the list again after a restoration of the store

Cause: a VM wrote its record on the platform's VM list once and then waited for its end. A store that came back from an older copy without the record lacked it for good, so that VMs that started later did not find the VM there.

Fix: the enroller compares the era in which its record was accepted with the latest one that this VM's followers have seen, every second and without a call, and adds the VM again in a later era, after a random delay of up to 20 s, since all VMs notice a restoration at about the same time. A record that the copy still has is read and not replaced. After Withdraw the VM is not added again; Serve then waits for its end as before, since a server that returns ends the process.

TestEnrollAcrossRestore checks the calls against the simulated store.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -90,10 +90,11 @@
 }
 
 func registerRoutedMembers(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
-	deps := []registrar.Name{portsName, clockName, platformName}
+	deps := append([]registrar.Name{portsName, clockName, platformName}, followerNames...)
 	r.Register(enrollName, deps, func(f registrar.Finder) (any, func(), error) {
 		self := storer.ListedVM{VM: s.VM, Zone: s.Zone, PeerAddress: f.Find(portsName).(*listeners).peerAddress(s)}
-		return enroller.New(storer.New(f.Find(platformName).(*platform.Client)), self, f.Find(clockName).(clockwork.Clock), log), nil, nil
+		list := storer.New(f.Find(platformName).(*platform.Client))
+		return enroller.New(list, self, latestEra(followers(f)), f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
 	deps = []registrar.Name{portsName, clockName, peersName, platformName, documentsName, discoverName, reloadName}
 	r.Register(membersName, deps, func(f registrar.Finder) (any, func(), error) {
@@ -152,10 +153,7 @@
 // they have seen the records.
 func registerSeenVersions(r *registrar.Registrar) {
 	r.Register(seenVersionsName, append([]registrar.Name{membersName}, followerNames...), func(f registrar.Finder) (any, func(), error) {
-		var all []*follower.Follower
-		for _, name := range followerNames {
-			all = append(all, f.Find(name).(*follower.Follower))
-		}
+		all := followers(f)
 		f.Find(membersName).(*heartbeater.Heartbeater).SetRecordHooks(
 			func() []tracker.SeenVersion { return seenVersions(all) },
 			func(versions []tracker.SeenVersion) { observePeerVersions(all, versions) },
@@ -164,6 +162,27 @@
 	})
 }
 
+// followers returns the followers of the store's records.
+func followers(f registrar.Finder) []*follower.Follower {
+	all := make([]*follower.Follower, len(followerNames))
+	for i, name := range followerNames {
+		all[i] = f.Find(name).(*follower.Follower)
+	}
+	return all
+}
+
+// latestEra returns a function that returns the latest era of the store that any of the
+// followers has seen.
+func latestEra(all []*follower.Follower) func() storer.Era {
+	return func() storer.Era {
+		era := storer.Era(0)
+		for _, f := range all {
+			era = max(era, f.SeenVersion().Era)
+		}
+		return era
+	}
+}
+
 // seenVersions returns the store version that each follower has seen.
 func seenVersions(all []*follower.Follower) []tracker.SeenVersion {
 	out := make([]tracker.SeenVersion, len(all))
--- a/internal/platform/storer/storer.go
+++ b/internal/platform/storer/storer.go
@@ -134,23 +134,28 @@
 	return vms, errors.Wrap(err, "listing VMs")
 }
 
-// Enroll adds a VM to the list. It replaces the record of an earlier process of the VM.
-func (s *Storer) Enroll(ctx context.Context, vm ListedVM) error {
+// Enroll adds a VM to the list, and returns the era of the store in which the VM is on it. It
+// replaces the record of an earlier process of the VM.
+func (s *Storer) Enroll(ctx context.Context, vm ListedVM) (Era, error) {
 	spec, err := json.Marshal(vm)
 	if err != nil {
-		return errors.Wrap(err, "encoding a VM")
+		return 0, errors.Wrap(err, "encoding a VM")
 	}
 	name := string(vm.VM)
-	_, err = s.api.Create(ctx, VMKind, name, spec)
+	version, err := s.api.Create(ctx, VMKind, name, spec)
 	if !errors.Is(err, ErrConflict) {
-		return err
+		return version.Era, err
 	}
 	old, err := s.api.Read(ctx, VMKind, name)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = s.api.Replace(ctx, VMKind, name, spec, old.Version)
-	return err
+	var listed ListedVM
+	if json.Unmarshal(old.Spec, &listed) == nil && listed == vm {
+		return old.Version.Era, nil
+	}
+	version, err = s.api.Replace(ctx, VMKind, name, spec, old.Version)
+	return version.Era, err
 }
 
 // Withdraw removes a VM from the list.
