runner: write the placements again after a restoration of the store

Cause: the relay root writes a placement only when it has moved since it was last written. A store that came back from an older copy lacked a placement that stood still, or held an earlier one, until it moved.

Fix: what was written or read counts as unknown in a new era, so that the relay root writes all placements again, one call for each service. It also does so once when it first learns the era.

Evidence: TestPlacementLostAfterRestore without the comparison of eras: 1 write, not 2. It passes now, with -race.

--- a/internal/kernel/runner/placement.go
+++ b/internal/kernel/runner/placement.go
@@ -11,6 +11,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
 	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
 )
@@ -40,13 +41,15 @@
 	// recomputes the placements. The relay root writes them to the store, so that after a
 	// restart of all VMs requests still go to the zones where their objects are warm.
 	placementUpdater struct {
-		steerer *steerer.Steerer
-		members *heartbeater.Heartbeater
-		notes   noteStore
-		clock   clockwork.Clock
-		log     *slog.Logger
-		// stored holds the placements as last written to or read from the store.
-		stored map[namer.Service]spreader.Placement
+		steerer   *steerer.Steerer
+		members   *heartbeater.Heartbeater
+		notes     noteStore
+		latestEra func() storer.Era
+		clock     clockwork.Clock
+		log       *slog.Logger
+		// stored holds the placements as last written to or read from the store, in storedEra.
+		stored    map[namer.Service]spreader.Placement
+		storedEra storer.Era
 	}
 )
 
@@ -100,8 +103,13 @@
 }
 
 // storeChanged writes to the store those placements that have moved by at least
-// minStoreDistance since they were last written or read.
+// minStoreDistance since they were last written or read, and all in a new era of the store,
+// which may lack them.
 func (u *placementUpdater) storeChanged(ctx context.Context) {
+	if era := u.latestEra(); era != u.storedEra {
+		clear(u.stored)
+		u.storedEra = era
+	}
 	for service, p := range u.steerer.Placements() {
 		if last, ok := u.stored[service]; ok && p.Distance(last) < minStoreDistance {
 			continue
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -227,13 +227,15 @@
 		members.SetDemands(func() []tracker.Demand { return demandsOf(st) })
 		return st, cleanup, nil
 	})
-	r.Register(placementsName, []registrar.Name{clockName, platformName, steerName, membersName}, func(f registrar.Finder) (any, func(), error) {
+	deps = append([]registrar.Name{clockName, platformName, steerName, membersName}, followerNames...)
+	r.Register(placementsName, deps, func(f registrar.Finder) (any, func(), error) {
 		return &placementUpdater{
-			steerer: f.Find(steerName).(*steerer.Steerer),
-			members: f.Find(membersName).(*heartbeater.Heartbeater),
-			notes:   storer.New(f.Find(platformName).(*platform.Client)),
-			clock:   f.Find(clockName).(clockwork.Clock),
-			log:     log,
+			steerer:   f.Find(steerName).(*steerer.Steerer),
+			members:   f.Find(membersName).(*heartbeater.Heartbeater),
+			notes:     storer.New(f.Find(platformName).(*platform.Client)),
+			latestEra: latestEra(followers(f)),
+			clock:     f.Find(clockName).(clockwork.Clock),
+			log:       log,
 		}, nil, nil
 	})
 }
