--- /dev/null
+++ b/internal/document/importer/importer_test.go
@@ -0,0 +1,43 @@
+package importer_test
+
+import (
+	"log/slog"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/importer"
+	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+)
+
+const name = "main"
+
+// translate returns the length of the spec as the generation.
+func translate(r storer.Record) (namer.Generation, parser.Sources, error) {
+	return namer.Generation(len(r.Spec)), parser.Sources{{Section: parser.Services, Text: []byte("[service desk]\n")}}, nil
+}
+
+func record(g namer.Generation, era storer.Era, revision storer.Revision) storer.Record {
+	return storer.Record{Name: name, Version: storer.Version{Era: era, Revision: revision}, Spec: make([]byte, g)}
+}
+
+// TestOlderDocumentAfterRestore has the store come back from a copy with an earlier generation. It
+// must not be applied; a later one is, although its revision is lower than that known before.
+func TestOlderDocumentAfterRestore(t *testing.T) {
+	t.Parallel()
+	log := slog.New(slog.DiscardHandler)
+	documents := keeper.New(log)
+	im := importer.New(translate, name, documents, log)
+	im.Reset([]storer.Record{record(5, 1, 90)})
+	assert.Equal(t, documents.Generation(), namer.Generation(5))
+	im.Reset([]storer.Record{record(3, 2, 70)})
+	assert.Equal(t, documents.Generation(), namer.Generation(5))
+	im.Reset(nil)
+	im.Apply([]storer.Change{{Record: record(4, 2, 71)}, {Record: record(4, 2, 71), Removed: true}})
+	assert.Equal(t, documents.Generation(), namer.Generation(5))
+	im.Apply([]storer.Change{{Record: record(6, 2, 72)}})
+	assert.Equal(t, documents.Generation(), namer.Generation(6))
+}
