cataloger: an upstream that a peer knows to drain stays so when the VM lists its entry

Cause: a VM that starts after a restoration borrows a peer's view, in which an upstream may drain although the copy's entry does not say so. The VM's own list has the same version of that entry and replaced what was borrowed.

Fix: an entry with the version that is known, and no later report, does not end a drain. A later version in the same era does, as before.

Evidence: TestBorrowedDrainAfterRestore fails on (not draining after the list) and passes now, with -race.

--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -176,14 +176,16 @@
 	if u.Version.Before(known.upstream.Version) {
 		return false
 	}
-	restored := (known.restored || u.Version.Era > known.upstream.Version.Era) && !u.laterThan(known.upstream.Entry)
+	later := u.laterThan(known.upstream.Entry)
+	restored := !later && (known.restored || u.Version.Era > known.upstream.Version.Era)
 	if restored && u.StartedMs < known.upstream.StartedMs {
 		// The entry of the running process is missing.
 		c.Remove(now, u.Upstream)
 		return false
 	}
 	sameProcess := u.StartedMs == known.upstream.StartedMs
-	if restored {
+	// With the same version, the known state may be a peer's, which remembers more.
+	if restored || !later && sameProcess && u.Version == known.upstream.Version {
 		u.Draining = u.Draining || known.upstream.Draining
 		u.Sequence = known.upstream.Sequence
 		u.ColdLeft = known.upstream.ColdLeft
--- a/internal/upstream/discoverer/restored_test.go
+++ b/internal/upstream/discoverer/restored_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/discoverer"
 )
 
@@ -59,3 +60,18 @@
 	h.Reset([]storer.Record{record("kept", "", 2)})
 	poll.WaitOn(t, isDrained(d, "kept"))
 }
+
+// TestBorrowedDrainAfterRestore has a VM start after a restoration and borrow the view of a peer, which
+// knows from before that an upstream drains. The entry from the copy must not end that.
+func TestBorrowedDrainAfterRestore(t *testing.T) {
+	t.Parallel()
+	d := discoverer.New(decode, clockwork.NewFakeClock(), slog.New(slog.DiscardHandler))
+	entry, err := decode(record("a", "", 7))
+	assert.NilError(t, err)
+	entry.Sequence, entry.Draining = 9, true
+	assert.Assert(t, d.Borrow(&cataloger.View{Upstreams: []cataloger.Upstream{{Version: version(7), Entry: entry}}}))
+	d.Upstreams().Reset([]storer.Record{record("a", "", 7)})
+	assert.Assert(t, d.View().Upstreams[0].Draining)
+	d.Upstreams().Apply([]storer.Change{{Record: record("a", "", 8)}})
+	assert.Assert(t, !d.View().Upstreams[0].Draining)
+}
