--- a/internal/document/follower/restored_test.go
+++ b/internal/document/follower/restored_test.go
@@ -289,3 +289,21 @@
 	})
 	poll.WaitOn(t, handler.lacks("old"))
 }
+
+// TestChangesOfLaterEra has a relay parent send changes of a later era than that of the VM's records,
+// which a peer of an earlier build sent without an era. The VM must list the records from the store.
+func TestChangesOfLaterEra(t *testing.T) {
+	t.Parallel()
+	src, p, handler, clock, f := startWithPeer(t)
+	src.mu.Lock()
+	src.era = 2
+	src.mu.Unlock()
+	src.put("new")
+	p.updates <- storer.Update{Changes: []storer.Change{change("second", 3)}, Version: inEra(2, 3), SeenVersion: inEra(2, 3)}
+	advanceUntil(t, clock, handler.has("new"))
+	poll.WaitOn(t, handler.lacks("second"))
+	poll.WaitOn(t, hasSeen(f, inEra(2, 2)))
+	src.mu.Lock()
+	defer src.mu.Unlock()
+	assert.Equal(t, src.lists, 1)
+}
