--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -1,7 +1,8 @@
 // Package exchanger sends one request to one upstream and returns its response. It
 // keeps a pool of connections to each upstream. It never sends a request twice. A
 // response that belongs to another request is dropped, and a connection on which
-// anything unexpected arrived is closed.
+// anything unexpected arrived is closed. A connection serves an attempt once, so that a
+// copy of an earlier response to it is not taken for the response to a later send.
 //
 // # Usage
 //
@@ -47,7 +48,8 @@
 	ErrNotSent         = errors.New("nothing was sent to the upstream")
 	ErrAttemptMismatch = errors.New("the answer belongs to another request")
 
-	errNotUsable = errors.New("the upstream left before the request was sent")
+	errCallerGone = errors.New("the caller left before the request was sent")
+	errNotUsable  = errors.New("the upstream left before the request was sent")
 )
 
 type (
@@ -62,6 +64,11 @@
 		AttemptID     string
 		Deadline      time.Time
 		Usable        func() bool
+		// CallerGone reports whether the caller has left; it is called as Usable is, and nil
+		// means no.
+		CallerGone func() bool
+		// Detached makes the exchange go on when its context ends after the first byte.
+		Detached bool
 	}
 
 	// Response is an upstream's response. Rest is nil if Body holds the whole body.
@@ -123,20 +130,33 @@
 // Exchange sends a request and returns the response. When ctx is canceled, the
 // connection is closed, so that the upstream can stop processing the request.
 func (x *Exchanger) Exchange(ctx context.Context, t cataloger.Target, r Request) (Response, error) {
-	c, connectTime, err := x.acquire(ctx, t)
+	c, connectTime, err := x.acquire(ctx, t, r.AttemptID)
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
-	stop := context.AfterFunc(ctx, c.close)
-	defer stop()
 	if err := c.conn.SetDeadline(r.Deadline.Add(deadlineGrace)); err != nil {
 		c.close()
 		return Response{}, errors.Mark(errors.Wrap(err, "setting a deadline"), ErrNotSent)
 	}
+	if ctx.Err() != nil || r.CallerGone != nil && r.CallerGone() {
+		x.putUnused(t, c)
+		return Response{}, errors.Mark(errCallerGone, ErrNotSent)
+	}
 	if r.Usable != nil && !r.Usable() {
 		c.close()
 		return Response{}, errors.Mark(errNotUsable, ErrNotSent)
 	}
+	stop := func() bool { return true }
+	if !r.Detached {
+		stop = context.AfterFunc(ctx, c.close)
+	}
+	streaming := false
+	defer func() {
+		// While the rest of a long body is read, the caller may still leave.
+		if !streaming {
+			stop()
+		}
+	}()
 	written := c.writeRequest(r)
 	response, err := c.readResponse(r)
 	if err != nil {
@@ -145,11 +165,14 @@
 	}
 	response.ConnectTime = connectTime
 	if response.Rest != nil {
+		streaming = true
 		return response, nil
 	}
 	select {
 	case err := <-written:
-		if err == nil && c.reusable(x.clock.Now(), response) {
+		// A caller that leaves later must not close the connection: the next request may
+		// have taken it already.
+		if err == nil && c.reusable(x.clock.Now(), r, response) && stop() {
 			x.putIdle(t, c)
 			return response, nil
 		}
