--- a/internal/peer/converter/converter_test.go
+++ b/internal/peer/converter/converter_test.go
@@ -109,11 +109,12 @@
 	}
 }
 
+var now = time.Unix(1000, 0)
+
 // TestSeenVersionKeepsEra guards against a seen version that loses its era in a heartbeat, so that
 // peers do not ask a restored store for what they lack.
 func TestSeenVersionKeepsEra(t *testing.T) {
 	t.Parallel()
-	now := time.Unix(1000, 0)
 	seen := []tracker.SeenVersion{
 		{Kind: "things", Version: storer.Version{Era: 3, Revision: 7}},
 		{Kind: "others", Version: storer.Version{Revision: 8}},
@@ -127,7 +128,6 @@
 // that a restored store brings back.
 func TestUpstreamKeepsEraAndSequence(t *testing.T) {
 	t.Parallel()
-	now := time.Unix(1000, 0)
 	u := cataloger.Upstream{
 		Entry:     cataloger.Entry{Upstream: "a", StartedMs: 5, Sequence: 9, Service: "s", Zone: "z", Address: "10.0.0.1:80", Slots: 4, Draining: true},
 		Version:   storer.Version{Era: 3, Revision: 7},
--- a/internal/peer/relayer/relayer_test.go
+++ b/internal/peer/relayer/relayer_test.go
@@ -133,36 +133,6 @@
 	}
 }
 
-// TestErasAreRelayed guards against versions that lose their era between two VMs, so that
-// records from before a restoration of the store count as later ones.
-func TestErasAreRelayed(t *testing.T) {
-	t.Parallel()
-	clock := clockwork.NewFakeClock()
-	r := &fakeRecords{awaited: make(chan struct{}), next: make(chan confirmation)}
-	deps := answerer.Dependencies{Records: map[storer.Kind]answerer.RecordSource{kind: r}}
-	_, address := newMessenger(t, 1, answerer.New(deps, clock, slog.New(slog.DiscardHandler)))
-	own, _ := newMessenger(t, 2, answerer.New(answerer.Dependencies{}, clock, slog.New(slog.DiscardHandler)))
-	relay := relayer.New(own, fixedParent{tracker.Member{PeerAddress: address, Incarnation: namer.Incarnation{1}}}, clock)
-
-	since := storer.Version{Era: 2, Revision: 90}
-	updates, err := relay.Open(t.Context(), kind, since)
-	assert.NilError(t, err)
-	defer updates.Close()
-	<-r.awaited
-	assert.Equal(t, r.position.Version, since)
-	sent := storer.Update{
-		Version:     storer.Version{Era: 3, Revision: 80},
-		SeenVersion: storer.Version{Era: 4, Revision: 70},
-		Changes:     []storer.Change{{Record: storer.Record{Name: "a", Version: storer.Version{Era: 3, Revision: 79}}}},
-	}
-	r.next <- confirmation{update: sent, confirmedAt: clock.Now()}
-	got, err := updates.Next()
-	assert.NilError(t, err)
-	assert.Equal(t, got.Version, sent.Version)
-	assert.Equal(t, got.SeenVersion, sent.SeenVersion)
-	assert.Equal(t, got.Changes[0].Record.Version, sent.Changes[0].Record.Version)
-}
-
 // handlerFunc answers the requests of peers.
 type handlerFunc func(*encoder.Request, *messenger.Stream)
 
@@ -192,3 +162,33 @@
 		})
 	}
 }
+
+// TestErasAreRelayed guards against versions that lose their era between two VMs, so that
+// records from before a restoration of the store count as later ones.
+func TestErasAreRelayed(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	r := &fakeRecords{awaited: make(chan struct{}), next: make(chan confirmation)}
+	deps := answerer.Dependencies{Records: map[storer.Kind]answerer.RecordSource{kind: r}}
+	_, address := newMessenger(t, 1, answerer.New(deps, clock, slog.New(slog.DiscardHandler)))
+	own, _ := newMessenger(t, 2, answerer.New(answerer.Dependencies{}, clock, slog.New(slog.DiscardHandler)))
+	relay := relayer.New(own, fixedParent{tracker.Member{PeerAddress: address, Incarnation: namer.Incarnation{1}}}, clock)
+
+	since := storer.Version{Era: 2, Revision: 90}
+	updates, err := relay.Open(t.Context(), kind, since)
+	assert.NilError(t, err)
+	defer updates.Close()
+	<-r.awaited
+	assert.Equal(t, r.position.Version, since)
+	sent := storer.Update{
+		Version:     storer.Version{Era: 3, Revision: 80},
+		SeenVersion: storer.Version{Era: 4, Revision: 70},
+		Changes:     []storer.Change{{Record: storer.Record{Name: "a", Version: storer.Version{Era: 3, Revision: 79}}}},
+	}
+	r.next <- confirmation{update: sent, confirmedAt: clock.Now()}
+	got, err := updates.Next()
+	assert.NilError(t, err)
+	assert.Equal(t, got.Version, sent.Version)
+	assert.Equal(t, got.SeenVersion, sent.SeenVersion)
+	assert.Equal(t, got.Changes[0].Record.Version, sent.Changes[0].Record.Version)
+}
--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -35,6 +35,11 @@
 	// before its upstream counts as gone. The platform promises that the entries of
 	// running upstreams are back about two seconds after an outage.
 	outageGrace = 2 * time.Second
+	// maxSlots and maxColdLeft are the limits that a steering document has for the slots of
+	// an upstream that it lists and for a service's warm-up time.
+	maxSlots    = 100_000
+	maxColdLeft = time.Hour
+	maxPort     = 65535
 	// goneRetention is how long a removed upstream is remembered, in case the store is
 	// restored from a copy that still has its entry. Such copies are seconds old.
 	goneRetention = 10 * time.Minute
@@ -44,11 +49,6 @@
 	// store removes the entry of an upstream that is gone after three missing reports, so
 	// an entry that stays longer belongs to one that runs.
 	heldTimeout = 30 * time.Second
-	// maxSlots and maxColdLeft are the limits that a steering document has for the slots of
-	// an upstream that it lists and for a service's warm-up time.
-	maxSlots    = 100_000
-	maxColdLeft = time.Hour
-	maxPort     = 65535
 )
 
 type (
