follower: a dropped history tells of the restoration that dropped it

Cause: the answer that the history is gone carries the era, which was dropped with the error. So the VM took all records of a relay parent that had not noticed the restoration, watched from their version, and was told so again.

Evidence: TestHistoryDroppedByRestore never got the new record before, while its parent went on, and gets it now after one watch and one list.

Why it works: the VM knows the later era from that answer on, and refuses records of the earlier one, so it lists the store.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -336,6 +336,10 @@
 	defer limit.Stop()
 	begun := f.clock.Now()
 	changes, err := f.source.Changes(ctx, f.kind, f.since, wait)
+	if errors.Is(err, storer.ErrCompacted) && changes.StoreVersion.Era > f.era {
+		// The relay parent may not have noticed the restoration that dropped the history.
+		f.noteEra(changes.StoreVersion)
+	}
 	if err != nil {
 		if f.interrupted() {
 			return errInterrupted
--- a/internal/document/follower/restored_test.go
+++ b/internal/document/follower/restored_test.go
@@ -307,3 +307,27 @@
 	defer src.mu.Unlock()
 	assert.Equal(t, src.lists, 1)
 }
+
+// TestHistoryDroppedByRestore guards against a VM that is told again and again that the history
+// is gone, because it takes the records of a relay parent that has not noticed the restoration.
+func TestHistoryDroppedByRestore(t *testing.T) {
+	t.Parallel()
+	src, p, handler, clock, f := startWithPeerInEra(t)
+	src.mu.Lock()
+	src.era, src.version, src.historyStart = 3, 3, 3
+	src.records["new"] = storer.Record{Name: "new", Version: inEra(3, 3)}
+	src.mu.Unlock()
+	f.ObservePeerVersion(inEra(3, 3))
+	poll.WaitOn(t, func(l poll.LogT) poll.Result {
+		clock.Advance(10 * time.Millisecond)
+		select {
+		case p.updates <- storer.Update{Full: true, Changes: []storer.Change{change("first", 5)}, Version: inEra(2, 5), SeenVersion: inEra(2, 5)}:
+		default:
+		}
+		return handler.has("new")(l)
+	}, poll.WithDelay(time.Millisecond))
+	src.mu.Lock()
+	defer src.mu.Unlock()
+	assert.Equal(t, src.polls, 1)
+	assert.Equal(t, src.lists, 1)
+}
