--- a/internal/platform/storer/storer.go
+++ b/internal/platform/storer/storer.go
@@ -36,7 +36,7 @@
 )
 
 // Absent is the version of an object that does not exist.
-const Absent Version = 0
+var Absent Version
 
 // Errors of the platform's object API for a single object.
 var (
@@ -46,10 +46,6 @@
 )
 
 type (
-	// Version is the number of a write, counted over the whole store. An object's version
-	// is that of its last write.
-	Version uint64
-
 	// Object is a stored value with its version.
 	Object struct {
 		Body    []byte
@@ -91,7 +87,7 @@
 // the changes since that version.
 func (s *Storer) Watch(ctx context.Context, key string, above Version, wait time.Duration) (Object, error) {
 	since := above
-	for above != Absent && since > 0 {
+	for above != Absent && since.Revision > 0 {
 		begun := time.Now()
 		changes, err := s.api.Changes(ctx, DocumentKind, since, wait)
 		if errors.Is(err, ErrCompacted) {
@@ -102,7 +98,7 @@
 		}
 		wait -= time.Since(begun)
 		since = changes.StoreVersion
-		if wait <= 0 || changes.contains(key) {
+		if wait <= 0 || changes.contains(key) || since.Era != above.Era {
 			break
 		}
 	}
@@ -114,7 +110,7 @@
 func (s *Storer) Put(ctx context.Context, key string, body []byte, version Version) (Version, error) {
 	spec, err := json.Marshal(body)
 	if err != nil {
-		return 0, errors.Wrapf(err, "encoding %s", key)
+		return Absent, errors.Wrapf(err, "encoding %s", key)
 	}
 	if version == Absent {
 		version, err = s.api.Create(ctx, DocumentKind, key, spec)
@@ -138,23 +134,28 @@
 	return vms, errors.Wrap(err, "listing VMs")
 }
 
-// Enroll adds a VM to the list. It replaces the record of an earlier process of the VM.
-func (s *Storer) Enroll(ctx context.Context, vm ListedVM) error {
+// Enroll adds a VM to the list, and returns the era of the store in which the VM is on it. It
+// replaces the record of an earlier process of the VM.
+func (s *Storer) Enroll(ctx context.Context, vm ListedVM) (Era, error) {
 	spec, err := json.Marshal(vm)
 	if err != nil {
-		return errors.Wrap(err, "encoding a VM")
+		return 0, errors.Wrap(err, "encoding a VM")
 	}
 	name := string(vm.VM)
-	_, err = s.api.Create(ctx, VMKind, name, spec)
+	version, err := s.api.Create(ctx, VMKind, name, spec)
 	if !errors.Is(err, ErrConflict) {
-		return err
+		return version.Era, err
 	}
 	old, err := s.api.Read(ctx, VMKind, name)
 	if err != nil {
-		return err
+		return 0, err
 	}
-	_, err = s.api.Replace(ctx, VMKind, name, spec, old.Version)
-	return err
+	var listed ListedVM
+	if json.Unmarshal(old.Spec, &listed) == nil && listed == vm {
+		return old.Version.Era, nil
+	}
+	version, err = s.api.Replace(ctx, VMKind, name, spec, old.Version)
+	return version.Era, err
 }
 
 // Withdraw removes a VM from the list.
