cataloger: the time that a restored entry is held starts anew with each restoration

With restorations some seconds apart, an upstream that is gone could get requests again 30 s after the first of them.

Cause: an entry that a restoration brings back is used after 30 s, since the store removes the entry of an upstream that is gone after three missing reports. A second restoration that brings the entry back starts that time anew in the store, but the time held went on from the first.

Fix: the time is kept only while the entry is of the same era.

Evidence: TestHeldEntryIsRestoredAgain failed before: the entry was used 1 s after the second restoration. It passes now, with -race.

--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -204,7 +204,7 @@
 // hold keeps an entry that is not used yet. last is the last report before it was removed.
 func (c *Cataloger) hold(now time.Time, u Upstream, last Entry) {
 	since := now
-	if h, ok := c.held[u.Upstream]; ok {
+	if h, ok := c.held[u.Upstream]; ok && h.upstream.Version.Era == u.Version.Era {
 		since = h.since
 	}
 	u.Draining = u.Draining || last.Draining && u.StartedMs == last.StartedMs
--- a/internal/upstream/cataloger/restored_test.go
+++ b/internal/upstream/cataloger/restored_test.go
@@ -83,6 +83,22 @@
 	assert.DeepEqual(t, c.Expire(now.Add(2*time.Second)), []namer.Upstream{"a"})
 }
 
+// TestHeldEntryIsRestoredAgain has a second restoration bring back the entry of an upstream that is
+// gone, shortly before the entry would be used. The store's removal of the entry starts anew with
+// the restoration, so the entry does not show that the upstream runs.
+func TestHeldEntryIsRestoredAgain(t *testing.T) {
+	t.Parallel()
+	c := cataloger.New()
+	c.Put(startTime, inEra(1, 90), report("a", 1, 9, false))
+	now := startTime.Add(time.Minute)
+	assert.Assert(t, c.Remove(now, "a"))
+	assert.Assert(t, !c.Put(now, inEra(2, 80), report("a", 1, 9, false)))
+	assert.Assert(t, !c.Put(now.Add(29*time.Second), inEra(3, 70), report("a", 1, 9, false)))
+	assert.DeepEqual(t, c.Release(now.Add(30*time.Second)), []namer.Upstream(nil))
+	assert.DeepEqual(t, names(c), []string{})
+	assert.DeepEqual(t, c.Release(now.Add(59*time.Second)), []namer.Upstream{"a"})
+}
+
 // TestGoneUpstreamComesBackAfterRestore has the store come back from a copy that still has the
 // entry of an upstream that is gone. It must not be used again unless it reports again, or
 // its entry stays so long that the upstream must be running.
