cataloger: an earlier process that a restored store lists again is not used

An upstream had started again under its name; the store came back from a copy with the entry of the earlier process; the later one did not write its entry again within the grace period. When the VM then listed the store again in the same era, it used the entry of the process that had ended, as a ready upstream, until the store removed it.

Cause: the catalog refused that entry while it knew the later process, but noted the upstream's removal with the present era, and an entry of that era counts as written since.

Fix: the refused entry is held, as that of an upstream that is gone. While it is held, only a later report than the held one ends that. A later process that writes its entry again is used at once, as before.

Evidence: TestEarlierProcessIsListedAgainAfterRestore failed before: the second list of the same entry was stored and used. It passes now, with -race.

--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -99,7 +99,7 @@
 	Cataloger struct {
 		entries map[namer.Upstream]item
 		// gone has the last reports of removed upstreams. held has the entries of such
-		// upstreams that a restoration of the store brought back.
+		// upstreams, or of earlier processes, that a restoration of the store brought back.
 		gone    map[namer.Upstream]goneItem
 		held    map[namer.Upstream]heldItem
 		drained map[namer.Zone]drainedZone
@@ -191,8 +191,8 @@
 	if known, ok := c.entries[e.Upstream]; ok {
 		return c.update(now, known, u)
 	}
-	if g, ok := c.gone[e.Upstream]; ok && version.Era > g.era && now.Sub(g.removedAt) < goneRetention && !e.laterThan(g.last) {
-		c.hold(now, u, g.last)
+	if c.bringsBack(now, u) {
+		c.hold(now, u, c.gone[e.Upstream].last)
 		return false
 	}
 	delete(c.gone, e.Upstream)
@@ -201,6 +201,17 @@
 	return true
 }
 
+// bringsBack reports whether an entry shows only that a restoration brought back the entry of an
+// upstream that is gone, or of an earlier process of it.
+func (c *Cataloger) bringsBack(now time.Time, u Upstream) bool {
+	g, ok := c.gone[u.Upstream]
+	if !ok || now.Sub(g.removedAt) >= goneRetention || u.laterThan(g.last) {
+		return false
+	}
+	h, held := c.held[u.Upstream]
+	return u.Version.Era > g.era || held && !u.laterThan(h.upstream.Entry)
+}
+
 // hold keeps an entry that is not used yet. last is the last report before it was removed.
 func (c *Cataloger) hold(now time.Time, u Upstream, last Entry) {
 	since := now
@@ -221,6 +232,7 @@
 	if restored && u.StartedMs < known.upstream.StartedMs {
 		// The entry of the running process is missing.
 		c.Remove(now, u.Upstream)
+		c.hold(now, u, known.upstream.Entry)
 		return false
 	}
 	sameProcess := u.StartedMs == known.upstream.StartedMs
@@ -233,6 +245,7 @@
 	if sameProcess && known.upstream.ColdLeft == u.ColdLeft {
 		u.ColdUntil = known.upstream.ColdUntil
 	}
+	delete(c.held, u.Upstream)
 	c.entries[u.Upstream] = item{upstream: u, restored: restored}
 	return true
 }
--- a/internal/upstream/cataloger/restored_test.go
+++ b/internal/upstream/cataloger/restored_test.go
@@ -83,6 +83,24 @@
 	assert.DeepEqual(t, c.Expire(now.Add(2*time.Second)), []namer.Upstream{"a"})
 }
 
+// TestEarlierProcessIsListedAgainAfterRestore has the copy hold the entry of an upstream's earlier
+// process, and the VM list the store again after the later process expired. The earlier one must
+// not be used.
+func TestEarlierProcessIsListedAgainAfterRestore(t *testing.T) {
+	t.Parallel()
+	c := cataloger.New()
+	c.Put(startTime, inEra(1, 90), report("a", 2, 1, false))
+	now := startTime.Add(time.Minute)
+	c.SetStoreReachableSince(now)
+	c.Put(now, inEra(2, 80), report("a", 1, 9, false))
+	c.Expire(now.Add(2 * time.Second))
+	assert.Assert(t, !c.Put(now.Add(2*time.Second), inEra(2, 80), report("a", 1, 9, false)))
+	assert.DeepEqual(t, names(c), []string{})
+	assert.Assert(t, c.Put(now.Add(3*time.Second), inEra(2, 95), report("a", 2, 1, false)), "the later process writes its entry again")
+	assert.Equal(t, len(c.Release(now.Add(time.Hour))), 0)
+	assert.Equal(t, c.View().Upstreams[0].StartedMs, int64(2))
+}
+
 // TestHeldEntryIsRestoredAgain has a second restoration bring back the entry of an upstream that is
 // gone, shortly before the entry would be used. The store's removal of the entry starts anew with
 // the restoration, so the entry does not show that the upstream runs.
