follower, platform: an answer that the history is gone shows a restoration of the store

Cause: the client dropped the era of an answer 410 with the error. So the follower took it for history that was discarded, asked its relay parent for all records, and followed one of the earlier era, from whose version the next watch got 410 again.

Fix: the client returns the era with the error, and the follower treats a later one as it does in any other answer: it refuses records of the earlier era and lists the store itself.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -104,6 +104,7 @@
 	// Source is the store's API for one kind of records.
 	Source interface {
 		List(ctx context.Context, kind storer.Kind, after string) (storer.Page, error)
+		// Changes returns the store's era also with storer.ErrCompacted.
 		Changes(ctx context.Context, kind storer.Kind, since storer.Version, wait time.Duration) (storer.Changes, error)
 	}
 
@@ -340,6 +341,10 @@
 		if f.interrupted() {
 			return errInterrupted
 		}
+		if errors.Is(err, storer.ErrCompacted) && changes.StoreVersion.Era > f.era {
+			// The relay parent's records may be from before the restoration too.
+			return f.checkEra(changes.StoreVersion)
+		}
 		return err
 	}
 	if err := f.checkEra(changes.StoreVersion); err != nil {
--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -189,8 +189,8 @@
 			return storer.Changes{}, s.failing
 		}
 		if since.Revision < s.historyStart || s.era > 0 && since.Revision > s.version {
-			s.mu.Unlock()
-			return storer.Changes{}, storer.ErrCompacted
+			defer s.mu.Unlock()
+			return storer.Changes{StoreVersion: storer.Version{Era: s.era}}, storer.ErrCompacted
 		}
 		out := storer.Changes{StoreVersion: s.storeVersion()}
 		for _, c := range s.changes {
--- a/internal/document/follower/restored_test.go
+++ b/internal/document/follower/restored_test.go
@@ -307,3 +307,23 @@
 	defer src.mu.Unlock()
 	assert.Equal(t, src.lists, 1)
 }
+
+// TestParentFromBeforeRestoreAfterLostHistory has the store report that it dropped the history
+// because it was restored, while the relay parent goes on with records from before. The VM must
+// not go back to them and watch from their version again.
+func TestParentFromBeforeRestoreAfterLostHistory(t *testing.T) {
+	t.Parallel()
+	src, p, handler, clock, f := startWithPeerInEra(t)
+	src.restore(0)
+	src.put("new")
+	f.ObservePeerVersion(inEra(3, 1))
+	poll.WaitOn(t, func(l poll.LogT) poll.Result {
+		clock.Advance(10 * time.Millisecond)
+		select {
+		case p.updates <- storer.Update{Full: true, Changes: []storer.Change{change("first", 5)}, Version: inEra(2, 5), SeenVersion: inEra(2, 5)}:
+		default:
+		}
+		return handler.has("new")(l)
+	}, poll.WithDelay(time.Millisecond))
+	poll.WaitOn(t, handler.lacks("first"))
+}
--- a/internal/platform/storer/records.go
+++ b/internal/platform/storer/records.go
@@ -80,7 +80,8 @@
 		// ListStale returns a list that may be some seconds old. It costs the platform less
 		// than List.
 		ListStale(ctx context.Context, kind Kind, after string) (Page, error)
-		// Changes waits until there are changes after a version, or until the wait ends.
+		// Changes waits until there are changes after a version, or until the wait ends. With
+		// ErrCompacted, the store version has the era alone.
 		Changes(ctx context.Context, kind Kind, since Version, wait time.Duration) (Changes, error)
 		Create(ctx context.Context, kind Kind, name string, spec json.RawMessage) (Version, error)
 		// Replace writes an existing record if it still has the version given, and
