cataloger: tests of drains over several restorations, and of entries that are held

Mutations of the catalog that no test noticed: a restored entry that lowers the known report's number, an upstream without numbers that changes after a restoration, the drain of an upstream whose entry is used again after the hold, and a held entry of an earlier process that outlasts the report of the later one. The first is a drain that ends when a second restoration comes from a later copy than the first. Each of the three tests fails with its mutation, and all pass on the code as it is, with -race.

--- a/internal/upstream/cataloger/restored_test.go
+++ b/internal/upstream/cataloger/restored_test.go
@@ -70,6 +70,49 @@
 	assert.Assert(t, !c.View().Upstreams[0].Draining, "within an era, the store's order counts")
 }
 
+// TestDrainSurvivesSeveralCopies has two restorations, the second from a later copy than the first, and
+// an upstream without numbers change after one. A drain that neither copy has must go on.
+func TestDrainSurvivesSeveralCopies(t *testing.T) {
+	t.Parallel()
+	c := cataloger.New()
+	c.Put(startTime, inEra(1, 90), report("a", 1, 9, true))
+	c.Put(startTime, inEra(1, 91), report("b", 1, 0, true))
+	c.Put(startTime, inEra(2, 80), report("a", 1, 4, false))
+	c.Put(startTime, inEra(3, 85), report("a", 1, 6, false))
+	c.Put(startTime, inEra(3, 80), report("b", 1, 0, false))
+	c.Put(startTime, inEra(3, 86), report("b", 1, 0, false))
+	for _, u := range c.View().Upstreams {
+		assert.Assert(t, u.Draining, "upstream %s", u.Upstream)
+	}
+}
+
+// TestLaterProcessEndsHold has the copy hold the entry of an upstream's earlier process, and the later
+// process write its entry again. The earlier one must never replace it.
+func TestLaterProcessEndsHold(t *testing.T) {
+	t.Parallel()
+	c := cataloger.New()
+	c.Put(startTime, inEra(1, 90), report("a", 2, 1, false))
+	now := startTime.Add(time.Minute)
+	c.SetStoreReachableSince(now)
+	c.Put(now, inEra(2, 80), report("a", 1, 9, false))
+	assert.Assert(t, c.Put(now.Add(time.Second), inEra(2, 85), report("a", 2, 1, false)))
+	assert.Equal(t, len(c.Release(now.Add(time.Hour))), 0)
+	assert.Equal(t, c.View().Upstreams[0].StartedMs, int64(2))
+}
+
+// TestDrainedUpstreamIsReleasedDraining has a restoration bring back an upstream that drained before it
+// was gone. It must go on draining even if its entry stays.
+func TestDrainedUpstreamIsReleasedDraining(t *testing.T) {
+	t.Parallel()
+	c := cataloger.New()
+	c.Put(startTime, inEra(1, 90), report("a", 1, 9, true))
+	now := startTime.Add(time.Minute)
+	assert.Assert(t, c.Remove(now, "a"))
+	assert.Assert(t, !c.Put(now, inEra(2, 80), report("a", 1, 4, false)))
+	assert.DeepEqual(t, c.Release(now.Add(time.Hour)), []namer.Upstream{"a"})
+	assert.Assert(t, c.View().Upstreams[0].Draining)
+}
+
 // TestEarlierProcessAfterRestore has the copy hold the entry of an upstream's earlier process.
 // The later one stays in use until it had the time to write its entry again, and no longer.
 func TestEarlierProcessAfterRestore(t *testing.T) {
