--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -104,6 +104,7 @@
 	// Source is the store's API for one kind of records.
 	Source interface {
 		List(ctx context.Context, kind storer.Kind, after string) (storer.Page, error)
+		// Changes returns the store's era also with storer.ErrCompacted.
 		Changes(ctx context.Context, kind storer.Kind, since storer.Version, wait time.Duration) (storer.Changes, error)
 	}
 
--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -189,7 +189,7 @@
 			return storer.Changes{}, s.failing
 		}
 		if since.Revision < s.historyStart || s.era > 0 && since.Revision > s.version {
-			s.mu.Unlock()
+			defer s.mu.Unlock()
 			return storer.Changes{StoreVersion: storer.Version{Era: s.era}}, storer.ErrCompacted
 		}
 		out := storer.Changes{StoreVersion: s.storeVersion()}
--- a/internal/document/follower/restored_test.go
+++ b/internal/document/follower/restored_test.go
@@ -326,6 +326,7 @@
 		}
 		return handler.has("new")(l)
 	}, poll.WithDelay(time.Millisecond))
+	poll.WaitOn(t, handler.lacks("first"))
 	src.mu.Lock()
 	defer src.mu.Unlock()
 	assert.Equal(t, src.polls, 1)
