--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -15,6 +15,7 @@
 	"encoding/json"
 	"io"
 	"log/slog"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"os"
@@ -28,6 +29,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/front/recorder"
+	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 )
@@ -41,6 +43,9 @@
 	retryAfterJitterFraction = 0.5
 	// writeTimeout bounds the writing of a response, for callers that stop reading.
 	writeTimeout = 10 * time.Second
+	// maxRemainingMs is the longest time that a caller can say it waits. Longer ones would
+	// overflow a duration.
+	maxRemainingMs = int64(math.MaxInt64 / time.Millisecond)
 )
 
 type (
@@ -69,6 +74,7 @@
 		bufferedBytes atomic.Int64
 		// shutdownDeadline is when the process exits, nil before shutdown begins.
 		shutdownDeadline atomic.Pointer[time.Time]
+		refusing         atomic.Bool
 		latencies        *recorder.Recorder
 		// lastRequest is the arrival of the latest request, in ns after createdAt.
 		lastRequest atomic.Int64
@@ -101,6 +107,12 @@
 	return r.shutdownDeadline.Load() != nil
 }
 
+// RefuseNew makes the receiver refuse all further requests as not run, because the process
+// ends before it could serve them.
+func (r *Receiver) RefuseNew() {
+	r.refusing.Store(true)
+}
+
 // InFlight returns the number of requests in progress.
 func (r *Receiver) InFlight() int64 {
 	return r.inFlight.Load()
@@ -124,6 +136,13 @@
 	if r.ShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
+	if r.refusing.Load() {
+		w.Header().Set("Connection", "close")
+		result := steerer.ShuttingDownResult()
+		r.logResult(in, steerer.Request{AttemptID: in.Header.Get(r.headers.AttemptID), ReceivedAt: arrived}, result)
+		r.writeError(w, in, result)
+		return
+	}
 	if r.inFlight.Add(1) > r.limits.MaxInFlight {
 		r.inFlight.Add(-1)
 		r.writeError(w, in, unavailable(steerer.CodeBusy, "too many requests are in progress"))
@@ -172,9 +191,10 @@
 		AttemptID:  in.Header.Get(r.headers.AttemptID),
 		Object:     in.Header.Get(r.headers.AffinityKey),
 		ReceivedAt: arrived,
+		CallerGone: sweeper.CallerGone(in.Context()),
 	}
 	if ms, err := strconv.ParseInt(in.Header.Get(r.headers.RemainingMs), 10, 64); err == nil && ms > 0 {
-		request.Remaining = time.Duration(ms) * time.Millisecond
+		request.Remaining = time.Duration(min(ms, maxRemainingMs)) * time.Millisecond
 	}
 	return request, failed
 }
--- a/internal/front/receiver/receiver_test.go
+++ b/internal/front/receiver/receiver_test.go
@@ -10,6 +10,7 @@
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
@@ -18,6 +19,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
+	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 )
@@ -101,6 +103,60 @@
 	assert.Assert(t, resp.Close)
 }
 
+// TestRequestAfterLastMoment checks that a request that arrives when the process is about
+// to end is refused as not run, and is not steered.
+func TestRequestAfterLastMoment(t *testing.T) {
+	t.Parallel()
+	r := &router{result: okResult("answer")}
+	rec, address := start(t, r, defaultLimits)
+	rec.RefuseNew()
+	resp, _, err := exchange(t, address, "POST /a/ HTTP/1.1\r\nHost: h\r\nContent-Length: 4\r\n\r\nbody")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusServiceUnavailable)
+	assert.Assert(t, resp.Close)
+	assert.Assert(t, resp.Header.Get("Retry-After") != "")
+	assert.Equal(t, r.last.Method, "")
+}
+
+// TestCallerLeavesBehindFurtherBytes checks that the router can ask whether the caller has
+// left when bytes that follow the request keep net/http from noticing it.
+func TestCallerLeavesBehindFurtherBytes(t *testing.T) {
+	t.Parallel()
+	const text = "GET / HTTP/1.1\r\nHost: h\r\n\r\n"
+	started, gone := make(chan struct{}), make(chan bool)
+	r := &router{result: okResult("answer")}
+	var once sync.Once
+	r.block = func(context.Context) {
+		once.Do(func() {
+			callerGone := r.last.CallerGone
+			gone <- callerGone()
+			<-started
+			for !callerGone() {
+				time.Sleep(time.Millisecond)
+			}
+			gone <- true
+		})
+	}
+	rec := receiver.New(r, namer.WaxwingHeaderNames(), defaultLimits, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	sweep := sweeper.New(func() time.Duration { return 0 }, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	server := httptest.NewUnstartedServer(rec)
+	server.Listener = sweep.Listen(server.Listener)
+	server.Config.ConnContext = sweep.WithConn
+	server.Start()
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	_, err = conn.Write([]byte(text))
+	assert.NilError(t, err)
+	assert.Assert(t, !<-gone)
+	// net/http reads one byte more, and leaves the others in the socket.
+	_, err = conn.Write([]byte(text))
+	assert.NilError(t, err)
+	assert.NilError(t, conn.Close())
+	close(started)
+	assert.Assert(t, <-gone)
+}
+
 // TestRequestLimits checks the status for valid requests and for requests that are
 // malformed or over a limit. After a refusal the connection must be closed.
 func TestRequestLimits(t *testing.T) {
@@ -139,6 +195,19 @@
 	}
 }
 
+// TestRemainingOutOfRange guards against a request that is refused as late because the time
+// that its caller waits overflows.
+func TestRemainingOutOfRange(t *testing.T) {
+	t.Parallel()
+	r := &router{result: okResult("answer")}
+	_, address := start(t, r, defaultLimits)
+	for _, ms := range []string{"9223372036855", "18446744073710", "9223372036854775807"} {
+		_, _, err := exchange(t, address, "GET / HTTP/1.1\r\nHost: h\r\nWaxwing-Timeout: "+ms+"\r\n\r\n")
+		assert.NilError(t, err)
+		assert.Assert(t, r.last.Remaining > time.Hour, "%s ms is %s", ms, r.last.Remaining)
+	}
+}
+
 // TestForwardedParts checks which parts of a request reach the router and which
 // headers of a response reach the caller.
 func TestForwardedParts(t *testing.T) {
--- /dev/null
+++ b/internal/front/sweeper/conn.go
@@ -0,0 +1,248 @@
+package sweeper
+
+import (
+	"context"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"golang.org/x/sys/unix"
+)
+
+// The kernel's states of a connection that the other end has reset or closed.
+const (
+	tcpClose     = 7
+	tcpCloseWait = 8
+)
+
+// The states of a connection.
+const (
+	// stateNew is the state until the first byte of the first request.
+	stateNew connState = iota
+	// stateReading lasts from the first byte of a request until its head was read.
+	stateReading
+	// stateBusy lasts from then until the response is written.
+	stateBusy
+	// stateIdle is the state between two requests.
+	stateIdle
+)
+
+// errNotPollable is returned for connections that are no sockets.
+var errNotPollable = errors.New("the connection is no socket")
+
+type (
+	connState int
+
+	// conn is a caller's connection. One goroutine reads it at a time.
+	conn struct {
+		net.Conn
+		sweeper *Sweeper
+
+		mu    sync.Mutex
+		state connState
+		// since is when the connection became idle or, in stateReading, when bytes came last.
+		since time.Time
+		// expired makes the read deadline pass at once. The reader then closes the
+		// connection, unless bytes are there.
+		expired bool
+		// hidden is whether bytes that follow the request in progress hide the caller's
+		// close from net/http.
+		hidden bool
+		// cancel ends the contexts of the connection's requests.
+		cancel context.CancelFunc
+	}
+)
+
+// Read implements net.Conn.
+func (c *conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isExpired() {
+		n = c.readPending(p)
+		if n > 0 {
+			err = nil
+			c.sweeper.countSpared()
+		}
+	}
+	if n > 0 {
+		// Beside a handler, net/http reads one byte.
+		c.noteRead(c.sweeper.clock.Now(), len(p) == 1)
+	}
+	return n, err
+}
+
+// ReadFrom implements io.ReaderFrom. Without it, net/http holds parts of a streamed
+// response back until its buffer is full.
+func (c *conn) ReadFrom(r io.Reader) (int64, error) {
+	if to, ok := c.Conn.(io.ReaderFrom); ok {
+		return to.ReadFrom(r)
+	}
+	return io.Copy(struct{ io.Writer }{c.Conn}, r)
+}
+
+// SetReadDeadline implements net.Conn. It does nothing on an expired connection.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.expired {
+		return nil
+	}
+	return c.Conn.SetReadDeadline(t)
+}
+
+// Close implements net.Conn.
+func (c *conn) Close() error {
+	c.sweeper.remove(c)
+	c.cancelRequests()
+	return c.Conn.Close()
+}
+
+// CloseWrite closes the sending side, which net/http does before it closes a connection
+// with unread bytes.
+func (c *conn) CloseWrite() error {
+	half, ok := c.Conn.(interface{ CloseWrite() error })
+	if !ok {
+		return errNotPollable
+	}
+	return half.CloseWrite()
+}
+
+// noteRead notes that the reader has got bytes, and whether it read beside a handler. An
+// expired connection is kept.
+func (c *conn) noteRead(now time.Time, besideHandler bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.state == stateBusy {
+		c.hidden = c.hidden || besideHandler
+	} else {
+		c.state, c.since = stateReading, now
+	}
+	c.revive()
+}
+
+// setBusy notes that a request's head was read, perhaps out of bytes that came together with
+// the request before it. An expired connection is kept.
+func (c *conn) setBusy() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.hidden = stateBusy, false
+	c.revive()
+}
+
+// revive undoes expire. The caller holds c.mu.
+func (c *conn) revive() {
+	if c.expired {
+		c.expired = false
+		// An error means that the connection is closed, which the next call finds.
+		_ = c.Conn.SetReadDeadline(time.Time{})
+	}
+}
+
+func (c *conn) setIdle(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.state, c.since, c.hidden = stateIdle, now, false
+}
+
+// expire makes the reader close the connection if it is in a state, and reports whether it
+// does.
+func (c *conn) expire(state connState) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.state == state && c.setExpired()
+}
+
+// expireIdle makes the reader close the connection if it has been idle, or has sent nothing
+// more of a request's head, for longer than the limit. It reports whether it does.
+func (c *conn) expireIdle(now time.Time, limit time.Duration) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return (c.state == stateReading || c.state == stateIdle) && now.Sub(c.since) > limit && c.setExpired()
+}
+
+// setExpired makes the read deadline pass, and reports whether it was not so before. The
+// caller holds c.mu.
+func (c *conn) setExpired() bool {
+	if c.expired {
+		return false
+	}
+	c.expired = c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
+	return c.expired
+}
+
+func (c *conn) isHidden() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.hidden
+}
+
+// withCancel returns a context that ends with the connection, or by cancelRequests.
+func (c *conn) withCancel(ctx context.Context) context.Context {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	ctx, c.cancel = context.WithCancel(ctx)
+	return ctx
+}
+
+func (c *conn) cancelRequests() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.cancel != nil {
+		c.cancel()
+	}
+}
+
+func (c *conn) isExpired() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.expired
+}
+
+// readPending reads bytes that are there already, and returns how many. A read whose
+// deadline has passed does not look for them.
+func (c *conn) readPending(p []byte) int {
+	n := 0
+	err := c.control(func(fd int) {
+		n, _ = syscall.Read(fd, p)
+	})
+	if err != nil {
+		return 0
+	}
+	return max(n, 0)
+}
+
+// peerClosed reports whether the caller has closed the connection, also when net/http has
+// not noticed it yet: net/http reads beside the handler, and stops at the first byte that
+// follows the request.
+func (c *conn) peerClosed() bool {
+	closed := false
+	err := c.control(func(fd int) {
+		var next [1]byte
+		n, _, err := unix.Recvfrom(fd, next[:], unix.MSG_PEEK|unix.MSG_DONTWAIT)
+		switch {
+		case errors.IsAny(err, unix.EAGAIN, unix.EINTR):
+		case err != nil || n == 0:
+			closed = true
+		default:
+			info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
+			closed = err == nil && (info.State == tcpClose || info.State == tcpCloseWait)
+		}
+	})
+	return closed || errors.Is(err, net.ErrClosed)
+}
+
+// control calls f with the connection's file descriptor, without waiting.
+func (c *conn) control(f func(fd int)) error {
+	s, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errNotPollable
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "reading the socket")
+	}
+	return errors.Wrap(raw.Control(func(fd uintptr) { f(int(fd)) }), "reading the socket")
+}
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -32,6 +32,14 @@
 	// maxUnsentAttempts is how many attempts of a request may end without anything sent,
 	// such as when an upstream can't be reached. One more ends the request.
 	maxUnsentAttempts = 4
+	// maxLoadField is the largest number in an upstream's load header. The latency that is
+	// expected from a load must not overflow.
+	maxLoadField = 1_000_000
+	// leavingValue is the value of the leaving header of an upstream that shuts down.
+	leavingValue = "1"
+	// maxUpstreamPause is the longest time for which an upstream gets no requests because
+	// it asked for that. It limits the effect of an absurd Retry-After.
+	maxUpstreamPause = time.Hour
 )
 
 // The outcomes of an attempt at one upstream.
@@ -62,7 +70,7 @@
 		// mayHaveRun is set once an upstream may have run the request.
 		mayHaveRun bool
 		// refusedWithFreeSlots reports whether the last upstream that refused the request
-		// had free slots.
+		// had free slots and did not ask for a pause.
 		refusedWithFreeSlots bool
 		lastResult           Result
 	}
@@ -80,7 +88,7 @@
 		limit = min(limit, r.Remaining)
 	}
 	a := &activeRequest{request: r, route: route, service: service, deadline: r.ReceivedAt.Add(limit)}
-	result := shuttingDownResult()
+	result := ShuttingDownResult()
 	if s.runsUntil(a.deadline) {
 		result = s.sendUntilFinal(ctx, a)
 	}
@@ -118,6 +126,9 @@
 			a.mayHaveRun = true
 			a.lastResult = result
 		}
+		if a.callerGone(ctx) {
+			return failure(http.StatusBadGateway, CodeCallerGone, "the caller has gone", 0)
+		}
 		if !s.mayRetry(a, outcome) {
 			return s.failedResult(a)
 		}
@@ -151,7 +162,7 @@
 // refusal only if no upstream may have run the request.
 func (s *Steerer) failedResult(a *activeRequest) Result {
 	if !a.mayHaveRun {
-		return failure(http.StatusServiceUnavailable, CodeRefused, "no upstream took the request", s.retryAfter(a))
+		return failure(http.StatusServiceUnavailable, CodeRefused, "no upstream took the request", s.retryAfterRefusal(a))
 	}
 	if a.lastResult.Code == "" {
 		return a.lastResult
@@ -169,14 +180,14 @@
 		return s.failedResult(a)
 	}
 	if !s.runsUntil(a.deadline) {
-		return shuttingDownResult()
+		return ShuttingDownResult()
 	}
 	return failure(http.StatusServiceUnavailable, CodeRefused, string(d.Reason), d.RetryAfter)
 }
 
-// shuttingDownResult refuses a request whose deadline is after this process ends. The
+// ShuttingDownResult refuses a request whose deadline is after this process ends. The
 // caller can retry at another VM at once.
-func shuttingDownResult() Result {
+func ShuttingDownResult() Result {
 	return failure(http.StatusServiceUnavailable, CodeShuttingDown, "this VM stops before the request's time limit", immediateRetryAfter)
 }
 
@@ -190,6 +201,18 @@
 	return max(a.route.LatencyTarget/2, defaultRetryAfter)
 }
 
+// retryAfterRefusal returns the Retry-After of a request that upstreams refused: the time
+// until the first pause ends if all upstreams that may serve it are paused.
+func (s *Steerer) retryAfterRefusal(a *activeRequest) time.Duration {
+	s.mu.Lock()
+	pause := s.selector.PauseLeft(s.clock.Now(), a.route, a.service)
+	s.mu.Unlock()
+	if pause > 0 {
+		return pause
+	}
+	return s.retryAfter(a)
+}
+
 // attempt sends a request to the upstream of a decision, and reports the result to the
 // selector.
 func (s *Steerer) attempt(ctx context.Context, a *activeRequest, d selector.Decision) (Result, attemptOutcome) {
@@ -200,10 +223,6 @@
 		s.release(d, selector.Report{Load: -1, Inconclusive: true})
 		return failure(http.StatusServiceUnavailable, CodeDeadlineExceeded, "no time is left", s.retryAfter(a)), outcomeUnsent
 	}
-	if a.route.Once {
-		// A once-only request goes on when its caller disconnects.
-		ctx = context.WithoutCancel(ctx)
-	}
 	resp, err := s.upstreams.Exchange(ctx,
 		target,
 		exchanger.Request{
@@ -214,15 +233,21 @@
 			AttemptID:     a.request.AttemptID,
 			Deadline:      a.deadline,
 			Usable:        func() bool { return s.usable(d) },
+			CallerGone:    func() bool { return a.callerGone(ctx) },
+			// A once-only request that was sent goes on when its caller disconnects.
+			Detached: a.route.Once,
 		})
 	a.tried = append(a.tried, target.Upstream)
 	took := s.clock.Since(start)
 	if errors.Is(err, exchanger.ErrNotSent) {
 		// If the caller disconnected or the upstream was removed or drained meanwhile, the
 		// error does not show that the upstream is unreachable.
-		inconclusive := ctx.Err() != nil || !s.usable(d)
+		inconclusive := a.callerGone(ctx) || !s.usable(d)
 		s.release(d, selector.Report{ConnectFailed: !inconclusive, Inconclusive: inconclusive, Load: -1})
 		s.logAttempt(a, d, 0, "unreached", took, err)
+		if a.callerGone(ctx) {
+			return Result{}, outcomeCanceled
+		}
 		return failure(http.StatusServiceUnavailable, CodeRefused, err.Error(), 0), outcomeUnsent
 	}
 	a.sendCount++
@@ -232,11 +257,17 @@
 	return s.handleResponse(a, d, took, resp)
 }
 
+// callerGone reports whether the caller has disconnected. The connection is asked as well,
+// since ctx is canceled by a goroutine that may run later than this one.
+func (a *activeRequest) callerGone(ctx context.Context) bool {
+	return ctx.Err() != nil || a.request.CallerGone != nil && a.request.CallerGone()
+}
+
 // usable reports whether the upstream of a decision still takes new requests.
 func (s *Steerer) usable(d selector.Decision) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.selector.Usable(d)
+	return s.selector.Usable(s.clock.Now(), d)
 }
 
 // handleSendError handles a request that was sent and got no complete response. The
@@ -244,7 +275,7 @@
 func (s *Steerer) handleSendError(
 	ctx context.Context, a *activeRequest, d selector.Decision, took time.Duration, err error,
 ) (Result, attemptOutcome) {
-	canceled := ctx.Err() != nil
+	canceled := ctx.Err() != nil && !a.route.Once
 	s.release(d, selector.Report{Failed: !canceled, Inconclusive: canceled, Load: -1})
 	s.logAttempt(a, d, 0, "broken", took, err)
 	if canceled {
@@ -261,6 +292,7 @@
 ) (Result, attemptOutcome) {
 	requests, slots := parseLoad(resp.Header.Get(s.headers.Load))
 	report := selector.Report{Latency: took, ConnectTime: resp.ConnectTime, Load: requests, Bytes: transferSize(a, resp)}
+	s.readNotice(&report, d, resp)
 	result := Result{
 		Status: resp.Status, Header: resp.Header, Body: resp.Body, Rest: resp.Rest, ContentLength: resp.ContentLength,
 	}
@@ -268,7 +300,7 @@
 	case resp.Header.Get(s.headers.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest:
 		report.Refused = true
 		report.Latency = 0
-		a.refusedWithFreeSlots = requests >= 0 && requests < slots
+		a.refusedWithFreeSlots = requests >= 0 && requests < slots && report.RetryAfter == 0
 		s.release(d, report)
 		s.logAttempt(a, d, resp.Status, "refused", took, nil)
 		closeRest(resp)
@@ -293,6 +325,25 @@
 	return result, outcomeFinal
 }
 
+// readNotice adds to a report what the upstream announced in its response. A misdirected
+// request was answered by another upstream than the one of the decision.
+func (s *Steerer) readNotice(report *selector.Report, d selector.Decision, resp exchanger.Response) {
+	if resp.Status == http.StatusMisdirectedRequest {
+		return
+	}
+	if resp.Header.Get(s.headers.Leaving) == leavingValue {
+		report.Leaving = true
+		s.log.Info("upstream leaving; it gets no further request", "upstream", string(d.Target().Upstream), "zone", string(d.Zone), "born", d.Target().StartedMs)
+	}
+	if resp.Status != http.StatusServiceUnavailable {
+		return
+	}
+	report.RetryAfter = parseRetryAfter(resp.Header.Get("Retry-After"))
+	if report.RetryAfter > 0 {
+		s.log.Info("upstream paused; it gets no request for a time", "upstream", string(d.Target().Upstream), "zone", string(d.Zone), "for", report.RetryAfter)
+	}
+}
+
 // transferSize returns the approximate size of a request and its response in bytes.
 func transferSize(a *activeRequest, resp exchanger.Response) int {
 	size := len(a.request.Target) + len(a.request.Body) + max(len(resp.Body), int(resp.ContentLength))
@@ -330,7 +381,7 @@
 
 // parseLoad parses an upstream's load header: running requests, waiting requests and
 // slots, separated by commas. It returns the sum of running and waiting requests, or
-// -1 if the header is missing or malformed.
+// -1 if the header is missing, malformed or out of range.
 func parseLoad(text string) (requests, slots int) {
 	fields := strings.Split(text, ",")
 	if len(fields) < 2 {
@@ -339,7 +390,7 @@
 	for i, field := range fields {
 		n, err := strconv.Atoi(strings.TrimSpace(field))
 		switch {
-		case err != nil:
+		case err != nil || n < 0 || n > maxLoadField:
 			return -1, 0
 		case i < 2:
 			requests += n
@@ -350,6 +401,17 @@
 	return requests, slots
 }
 
+// parseRetryAfter parses a Retry-After header of a number of seconds, which may have a
+// fraction. It returns 0 if the header is missing or malformed, or is a date: the clocks of
+// the VM and the upstream may differ.
+func parseRetryAfter(text string) time.Duration {
+	seconds, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || math.IsNaN(seconds) || math.IsInf(seconds, 0) || seconds <= 0 {
+		return 0
+	}
+	return time.Duration(min(seconds, maxUpstreamPause.Seconds()) * float64(time.Second))
+}
+
 // countResult adds a result to the counters.
 func (s *Steerer) countResult(r Result) {
 	s.mu.Lock()
