--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -64,7 +64,7 @@
 		n = c.readPending(p)
 		if n > 0 {
 			err = nil
-			c.sweeper.countSpared()
+			c.sweeper.countKept()
 		}
 	}
 	if n > 0 {
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -47,7 +47,7 @@
 	Counts struct {
 		Accepted int64
 		Expired  int64
-		Spared   int64
+		Kept   int64
 	}
 
 	// Sweeper tracks the connections of one listener.
@@ -254,10 +254,10 @@
 	}
 }
 
-func (s *Sweeper) countSpared() {
+func (s *Sweeper) countKept() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.counts.Spared++
+	s.counts.Kept++
 }
 
 // signalDrained closes drained once no connection is left. The caller holds s.mu.
--- a/internal/front/sweeper/sweeper_test.go
+++ b/internal/front/sweeper/sweeper_test.go
@@ -272,7 +272,7 @@
 	n, err = own.Read(buf)
 	assert.NilError(t, err, "the read deadline must be cleared")
 	assert.Equal(t, string(buf[:n]), "T /")
-	assert.Equal(t, f.sweeper.Counts().Spared, int64(1))
+	assert.Equal(t, f.sweeper.Counts().Kept, int64(1))
 }
 
 // TestRequestsDuringSweep guards against requests that run and get no answer because the
