--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -47,7 +47,7 @@
 	Counts struct {
 		Accepted int64
 		Expired  int64
-		Kept   int64
+		Kept     int64
 	}
 
 	// Sweeper tracks the connections of one listener.
