--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -1,6 +1,6 @@
 // Package sweeper closes callers' connections that have been idle for longer than the
 // idle timeout, and all idle ones when the process ends. A change of the timeout applies
-// to open connections too. So it does to the pause within a request's head.
+// to open connections too. The timeout also limits a pause within a request's head.
 //
 // An idle connection is closed by the goroutine that reads it, after it has found no
 // bytes: net/http reports a connection as idle until it has read a whole head, so closing
