sweeper: count connections that end without a response, by cause

Each connection that ends between the first byte of a request and the first of its response is now counted in the metric "cuts" and logged with its cause, unless the caller left. Panics of handlers were logged at level debug and are warnings now.

TestCutCauses covers the causes; front and runner tests pass with the race detector.

--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -52,6 +52,11 @@
 		// hidden is whether bytes that follow the request in progress hide the caller's
 		// close from net/http.
 		hidden bool
+		// responding is whether bytes of the response to the request in progress were
+		// written, and writeFailed whether a write of it failed.
+		responding  bool
+		writeFailed bool
+		closeOnce   sync.Once
 		// cancel ends the contexts of the connection's requests.
 		cancel context.CancelFunc
 	}
@@ -77,10 +82,20 @@
 // ReadFrom implements io.ReaderFrom. Without it, net/http holds parts of a streamed
 // response back until its buffer is full.
 func (c *conn) ReadFrom(r io.Reader) (int64, error) {
-	if to, ok := c.Conn.(io.ReaderFrom); ok {
-		return to.ReadFrom(r)
+	to, ok := c.Conn.(io.ReaderFrom)
+	if !ok {
+		return io.Copy(struct{ io.Writer }{c}, r)
 	}
-	return io.Copy(struct{ io.Writer }{c.Conn}, r)
+	n, err := to.ReadFrom(r)
+	c.noteWrite(n, nil)
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *conn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.noteWrite(int64(n), err)
+	return n, err
 }
 
 // SetReadDeadline implements net.Conn. It does nothing on an expired connection.
@@ -95,6 +110,11 @@
 
 // Close implements net.Conn.
 func (c *conn) Close() error {
+	c.closeOnce.Do(func() {
+		if cause, cut := c.cutCause(); cut {
+			c.sweeper.countCut(cause, c.RemoteAddr().String())
+		}
+	})
 	c.sweeper.remove(c)
 	c.cancelRequests()
 	return c.Conn.Close()
@@ -119,6 +139,7 @@
 		c.hidden = c.hidden || besideHandler
 	} else {
 		c.state, c.since = stateReading, now
+		c.responding, c.writeFailed = false, false
 	}
 	c.revive()
 }
@@ -129,6 +150,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.hidden = stateBusy, false
+	c.responding, c.writeFailed = false, false
 	c.revive()
 }
 
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -59,6 +59,7 @@
 		mu       sync.Mutex
 		conns    map[*conn]struct{}
 		counts   Counts
+		cuts     map[CutCause]int64
 		draining bool
 		// drained is closed when no connection is left after Drain was called.
 		drained chan struct{}
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -306,7 +306,7 @@
 			ConnState:         sweep.Track,
 			ConnContext:       sweep.WithConn,
 			MaxHeaderBytes:    maxHeadBytes,
-			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
+			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		}
 		return &webServer{
 			server: server, listener: f.Find(portsName).(*listeners).callers, sweeper: sweep, beginStop: front.RefuseNew,
@@ -367,6 +367,7 @@
 	m.Set("busy", expvar.Func(func() any { return front.InFlight() }))
 	sweep := f.Find(sweepName).(*sweeper.Sweeper)
 	m.Set("connections", expvar.Func(func() any { return sweep.Counts() }))
+	m.Set("cuts", expvar.Func(func() any { return sweep.Cuts() }))
 	m.Set("needs", expvar.Func(func() any { return st.Demand() }))
 	store := f.Find(platformName).(*platform.Client)
 	m.Set("store", expvar.Func(func() any { return store.Counts() }))
