--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -174,6 +174,8 @@
 	// slowStarted holds the attempt IDs of the slow requests that the upstream began to
 	// process.
 	slowStarted sync.Map
+	// entry is the upstream's record.
+	entry json.RawMessage
 }
 
 func newFixture(t *testing.T) *fixture {
@@ -207,8 +209,8 @@
 	}))
 	t.Cleanup(upstream.Close)
 	f.configure(t, 1, "/stock/")
-	entry := sample(t, "upstream", "ADDRESS", strings.TrimPrefix(upstream.URL, "http://"))
-	assert.NilError(t, f.storekeeper.Write(platform.UpstreamKind, "i-1", entry))
+	f.entry = sample(t, "upstream", "ADDRESS", strings.TrimPrefix(upstream.URL, "http://"))
+	assert.NilError(t, f.storekeeper.Write(platform.UpstreamKind, "i-1", f.entry))
 	return f
 }
 
