steerer: log the fingerprint of requests whose connection broke

Users saw a request that crashes each upstream that runs it and that comes again and again. Its attempts have different IDs, and no log line said what they have in common, so the hypotheses in docs/incidents/crashing-request.md could not be told apart. Lines "sent" with outcome=broken now carry a hash of caller, method, host, target and body.

--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -17,6 +17,7 @@
 	"log/slog"
 	"math"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -181,7 +182,12 @@
 		}
 	}
 	body, failed := r.readBody(w, in, limits)
+	caller, _, err := net.SplitHostPort(in.RemoteAddr)
+	if err != nil {
+		caller = in.RemoteAddr
+	}
 	request := steerer.Request{
+		Caller:     caller,
 		Method:     in.Method,
 		Host:       in.Host,
 		Target:     originalTarget(in),
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -13,6 +13,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/route/quarantiner"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
 )
@@ -412,6 +413,12 @@
 	return time.Duration(min(seconds, maxUpstreamPause.Seconds()) * float64(time.Second))
 }
 
+// fingerprint returns what the request and its repetitions have in common.
+func (a *activeRequest) fingerprint() quarantiner.Fingerprint {
+	r := a.request
+	return quarantiner.FingerprintOf(r.Caller, r.Method, r.Host, r.Target, r.Body)
+}
+
 // countResult adds a result to the counters.
 func (s *Steerer) countResult(r Result) {
 	s.mu.Lock()
@@ -428,11 +435,15 @@
 
 // logAttempt logs one attempt: the decision that led to it, and its outcome.
 func (s *Steerer) logAttempt(a *activeRequest, d selector.Decision, status int, outcome string, took time.Duration, err error) {
-	reason := ""
+	reason, request := "", ""
 	if err != nil {
 		reason = err.Error()
 	}
-	s.log.Info("sent", "attempt", a.request.AttemptID, "route", string(a.route.Name), "service", string(a.service),
+	if outcome == "broken" {
+		// It tells which attempts repeat the same request.
+		request = a.fingerprint().String()
+	}
+	s.log.Info("sent", "attempt", a.request.AttemptID, "request", request, "route", string(a.route.Name), "service", string(a.service),
 		"upstream", string(d.Target().Upstream), "zone", string(d.Zone), "by", string(d.Reason), "load", math.Round(10*d.Load)/10, "loadage", d.LoadAge,
 		"expected", d.ExpectedLatency, "viewage", s.viewAge().Round(time.Millisecond), "outcome", outcome, "status", status, "took", took, "reason", reason)
 }
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -56,8 +56,10 @@
 	// Request is a caller's request with its complete body. Target is the
 	// request-target of the request line, Path the escaped path that routes match.
 	// AttemptID is the caller's ID of the attempt. Object names the object that the
-	// request is about, for routes with affinity.
+	// request is about, for routes with affinity. Caller is the caller's address without
+	// the port.
 	Request struct {
+		Caller     string
 		Method     string
 		Host       string
 		Target     string
