--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -50,7 +51,7 @@
 lookup = %s
 ttl = 100ms
 grace = %s
-[zone a]
+%s[zone a]
 region = r
 `
 
@@ -87,12 +88,18 @@
 	return b.buf.String()
 }
 
-// freeAddresses returns n loopback addresses that nothing listens on.
+// loopbackHosts counts the IP addresses that freeAddresses has given out.
+var loopbackHosts atomic.Uint32
+
+// freeAddresses returns n loopback addresses that nothing listens on. Each call has an IP
+// address of its own, so that no other listener takes a port before the daemon does.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
+	pid := os.Getpid()
+	host := net.IPv4(127, byte(1+pid%254), byte(pid/254), byte(1+loopbackHosts.Add(1)%254))
 	var out []string
 	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		ln, err := net.Listen("tcp", net.JoinHostPort(host.String(), "0"))
 		assert.NilError(t, err)
 		defer func() { _ = ln.Close() }()
 		out = append(out, ln.Addr().String())
@@ -101,6 +108,12 @@
 }
 
 func start(t *testing.T, name, store, seed string) *daemon {
+	t.Helper()
+	return startWith(t, name, store, seed, "")
+}
+
+// startWith starts a daemon with additional lines in the routing section of its settings.
+func startWith(t *testing.T, name, store, seed, routing string) *daemon {
 	t.Helper()
 	dir := t.TempDir()
 	key := filepath.Join(dir, "key")
@@ -110,7 +123,7 @@
 		seed = a[2]
 	}
 	path := filepath.Join(dir, "waxwingd.ini")
-	text := fmt.Sprintf(settings, name, a[0], a[1], a[2], store, key, seed, a[3], a[4], grace)
+	text := fmt.Sprintf(settings, name, a[0], a[1], a[2], store, key, seed, a[3], a[4], grace, routing)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	s, err := loader.Load(path)
 	assert.NilError(t, err)
