quarantiner: refuse requests under which three upstreams crashed

Callers saw a service fail for seconds, again and again: one request crashed each upstream that began to run it and came again with a new attempt ID, at any VM.

Cause: nothing remembered a request beyond its own attempt. Each attempt was sent to two upstreams, and the next one began anew. The class is a failure that is caused by the input, and retried as if it were the upstream's.

The fix: a request whose connection an upstream broke, and whose host then refuses connections, is suspect. VMs share in heartbeats under which requests which processes crashed, as sets that merge in any order. A response clears a request, so that those that were in flight beside the culprit are served on. After three crashes without a response a request is refused at once as not run, at all VMs, for 10 minutes after the last one; then it may be sent to one upstream. An attempt is not retried after the second crash.

A request is identified with and without its caller.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -27,6 +27,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
 	"github.com/waxwingloom/waxwingloom/internal/peer/relayer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+	"github.com/waxwingloom/waxwingloom/internal/route/quarantiner"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
@@ -47,6 +48,7 @@
 	seenVersionsName registrar.Name = "seen"
 	steerName        registrar.Name = "steer"
 	placementsName   registrar.Name = "spread"
+	quarantineName   registrar.Name = "quarantine"
 	lookupServerName registrar.Name = "directory"
 	readyName        registrar.Name = "ready"
 	sweepName        registrar.Name = "sweep"
@@ -82,6 +84,7 @@
 	r.Register(reloadName, []registrar.Name{clockName}, func(f registrar.Finder) (any, func(), error) {
 		return reloader.New(o.settingsPath, s, o.reloadSignals, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
+	r.Register(quarantineName, nil, func(registrar.Finder) (any, func(), error) { return quarantiner.New(), nil, nil })
 	registerRoutedMembers(r, s, log)
 	registerDiscovery(r, s, log)
 	registerSeenVersions(r)
@@ -96,11 +99,12 @@
 		list := storer.New(f.Find(platformName).(*platform.Client))
 		return enroller.New(list, self, latestEra(followers(f)), f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	deps = []registrar.Name{portsName, clockName, peersName, platformName, documentsName, discoverName, reloadName}
+	deps = []registrar.Name{portsName, clockName, peersName, platformName, documentsName, discoverName, reloadName, quarantineName}
 	r.Register(membersName, deps, func(f registrar.Finder) (any, func(), error) {
 		h := newHeartbeater(f, s, log, heartbeater.Dependencies{
 			Lister:    storer.New(f.Find(platformName).(*platform.Client)),
 			Upstreams: f.Find(discoverName).(*discoverer.Discoverer),
+			Evidence:  f.Find(quarantineName).(*quarantiner.Quarantiner),
 		})
 		f.Find(reloadName).(*reloader.Reloader).OnChange(func(s loader.Settings) { h.SetSeeds(s.Seeds) })
 		return h, nil, nil
@@ -204,7 +208,7 @@
 }
 
 func registerSteering(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
-	deps := []registrar.Name{clockName, documentsName, discoverName, membersName, upstreamsName}
+	deps := []registrar.Name{clockName, documentsName, discoverName, membersName, upstreamsName, quarantineName}
 	r.Register(steerName, deps, func(f registrar.Finder) (any, func(), error) {
 		clock := f.Find(clockName).(clockwork.Clock)
 		upstreamClient, cleanup := exchanger.New(clock)
@@ -217,6 +221,7 @@
 			return age
 		})
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
+		st.SetQuarantine(f.Find(quarantineName).(*quarantiner.Quarantiner), members.SendEvidence)
 		members.OnChange(func() { updateMemberCounts(st, members, s) })
 		updateMemberCounts(st, members, s)
 		f.Find(documentsName).(*keeper.Keeper).Subscribe(func(snapshot *keeper.Snapshot) {
@@ -329,7 +334,7 @@
 		ready := func() bool { return st.Ready() && !front.ShuttingDown() }
 		return newAdminServer(f, s, s.Routing.ReadyAddress, platform.ReadyHandler(ready), log)
 	})
-	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName}, followerNames...)
+	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeadTimeout}
 		return newWebServer(server, f.Find(portsName).(*listeners).operators, httpShutdownTimeoutOf(s), f.Find(clockName).(clockwork.Clock), log), nil, nil
@@ -369,6 +374,8 @@
 	m.Set("connections", expvar.Func(func() any { return sweep.Counts() }))
 	m.Set("cuts", expvar.Func(func() any { return sweep.Cuts() }))
 	m.Set("needs", expvar.Func(func() any { return st.Demand() }))
+	quarantine, clock := f.Find(quarantineName).(*quarantiner.Quarantiner), f.Find(clockName).(clockwork.Clock)
+	m.Set("quarantine", expvar.Func(func() any { return quarantine.Counts(clock.Now()) }))
 	store := f.Find(platformName).(*platform.Client)
 	m.Set("store", expvar.Func(func() any { return store.Counts() }))
 	m.Set("views", expvar.Func(func() any { return viewAges(f) }))
--- a/internal/member/heartbeater/compose.go
+++ b/internal/member/heartbeater/compose.go
@@ -46,6 +46,7 @@
 		sent.fullSenderAt = now
 	}
 	h.addMembers(hb, peer, newPeer, self, members, now)
+	h.addEvidence(hb, peer, newPeer, now)
 	if newPeer || now.Sub(sent.summariesAt) >= summaryIntervalHeartbeats*h.timing.HeartbeatInterval {
 		sent.summariesAt = now
 		sent.nextSummary = h.addSummaries(hb, peer, sent.nextSummary, self, members, now)
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -36,6 +36,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/peer/converter"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
+	"github.com/waxwingloom/waxwingloom/internal/route/quarantiner"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
@@ -100,6 +101,17 @@
 		Listed() bool
 	}
 
+	// Evidence is what this VM knows of the requests under which upstreams crashed.
+	Evidence interface {
+		// Changed returns what changed after a time, Refused what makes this VM refuse
+		// requests, and Hash a hash of the set of these requests.
+		Changed(after time.Time, limit int) []quarantiner.Record
+		Refused(now time.Time, limit int) []quarantiner.Record
+		Hash(now time.Time) uint64
+		// Merge adds a peer's evidence and reports whether any of it was new.
+		Merge(now time.Time, records []quarantiner.Record) bool
+	}
+
 	// Timing holds the intervals and timeouts of a heartbeater.
 	Timing struct {
 		HeartbeatInterval time.Duration
@@ -111,12 +123,14 @@
 		PullDelay time.Duration
 	}
 
-	// Dependencies holds the dependencies of a heartbeater. Upstreams may be nil.
+	// Dependencies holds the dependencies of a heartbeater. Upstreams and Evidence may be
+	// nil.
 	Dependencies struct {
 		Peers     PeerClient
 		Lister    Lister
 		Documents DocumentKeeper
 		Upstreams Upstreams
+		Evidence  Evidence
 	}
 
 	// Heartbeater exchanges heartbeats and keeps one VM's view of the members.
@@ -142,7 +156,12 @@
 		// changedAt is the time of each member's last change. sent records what was last
 		// sent to each peer. states has each member's incarnation and state at the last call
 		// of detectChanges. intervals counts the heartbeat intervals since the start.
-		changedAt        map[namer.VM]time.Time
+		changedAt map[namer.VM]time.Time
+		// refusedHashes has the hash of the requests that each peer refuses. evidenceSentAt
+		// is when SendEvidence last sent heartbeats, evidenceDue whether it will again.
+		refusedHashes    map[namer.VM]uint64
+		evidenceSentAt   time.Time
+		evidenceDue      bool
 		sent             map[namer.VM]sentState
 		states           map[namer.VM]string
 		summaries        map[namer.Zone]tracker.ZoneSummary
@@ -174,6 +193,7 @@
 		inFlight:         make(map[string]bool),
 		heardAt:          make(map[string]time.Time),
 		changedAt:        make(map[namer.VM]time.Time),
+		refusedHashes:    make(map[namer.VM]uint64),
 		sent:             make(map[namer.VM]sentState),
 		states:           make(map[namer.VM]string),
 		summaries:        make(map[namer.Zone]tracker.ZoneSummary),
@@ -389,6 +409,7 @@
 		if _, ok := states[vm]; !ok {
 			delete(h.changedAt, vm)
 			delete(h.sent, vm)
+			delete(h.refusedHashes, vm)
 			changed = append(changed, string(vm)+"=forgotten")
 		}
 	}
@@ -525,6 +546,7 @@
 	onPeerVersions := h.onPeerVersions
 	h.mu.Unlock()
 	onPeerVersions(sender.SeenVersions)
+	h.mergeEvidence(now, sender.VM, hb)
 	h.catchUp(ctx, sender)
 	return sender, found
 }
--- /dev/null
+++ b/internal/route/quarantiner/quarantiner.go
@@ -0,0 +1,443 @@
+// Package quarantiner finds requests that crash the upstreams that run them, and decides
+// that they are no longer sent. It handles a request that its caller repeats and that would
+// otherwise take down upstream after upstream.
+//
+// A request is identified by fingerprints of what its repetitions have in common: one with
+// and one without its caller, either of which is enough to refuse it. Every request that was in flight when an upstream crashed is suspect, and most of them are
+// innocent. So the evidence against a request is the set of the upstream processes that
+// crashed under it, and a response to it clears it of all of them. A request is refused
+// once maxCrashes processes crashed under it without a response in between. After holdTime
+// it may be sent to one upstream, to see whether the fault is mended.
+//
+// VMs exchange their evidence. Two sets are merged by their union, so that evidence may
+// arrive in any order and more than once. The package does no I/O.
+//
+// # Usage
+//
+//	q := quarantiner.New()
+//	fps := quarantiner.FingerprintsOf(caller, method, host, target, body)
+//	if q.Decide(now, fps).Action == quarantiner.Refuse {
+//		// Do not send the request.
+//	}
+//	q.RecordBroken(now, fps, process)   // the connection broke without a response
+//	q.RecordGone(now, process)          // the process turned out to have crashed
+//	q.Merge(now, recordsOfAnotherVM)
+package quarantiner
+
+import (
+	"bytes"
+	"cmp"
+	"encoding/binary"
+	"maps"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+const (
+	// maxCrashes is the number of crashes from which on a request is refused. A lower one
+	// would refuse innocent requests whose retry meets a second crash.
+	maxCrashes = 3
+	// holdTime is how long a request is refused after the last crash under it, and how long
+	// evidence against a request that is not refused is kept.
+	holdTime = 10 * time.Minute
+	// forgetTime is how long evidence against a refused request is kept after the last crash.
+	forgetTime = time.Hour
+	// doubtTime is how long it may take to find out whether a process has crashed.
+	doubtTime = 10 * time.Second
+	// forgetInterval is the shortest interval between searches for evidence that is too old.
+	forgetInterval = time.Second
+	// maxRecords and maxCrashesPerRecord bound the memory.
+	maxRecords          = 4096
+	maxCrashesPerRecord = 8
+)
+
+// The actions of a decision.
+const (
+	// Admit means that nothing is held against the request.
+	Admit Action = iota
+	// AdmitOnce means that the request may be sent to one upstream and not be retried.
+	AdmitOnce
+	// Refuse means that the request must not be sent.
+	Refuse
+)
+
+type (
+	// Action is what to do with a request.
+	Action int
+
+	// Decision is what to do with a request. RetryAfter is the time after which a refused
+	// request may be sent again.
+	Decision struct {
+		Action     Action
+		RetryAfter time.Duration
+	}
+
+	// Process is one run of an upstream's process.
+	Process struct {
+		Upstream  namer.Upstream
+		StartedMs int64
+	}
+
+	// Crash is the crash of a process under a request. Cleared means that the request got a
+	// response since, so that another one is to blame.
+	Crash struct {
+		Process
+		At      time.Time
+		Cleared bool
+	}
+
+	// Record holds the evidence against one fingerprint.
+	Record struct {
+		Fingerprint Fingerprint
+		Crashes     []Crash
+	}
+
+	// Counts are the numbers of fingerprints with evidence and of those that are refused now.
+	Counts struct {
+		Suspect int
+		Refused int
+	}
+
+	// Quarantiner holds the evidence that this VM knows. It is safe for concurrent use.
+	Quarantiner struct {
+		// size is the number of records and doubts. It makes Empty cheap.
+		size atomic.Int64
+
+		mu      sync.Mutex
+		records map[Fingerprint]*record
+		// doubts are the requests that were in flight at processes that may have crashed.
+		doubts map[Process]*doubt
+		// changed is when a record changed last, forgot when the old ones were dropped last.
+		changed time.Time
+		forgot  time.Time
+	}
+
+	record struct {
+		crashes map[Process]Crash
+		changed time.Time
+	}
+
+	doubt struct {
+		since    time.Time
+		requests []Fingerprints
+	}
+)
+
+// New returns a quarantiner without evidence.
+func New() *Quarantiner {
+	return &Quarantiner{records: make(map[Fingerprint]*record), doubts: make(map[Process]*doubt)}
+}
+
+// Empty reports whether there is no evidence, so that no fingerprint is needed.
+func (q *Quarantiner) Empty() bool {
+	return q.size.Load() == 0
+}
+
+// Decide returns what to do with a request now: the strictest of what the evidence against
+// its fingerprints says.
+func (q *Quarantiner) Decide(now time.Time, fps Fingerprints) Decision {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	strictest := Decision{Action: Admit}
+	for _, fp := range fps {
+		d := q.decide(now, fp)
+		if d.Action > strictest.Action || d.Action == strictest.Action && d.RetryAfter > strictest.RetryAfter {
+			strictest = d
+		}
+	}
+	return strictest
+}
+
+// decide returns what the evidence against one fingerprint says. The caller holds q.mu.
+func (q *Quarantiner) decide(now time.Time, fp Fingerprint) Decision {
+	count, last := 0, time.Time{}
+	if r := q.records[fp]; r != nil {
+		count, last = r.evidence()
+	}
+	hold := holdTime - now.Sub(last)
+	switch {
+	case count >= maxCrashes && hold > 0:
+		return Decision{Action: Refuse, RetryAfter: hold}
+	case count+q.doubtsAgainst(fp) >= maxCrashes-1:
+		return Decision{Action: AdmitOnce}
+	}
+	return Decision{Action: Admit}
+}
+
+// RecordBroken records that a process ended the connection of a request without a response.
+// It counts against the request once RecordGone reports the process.
+func (q *Quarantiner) RecordBroken(now time.Time, fps Fingerprints, p Process) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	d := q.doubts[p]
+	if d == nil {
+		d = &doubt{since: now}
+		q.doubts[p] = d
+	}
+	if !slices.Contains(d.requests, fps) {
+		d.requests = append(d.requests, fps)
+	}
+	q.forget(now)
+}
+
+// RecordAlive records that a process runs, so that its broken connections prove nothing.
+func (q *Quarantiner) RecordAlive(p Process) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	delete(q.doubts, p)
+	q.countSize()
+}
+
+// RecordGone records that a process has crashed. It returns the requests that were in
+// flight at it.
+func (q *Quarantiner) RecordGone(now time.Time, p Process) []Fingerprints {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	d := q.doubts[p]
+	if d == nil {
+		return nil
+	}
+	delete(q.doubts, p)
+	for _, fps := range d.requests {
+		for _, fp := range fps {
+			q.add(now, fp, Crash{Process: p, At: now})
+		}
+	}
+	q.forget(now)
+	return d.requests
+}
+
+// RecordResponse clears a request that an upstream responded to.
+func (q *Quarantiner) RecordResponse(now time.Time, fps Fingerprints) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for _, fp := range fps {
+		r := q.records[fp]
+		if r == nil {
+			continue
+		}
+		for _, c := range r.crashes {
+			c.Cleared = true
+			q.add(now, fp, c)
+		}
+	}
+}
+
+// Doubted returns the processes of which it is not known yet whether they have crashed.
+func (q *Quarantiner) Doubted() []Process {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := make([]Process, 0, len(q.doubts))
+	for p := range q.doubts {
+		out = append(out, p)
+	}
+	return out
+}
+
+// Merge adds another VM's evidence. It reports whether any of it was new.
+func (q *Quarantiner) Merge(now time.Time, records []Record) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	changed := false
+	for _, in := range records {
+		for _, c := range in.Crashes {
+			changed = now.Sub(c.At) < forgetTime && q.add(now, in.Fingerprint, c) || changed
+		}
+	}
+	q.forget(now)
+	return changed
+}
+
+// Changed returns the records that changed after a time, at most limit of them, those with
+// most crashes first.
+func (q *Quarantiner) Changed(after time.Time, limit int) []Record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if !q.changed.After(after) {
+		return nil
+	}
+	return q.list(limit, func(r *record) bool { return r.changed.After(after) })
+}
+
+// Refused returns the records of the requests that are refused, at most limit of them.
+func (q *Quarantiner) Refused(now time.Time, limit int) []Record {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.list(limit, func(r *record) bool { return r.refused(now) })
+}
+
+// Hash returns a hash of the set of requests that are refused, 0 if there are none.
+func (q *Quarantiner) Hash(now time.Time) uint64 {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	hash := uint64(0)
+	for fp, r := range q.records {
+		if r.refused(now) {
+			hash ^= binary.BigEndian.Uint64(fp[:])
+		}
+	}
+	return hash
+}
+
+// Counts returns the numbers of requests with evidence.
+func (q *Quarantiner) Counts(now time.Time) Counts {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var c Counts
+	for _, r := range q.records {
+		count, _ := r.evidence()
+		if count > 0 {
+			c.Suspect++
+		}
+		if r.refused(now) {
+			c.Refused++
+		}
+	}
+	return c
+}
+
+// list returns the matching records, those with most crashes first and of these the ones
+// that changed last. The caller holds q.mu.
+func (q *Quarantiner) list(limit int, match func(r *record) bool) []Record {
+	var matching []Fingerprint
+	for fp, r := range q.records {
+		if match(r) {
+			matching = append(matching, fp)
+		}
+	}
+	slices.SortFunc(matching, func(x, y Fingerprint) int {
+		return cmp.Or(q.records[y].compare(q.records[x]), bytes.Compare(x[:], y[:]))
+	})
+	matching = matching[:min(limit, len(matching))]
+	out := make([]Record, 0, len(matching))
+	for _, fp := range matching {
+		out = append(out, Record{Fingerprint: fp, Crashes: q.records[fp].sorted()})
+	}
+	return out
+}
+
+// doubtsAgainst returns the number of processes that may have crashed under a request. The
+// caller holds q.mu.
+func (q *Quarantiner) doubtsAgainst(fp Fingerprint) int {
+	count := 0
+	for _, d := range q.doubts {
+		if slices.ContainsFunc(d.requests, func(fps Fingerprints) bool { return slices.Contains(fps[:], fp) }) {
+			count++
+		}
+	}
+	return count
+}
+
+// add adds a crash to a request's record and reports whether that changes it. The caller
+// holds q.mu and calls forget afterwards.
+func (q *Quarantiner) add(now time.Time, fp Fingerprint, c Crash) bool {
+	r := q.records[fp]
+	if r == nil {
+		r = &record{crashes: make(map[Process]Crash)}
+		q.records[fp] = r
+	}
+	if !r.add(c) {
+		return false
+	}
+	r.changed, q.changed = now, now
+	return true
+}
+
+// forget drops what is too old, and the records with the fewest crashes beyond maxRecords.
+// The caller holds q.mu.
+func (q *Quarantiner) forget(now time.Time) {
+	defer q.countSize()
+	if now.Sub(q.forgot) >= forgetInterval {
+		q.forgot = now
+		maps.DeleteFunc(q.doubts, func(_ Process, d *doubt) bool { return now.Sub(d.since) > doubtTime })
+		maps.DeleteFunc(q.records, func(_ Fingerprint, r *record) bool { return r.expired(now) })
+	}
+	if len(q.records) > maxRecords {
+		q.dropLeast()
+	}
+}
+
+// dropLeast drops an eighth of maxRecords, those with the fewest crashes, so that it is not
+// called for each further record. The caller holds q.mu.
+func (q *Quarantiner) dropLeast() {
+	order := slices.SortedFunc(maps.Keys(q.records), func(x, y Fingerprint) int { return q.records[x].compare(q.records[y]) })
+	for _, fp := range order[:len(order)-maxRecords*7/8] {
+		delete(q.records, fp)
+	}
+}
+
+// countSize updates size. The caller holds q.mu.
+func (q *Quarantiner) countSize() {
+	q.size.Store(int64(len(q.records) + len(q.doubts)))
+}
+
+// add merges a crash into the record, and reports whether that changes it. Of the same
+// crash, the earliest time counts. The oldest crash beyond maxCrashesPerRecord is dropped.
+func (r *record) add(c Crash) bool {
+	known, ok := r.crashes[c.Process]
+	if ok && (known.Cleared || !c.Cleared) {
+		return false
+	}
+	if ok && known.At.Before(c.At) {
+		c.At = known.At
+	}
+	r.crashes[c.Process] = c
+	if len(r.crashes) > maxCrashesPerRecord {
+		oldest := slices.MinFunc(r.sorted(), func(x, y Crash) int { return x.At.Compare(y.At) })
+		delete(r.crashes, oldest.Process)
+		return oldest.Process != c.Process
+	}
+	return true
+}
+
+// evidence returns the number of crashes that count, and the time of the last one.
+func (r *record) evidence() (count int, last time.Time) {
+	for _, c := range r.crashes {
+		if !c.Cleared {
+			count++
+			last = namer.Later(last, c.At)
+		}
+	}
+	return count, last
+}
+
+func (r *record) refused(now time.Time) bool {
+	count, last := r.evidence()
+	return count >= maxCrashes && now.Sub(last) < holdTime
+}
+
+// expired reports whether the record is of no further use.
+func (r *record) expired(now time.Time) bool {
+	count, _ := r.evidence()
+	last := time.Time{}
+	for _, c := range r.crashes {
+		last = namer.Later(last, c.At)
+	}
+	if count >= maxCrashes {
+		return now.Sub(last) >= forgetTime
+	}
+	return now.Sub(last) >= holdTime
+}
+
+// compare orders records by the number of crashes that count, then by their last change.
+func (r *record) compare(o *record) int {
+	mine, _ := r.evidence()
+	others, _ := o.evidence()
+	return cmp.Or(cmp.Compare(mine, others), r.changed.Compare(o.changed))
+}
+
+// sorted returns the crashes in the order of their processes.
+func (r *record) sorted() []Crash {
+	out := make([]Crash, 0, len(r.crashes))
+	for _, c := range r.crashes {
+		out = append(out, c)
+	}
+	slices.SortFunc(out, func(x, y Crash) int {
+		return cmp.Or(cmp.Compare(x.Upstream, y.Upstream), cmp.Compare(x.StartedMs, y.StartedMs))
+	})
+	return out
+}
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -296,6 +296,11 @@
 	return s.upstreams[d.target.Upstream] == d.upstream && !s.isDraining(d.upstream) && d.upstream.notice.pauseLeft(now) == 0
 }
 
+// IsDraining reports whether the upstream of a decision, or its zone, must get no new work.
+func (s *Selector) IsDraining(d Decision) bool {
+	return s.isDraining(d.upstream)
+}
+
 // isDraining reports whether an upstream or its zone must get no new work.
 func (s *Selector) isDraining(u *upstreamState) bool {
 	return u.Draining || s.drained[u.Zone] || u.notice.isLeaving()
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -74,6 +74,8 @@
 		// had free slots and did not ask for a pause.
 		refusedWithFreeSlots bool
 		lastResult           Result
+		// cachedFingerprints is nil until they are needed.
+		cachedFingerprints *quarantiner.Fingerprints
 	}
 )
 
@@ -103,6 +105,9 @@
 // result or must not be sent again.
 func (s *Steerer) sendUntilFinal(ctx context.Context, a *activeRequest) Result {
 	for {
+		if s.isQuarantined(a) {
+			return s.quarantinedResult(a)
+		}
 		d := s.acquireUpstream(ctx, a)
 		if ctx.Err() != nil {
 			if d.Action == selector.Send {
@@ -150,6 +155,9 @@
 	if outcome == outcomeUnknown && a.route.Once || a.sendCount >= a.route.AttemptLimit {
 		return false
 	}
+	if s.quarantineDecision(a).Action != quarantiner.Admit {
+		return false
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if !s.retryBudgetFor(a.service).TakeRetry(now) {
@@ -220,6 +228,7 @@
 	target := d.Target()
 	start := s.clock.Now()
 	timeLeft := a.deadline.Sub(start)
+	sendable := func() bool { return s.usable(d) && !s.isQuarantined(a) }
 	if timeLeft < minSendTime {
 		s.release(d, selector.Report{Load: -1, Inconclusive: true})
 		return failure(http.StatusServiceUnavailable, CodeDeadlineExceeded, "no time is left", s.retryAfter(a)), outcomeUnsent
@@ -233,7 +242,7 @@
 			AttemptHeader: s.headers.AttemptID,
 			AttemptID:     a.request.AttemptID,
 			Deadline:      a.deadline,
-			Usable:        func() bool { return s.usable(d) },
+			Usable:        sendable,
 			CallerGone:    func() bool { return a.callerGone(ctx) },
 			// A once-only request that was sent goes on when its caller disconnects.
 			Detached: a.route.Once,
@@ -241,9 +250,9 @@
 	a.tried = append(a.tried, target.Upstream)
 	took := s.clock.Since(start)
 	if errors.Is(err, exchanger.ErrNotSent) {
-		// If the caller disconnected or the upstream was removed or drained meanwhile, the
-		// error does not show that the upstream is unreachable.
-		inconclusive := a.callerGone(ctx) || !s.usable(d)
+		// If the caller disconnected, the request was quarantined, or the upstream was removed
+		// or drained meanwhile, the error does not show that the upstream is unreachable.
+		inconclusive := a.callerGone(ctx) || !sendable()
 		s.release(d, selector.Report{ConnectFailed: !inconclusive, Inconclusive: inconclusive, Load: -1})
 		s.logAttempt(a, d, 0, "unreached", took, err)
 		if a.callerGone(ctx) {
@@ -282,6 +291,7 @@
 	if canceled {
 		return Result{}, outcomeCanceled
 	}
+	s.recordBroken(a, d, err)
 	return failure(http.StatusBadGateway, CodeOutcomeUnknown, err.Error(), 0), outcomeUnknown
 }
 
@@ -322,6 +332,7 @@
 		return result, outcomeUnknown
 	}
 	s.release(d, report)
+	s.recordResponse(a)
 	s.logAttempt(a, d, resp.Status, "answered", took, nil)
 	return result, outcomeFinal
 }
@@ -413,12 +424,6 @@
 	return time.Duration(min(seconds, maxUpstreamPause.Seconds()) * float64(time.Second))
 }
 
-// fingerprint returns what the request and its repetitions have in common.
-func (a *activeRequest) fingerprint() quarantiner.Fingerprint {
-	r := a.request
-	return quarantiner.FingerprintOf(r.Caller, r.Method, r.Host, r.Target, r.Body)
-}
-
 // countResult adds a result to the counters.
 func (s *Steerer) countResult(r Result) {
 	s.mu.Lock()
@@ -435,15 +440,15 @@
 
 // logAttempt logs one attempt: the decision that led to it, and its outcome.
 func (s *Steerer) logAttempt(a *activeRequest, d selector.Decision, status int, outcome string, took time.Duration, err error) {
-	reason, request := "", ""
+	reason, request, caller := "", "", ""
 	if err != nil {
 		reason = err.Error()
 	}
 	if outcome == "broken" {
 		// It tells which attempts repeat the same request.
-		request = a.fingerprint().String()
+		request, caller = a.fingerprints()[0].String(), a.request.Caller
 	}
-	s.log.Info("sent", "attempt", a.request.AttemptID, "request", request, "route", string(a.route.Name), "service", string(a.service),
+	s.log.Info("sent", "attempt", a.request.AttemptID, "request", request, "caller", caller, "route", string(a.route.Name), "service", string(a.service),
 		"upstream", string(d.Target().Upstream), "zone", string(d.Zone), "by", string(d.Reason), "load", math.Round(10*d.Load)/10, "loadage", d.LoadAge,
 		"expected", d.ExpectedLatency, "viewage", s.viewAge().Round(time.Millisecond), "outcome", outcome, "status", status, "took", took, "reason", reason)
 }
--- /dev/null
+++ b/internal/route/steerer/quarantine.go
@@ -0,0 +1,137 @@
+package steerer
+
+import (
+	"cmp"
+	"context"
+	"io"
+	"net/http"
+	"syscall"
+
+	"github.com/cockroachdb/errors"
+
+	"github.com/waxwingloom/waxwingloom/internal/route/quarantiner"
+	"github.com/waxwingloom/waxwingloom/internal/route/selector"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
+)
+
+// SetQuarantine sets the evidence that this VM shares with others, and the function that is
+// called when there is new evidence. It must be called at most once, before the first
+// request.
+func (s *Steerer) SetQuarantine(q *quarantiner.Quarantiner, onEvidence func()) {
+	s.quarantine = q
+	s.onEvidence = onEvidence
+}
+
+// quarantineDecision returns what the evidence against a request says.
+func (s *Steerer) quarantineDecision(a *activeRequest) quarantiner.Decision {
+	if s.quarantine.Empty() {
+		return quarantiner.Decision{Action: quarantiner.Admit}
+	}
+	return s.quarantine.Decide(s.clock.Now(), a.fingerprints())
+}
+
+// isQuarantined reports whether a request must not be sent.
+func (s *Steerer) isQuarantined(a *activeRequest) bool {
+	return s.quarantineDecision(a).Action == quarantiner.Refuse
+}
+
+// quarantinedResult returns the result of a request that must not be sent.
+func (s *Steerer) quarantinedResult(a *activeRequest) Result {
+	if a.mayHaveRun {
+		return s.failedResult(a)
+	}
+	retryAfter := s.quarantineDecision(a).RetryAfter
+	return failure(http.StatusServiceUnavailable, CodeQuarantined, "upstreams crashed when they ran this request", retryAfter)
+}
+
+// fingerprints returns what the request and its repetitions have in common.
+func (a *activeRequest) fingerprints() quarantiner.Fingerprints {
+	if a.cachedFingerprints == nil {
+		r := a.request
+		// An account's credentials identify a caller better than the address.
+		caller := cmp.Or(r.Header.Get("Authorization"), r.Caller)
+		fps := quarantiner.FingerprintsOf(caller, r.Method, r.Host, r.Target, r.Body)
+		a.cachedFingerprints = &fps
+	}
+	return *a.cachedFingerprints
+}
+
+// recordBroken records that an upstream ended the connection of a request without a
+// response, and finds out whether the upstream has crashed. An upstream that is expected to
+// shut down has not.
+func (s *Steerer) recordBroken(a *activeRequest, d selector.Decision, err error) {
+	if !errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF, syscall.ECONNRESET, syscall.EPIPE) {
+		return
+	}
+	target := d.Target()
+	p := processOf(target)
+	s.mu.Lock()
+	draining := s.selector.IsDraining(d)
+	probing := s.probing[p]
+	s.probing[p] = s.probing[p] || !draining
+	s.mu.Unlock()
+	if draining {
+		return
+	}
+	s.quarantine.RecordBroken(s.clock.Now(), a.fingerprints(), p)
+	if !probing {
+		go s.probe(target)
+	}
+}
+
+// probe finds out whether the process of an upstream has crashed: its host then refuses
+// connections. Without any reply that remains open.
+func (s *Steerer) probe(t cataloger.Target) {
+	p := processOf(t)
+	_, err := s.upstreams.Preconnect(context.Background(), t)
+	s.mu.Lock()
+	delete(s.probing, p)
+	s.mu.Unlock()
+	switch {
+	case err == nil:
+		s.quarantine.RecordAlive(p)
+	case errors.Is(err, syscall.ECONNREFUSED):
+		s.recordCrash(p, "connection refused")
+	default:
+		s.log.Debug("not known whether an upstream has crashed", "upstream", string(t.Upstream), "reason", err.Error())
+	}
+}
+
+// recordReplaced records the crash of each process in doubt that a later process of the
+// same upstream has replaced.
+func (s *Steerer) recordReplaced(v *cataloger.View) {
+	for _, p := range s.quarantine.Doubted() {
+		for _, u := range v.Upstreams {
+			if u.Upstream == p.Upstream && u.StartedMs > p.StartedMs {
+				s.recordCrash(p, "replaced")
+			}
+		}
+	}
+}
+
+// recordCrash counts the crash of a process against the requests that were in flight at it.
+func (s *Steerer) recordCrash(p quarantiner.Process, reason string) {
+	now := s.clock.Now()
+	suspects := s.quarantine.RecordGone(now, p)
+	if len(suspects) == 0 {
+		return
+	}
+	s.log.Info("upstream crashed", "upstream", string(p.Upstream), "born", p.StartedMs, "suspects", len(suspects), "reason", reason)
+	for _, fps := range suspects {
+		if s.quarantine.Decide(now, fps).Action == quarantiner.Refuse {
+			s.log.Warn("request quarantined: upstreams crash when they run it", "request", fps[0].String(), "upstream", string(p.Upstream))
+		}
+	}
+	s.onEvidence()
+}
+
+// recordResponse records that an upstream responded to a request.
+func (s *Steerer) recordResponse(a *activeRequest) {
+	if !s.quarantine.Empty() {
+		s.quarantine.RecordResponse(s.clock.Now(), a.fingerprints())
+	}
+}
+
+func processOf(t cataloger.Target) quarantiner.Process {
+	return quarantiner.Process{Upstream: t.Upstream, StartedMs: t.StartedMs}
+}
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -7,6 +7,8 @@
 // route and their target time, and a request that can no longer be answered before its
 // deadline is refused at once.
 //
+// A request under which several upstreams have crashed is refused, see package quarantiner.
+//
 // # Usage
 //
 //	s := steerer.New(self, headers, budget, exchanger, clock, log)
@@ -29,6 +31,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/matcher"
+	"github.com/waxwingloom/waxwingloom/internal/route/quarantiner"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 	"github.com/waxwingloom/waxwingloom/internal/share/budgeter"
 	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
@@ -47,6 +50,7 @@
 	CodeBusy             Code = "busy"
 	CodeMalformed        Code = "malformed"
 	CodeShuttingDown     Code = "leaving"
+	CodeQuarantined      Code = "quarantined"
 )
 
 type (
@@ -130,13 +134,19 @@
 		queues         map[namer.Service]*queue
 		checkScheduled bool
 		measuringRTT   map[namer.Zone]bool
-		counts         Counts
+		// probing holds the processes whose connections are being probed.
+		probing map[quarantiner.Process]bool
+		counts  Counts
 		// zoneCopies holds the routes for whose objects each zone keeps its own copies.
 		zoneCopies map[namer.Route]namer.Service
 		// shutdownTime is when this process ends, or zero if no shutdown is planned.
 		shutdownTime time.Time
 		// viewAge returns how long ago the store confirmed the view of the upstreams.
 		viewAge func() time.Duration
+		// quarantine knows the requests under which upstreams crashed, onEvidence is called
+		// when this VM finds another one.
+		quarantine *quarantiner.Quarantiner
+		onEvidence func()
 	}
 
 	// Counts are the results of requests since the process started. Resent counts the
@@ -165,6 +175,9 @@
 		retryBudgets: make(map[namer.Service]*budgeter.Budgeter),
 		queues:       make(map[namer.Service]*queue),
 		measuringRTT: make(map[namer.Zone]bool),
+		probing:      make(map[quarantiner.Process]bool),
+		quarantine:   quarantiner.New(),
+		onEvidence:   func() {},
 		viewAge:      func() time.Duration { return 0 },
 	}
 }
@@ -193,6 +206,7 @@
 	s.updateSelector()
 	s.measureRTTs()
 	s.mu.Unlock()
+	s.recordReplaced(v)
 	targets := make([]cataloger.Target, 0, len(v.Upstreams))
 	for _, u := range v.Upstreams {
 		targets = append(targets, cataloger.Target{Upstream: u.Upstream, StartedMs: u.StartedMs, Address: u.Address})
