runner: refuse requests before the last check of a stop, not after it

Callers of a VM in a planned stop could send a request that the VM passed on to an upstream and then cut without a response, though its time limit was before the end of the stop. Once-only requests were among those at risk.

The stop waited until no request was in progress and none had come for a second. Only then did the front server begin to refuse requests, after the daemon's services had been told to stop, which takes a while on a VM short of processor time. A request that arrived in between was passed on. It got the time for which connections are drained, a twentieth of the grace period, whatever its limit was.

The stop now refuses all further requests first and then waits, until its deadline, for those that arrived before. A request counts as in progress before the receiver looks whether it refuses, so that none is missed between the two. A new log line tells when refusing begins.

How often callers met this fault was not measured.

--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -108,7 +108,8 @@
 }
 
 // RefuseNew makes the receiver refuse all further requests as not run, because the process
-// ends before it could serve them.
+// ends before it could serve them. Once InFlight has then returned 0, no request is in
+// progress any more.
 func (r *Receiver) RefuseNew() {
 	r.refusing.Store(true)
 }
@@ -136,14 +137,18 @@
 	if r.ShuttingDown() {
 		w.Header().Set("Connection", "close")
 	}
+	// The request counts before refusing is read, so that a stop that then finds none in
+	// progress has missed none.
+	inFlight := r.inFlight.Add(1)
 	if r.refusing.Load() {
+		r.inFlight.Add(-1)
 		w.Header().Set("Connection", "close")
 		result := steerer.ShuttingDownResult()
 		r.logResult(in, steerer.Request{AttemptID: in.Header.Get(r.headers.AttemptID), ReceivedAt: arrived}, result)
 		r.writeError(w, in, result)
 		return
 	}
-	if r.inFlight.Add(1) > r.limits.MaxInFlight {
+	if inFlight > r.limits.MaxInFlight {
 		r.inFlight.Add(-1)
 		r.writeError(w, in, unavailable(steerer.CodeBusy, "too many requests are in progress"))
 		return
--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -65,9 +65,10 @@
 type daemon struct {
 	callers, ready, lookup, peers string
 
-	stop context.CancelFunc
-	done chan error
-	log  *safeBuffer
+	settingsPath string
+	stop         context.CancelFunc
+	done         chan error
+	log          *safeBuffer
 }
 
 type safeBuffer struct {
@@ -101,6 +102,16 @@
 }
 
 func start(t *testing.T, name, store, seed string) *daemon {
+	t.Helper()
+	return startWith(t, name, store, seed, grace, func(d *daemon, ctx context.Context, s loader.Settings) error {
+		return runner.Run(ctx, s, d.log)
+	})
+}
+
+// startWith starts a daemon with a grace period and a function that runs it.
+func startWith(
+	t *testing.T, name, store, seed string, grace time.Duration, run func(d *daemon, ctx context.Context, s loader.Settings) error,
+) *daemon {
 	t.Helper()
 	dir := t.TempDir()
 	key := filepath.Join(dir, "key")
@@ -115,8 +126,8 @@
 	s, err := loader.Load(path)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &daemon{callers: a[0], peers: a[2], ready: a[3], lookup: a[4], stop: cancel, done: make(chan error, 1), log: &safeBuffer{}}
-	go func() { d.done <- runner.Run(ctx, s, d.log) }()
+	d := &daemon{callers: a[0], peers: a[2], ready: a[3], lookup: a[4], settingsPath: path, stop: cancel, done: make(chan error, 1), log: &safeBuffer{}}
+	go func() { d.done <- run(d, ctx, s) }()
 	t.Cleanup(func() {
 		cancel()
 		select {
--- a/internal/kernel/runner/runner.go
+++ b/internal/kernel/runner/runner.go
@@ -72,7 +72,11 @@
 	}
 	log, flush := logger.New(logTo, s.LogLevel)
 	defer flush()
-	log = log.With("vm", string(s.VM))
+	return run(ctx, s, log.With("vm", string(s.VM)), o)
+}
+
+// run is Run with a logger.
+func run(ctx context.Context, s loader.Settings, log *slog.Logger, o options) error {
 	r := registrar.New()
 	beginShutdown := shutdown
 	if s.RoutingEnabled() {
--- a/internal/kernel/runner/shutdown_routed.go
+++ b/internal/kernel/runner/shutdown_routed.go
@@ -52,7 +52,11 @@
 	if wait := s.Routing.LookupTTL - clock.Since(started); wait > 0 {
 		clock.Sleep(wait)
 	}
-	idle := waitIdle(clock, deadline.Sub(clock.Now()), func() bool { return front.InFlight() == 0 && front.SinceLastRequest() >= minQuietPeriod })
+	quiet := waitIdle(clock, deadline.Sub(clock.Now()), func() bool { return front.InFlight() == 0 && front.SinceLastRequest() >= minQuietPeriod })
+	log.Info("refusing all further requests", "quiet", quiet, "busy", front.InFlight())
+	front.RefuseNew()
+	// A request that arrived since the last check has until the deadline.
+	idle := waitIdle(clock, deadline.Sub(clock.Now()), func() bool { return front.InFlight() == 0 })
 	log.Info("left", "idle", idle, "busy", front.InFlight(), "took", clock.Since(started))
 }
 
