runner: a stop uses one grace period, the one in force when it begins

After the grace period in the settings had been shortened, a planned stop could last longer than the process is left alive, so that it ended in a kill.

The deadline of requests came from the reloaded settings, but the time for which the HTTP servers drain their connections was computed when the daemon started. Connections that have sent nothing are kept for that long. After a change from 1 min to 2 s it was 3 s, though the process has 2 s in all; after one from 1.5 s to 1 min it was 75 ms in place of 3 s.

The stop now fixes the grace period of the settings that are current when it begins, and the HTTP servers take theirs from it when they drain. A change during the stop applies to the next one: requests were accepted by the deadline that was announced.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -39,6 +39,7 @@
 // Names of the services that only a routed daemon has, one that steers requests by routes.
 const (
 	reloadName       registrar.Name = "reload"
+	graceName        registrar.Name = "grace"
 	enrollName       registrar.Name = "enroll"
 	discoverName     registrar.Name = "discover"
 	configName       registrar.Name = "config"
@@ -82,6 +83,9 @@
 	r.Register(reloadName, []registrar.Name{clockName}, func(f registrar.Finder) (any, func(), error) {
 		return reloader.New(o.settingsPath, s, o.reloadSignals, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
+	r.Register(graceName, []registrar.Name{reloadName}, func(f registrar.Finder) (any, func(), error) {
+		return &gracePeriod{settings: f.Find(reloadName).(*reloader.Reloader)}, nil, nil
+	})
 	registerRoutedMembers(r, s, log)
 	registerDiscovery(r, s, log)
 	registerSeenVersions(r)
@@ -297,7 +301,7 @@
 		}
 		return sweeper.New(idleTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	r.Register(frontName, []registrar.Name{portsName, callersName, sweepName, clockName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(frontName, []registrar.Name{portsName, callersName, sweepName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
 		sweep := f.Find(sweepName).(*sweeper.Sweeper)
 		front := f.Find(callersName).(*receiver.Receiver)
 		server := &http.Server{
@@ -310,10 +314,10 @@
 		}
 		return &webServer{
 			server: server, listener: f.Find(portsName).(*listeners).callers, sweeper: sweep, beginStop: front.RefuseNew,
-			shutdownTimeout: httpShutdownTimeoutOf(s), clock: f.Find(clockName).(clockwork.Clock), log: log,
+			shutdownTimeout: f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock: f.Find(clockName).(clockwork.Clock), log: log,
 		}, nil, nil
 	})
-	r.Register(lookupServerName, []registrar.Name{membersName, steerName, reloadName, clockName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(lookupServerName, []registrar.Name{membersName, steerName, reloadName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		st := f.Find(steerName).(*steerer.Steerer)
 		locate := func(host string, p locator.Location) []string {
@@ -321,18 +325,18 @@
 		}
 		settings := f.Find(reloadName).(*reloader.Reloader)
 		ttl := func() time.Duration { return settings.Current().Routing.LookupTTL }
-		return newAdminServer(f, s, s.Routing.LookupAddress, platform.LookupHandler(locate, ttl), log)
+		return newAdminServer(f, s.Routing.LookupAddress, platform.LookupHandler(locate, ttl), log)
 	})
-	r.Register(readyName, []registrar.Name{steerName, callersName, clockName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(readyName, []registrar.Name{steerName, callersName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
 		st := f.Find(steerName).(*steerer.Steerer)
 		front := f.Find(callersName).(*receiver.Receiver)
 		ready := func() bool { return st.Ready() && !front.ShuttingDown() }
-		return newAdminServer(f, s, s.Routing.ReadyAddress, platform.ReadyHandler(ready), log)
+		return newAdminServer(f, s.Routing.ReadyAddress, platform.ReadyHandler(ready), log)
 	})
-	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName}, followerNames...)
+	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, graceName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeadTimeout}
-		return newWebServer(server, f.Find(portsName).(*listeners).operators, httpShutdownTimeoutOf(s), f.Find(clockName).(clockwork.Clock), log), nil, nil
+		return newWebServer(server, f.Find(portsName).(*listeners).operators, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
 }
 
@@ -347,14 +351,14 @@
 
 // newAdminServer returns a server for a handler that is not on callers' request path, and
 // opens its listener.
-func newAdminServer(f registrar.Finder, s loader.Settings, address string, handler http.Handler, log *slog.Logger) (any, func(), error) {
+func newAdminServer(f registrar.Finder, address string, handler http.Handler, log *slog.Logger) (any, func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, nil, errors.Wrap(err, "opening a listener")
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminHeadTimeout}
 	clock := f.Find(clockName).(clockwork.Clock)
-	return newWebServer(server, listener, httpShutdownTimeoutOf(s), clock, log), func() { _ = listener.Close() }, nil
+	return newWebServer(server, listener, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock, log), func() { _ = listener.Close() }, nil
 }
 
 func routedMetrics(f registrar.Finder) http.Handler {
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -54,9 +54,9 @@
 )
 
 const (
-	// httpShutdownTimeout is how long an HTTP server of a daemon without routes waits for
+	// unroutedShutdownTimeout is how long an HTTP server of a daemon without routes waits for
 	// its last requests after the planned shutdown.
-	httpShutdownTimeout = 2 * time.Second
+	unroutedShutdownTimeout = 2 * time.Second
 	// idleTimeout is how long a caller's idle connection is kept.
 	idleTimeout = 2 * time.Minute
 	// headMarginBytes is how much net/http may read beyond the limit of a request's head,
@@ -328,6 +328,11 @@
 	return m
 }
 
+// httpShutdownTimeout returns unroutedShutdownTimeout.
+func httpShutdownTimeout() time.Duration {
+	return unroutedShutdownTimeout
+}
+
 // builderResult converts the results of a constructor to those of a registrar.Builder.
 func builderResult(service any, cleanup func(), err error) (any, func(), error) {
 	return service, cleanup, err
--- a/internal/kernel/runner/shutdown_routed.go
+++ b/internal/kernel/runner/shutdown_routed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -29,6 +30,27 @@
 	minQuietPeriod = time.Second
 )
 
+// gracePeriod is the time between the signal to stop and a kill. All parts of a shutdown use
+// the value that was in force when it began, so that they end together.
+type gracePeriod struct {
+	settings *reloader.Reloader
+	begun    atomic.Pointer[time.Duration]
+}
+
+// begin fixes the grace period.
+func (g *gracePeriod) begin(grace time.Duration) {
+	g.begun.Store(&grace)
+}
+
+// httpShutdownTimeout returns how long the HTTP servers wait for their last requests.
+func (g *gracePeriod) httpShutdownTimeout() time.Duration {
+	grace := g.settings.Current().Routing.ShutdownGrace
+	if begun := g.begun.Load(); begun != nil {
+		grace = *begun
+	}
+	return time.Duration(httpShutdownFraction * float64(grace))
+}
+
 // shutdownRouted performs the planned shutdown of a routed daemon. Callers learn of it from
 // the readiness check, from lookups and from the closing of their keep-alive connections.
 // A request that still arrives is served if its deadline comes before the end of the
@@ -38,8 +60,10 @@
 	front := c.Find(callersName).(*receiver.Receiver)
 	started := clock.Now()
 	s = c.Find(reloadName).(*reloader.Reloader).Current()
+	grace := s.Routing.ShutdownGrace
+	c.Find(graceName).(*gracePeriod).begin(grace)
 	log.Info("leaving", "busy", front.InFlight())
-	deadline := started.Add(time.Duration(shutdownDeadlineFraction * float64(s.Routing.ShutdownGrace)))
+	deadline := started.Add(time.Duration(shutdownDeadlineFraction * float64(grace)))
 	front.BeginShutdown(deadline)
 	c.Find(steerName).(*steerer.Steerer).BeginShutdown(deadline)
 	c.Find(membersName).(*heartbeater.Heartbeater).BeginShutdown()
@@ -59,9 +83,3 @@
 	idle := waitIdle(clock, deadline.Sub(clock.Now()), func() bool { return front.InFlight() == 0 })
 	log.Info("left", "idle", idle, "busy", front.InFlight(), "took", clock.Since(started))
 }
-
-// httpShutdownTimeoutOf returns how long a routed daemon's HTTP servers wait for their last
-// requests.
-func httpShutdownTimeoutOf(s loader.Settings) time.Duration {
-	return time.Duration(httpShutdownFraction * float64(s.Routing.ShutdownGrace))
-}
--- a/internal/kernel/runner/stop_test.go
+++ b/internal/kernel/runner/stop_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"log/slog"
 	"net/http"
+	"os"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -70,3 +72,77 @@
 		})
 	}
 }
+
+// startReloading starts a daemon that reloads its settings file.
+func startReloading(t *testing.T, f *fixture, grace time.Duration) *daemon {
+	t.Helper()
+	d := startWith(t, "vm-1", f.storeAddress, "", grace, func(d *daemon, ctx context.Context, s loader.Settings) error {
+		return runner.Run(ctx, s, d.log, runner.WithReload(d.settingsPath, nil))
+	})
+	d.waitReady(t)
+	return d
+}
+
+// change replaces a part of the daemon's settings file.
+func (d *daemon) change(t *testing.T, from, to string) {
+	t.Helper()
+	text, err := os.ReadFile(d.settingsPath)
+	assert.NilError(t, err)
+	assert.Assert(t, strings.Contains(string(text), from))
+	assert.NilError(t, os.WriteFile(d.settingsPath, []byte(strings.Replace(string(text), from, to, 1)), 0o600))
+}
+
+// awaitLog waits until the daemon has logged a text.
+func (d *daemon) awaitLog(t *testing.T, text string) {
+	t.Helper()
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if strings.Contains(d.log.String(), text) {
+			return poll.Success()
+		}
+		return poll.Continue("not logged: %s", text)
+	}, poll.WithDelay(time.Millisecond), poll.WithTimeout(20*time.Second))
+}
+
+// awaitStop waits until the daemon has stopped, and returns the time since the stop began.
+func (d *daemon) awaitStop(t *testing.T, began time.Time) time.Duration {
+	t.Helper()
+	assert.NilError(t, <-d.done)
+	took := time.Since(began)
+	d.done <- nil
+	return took
+}
+
+// TestStopAfterGraceWasShortened guards against a stop that exceeds a grace period that was
+// shortened after the start, and so ends in a kill: connections that have sent nothing were
+// drained for a part of the first grace period.
+func TestStopAfterGraceWasShortened(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := startReloading(t, f, time.Minute)
+	d.change(t, "grace = 1m0s", "grace = 2s")
+	d.awaitLog(t, "settings reloaded")
+	dial(t, d.callers)
+	began := time.Now()
+	d.stop()
+	took := d.awaitStop(t, began)
+	assert.Assert(t, took < 2*time.Second, "the stop took %v", took)
+}
+
+// TestGraceChangedDuringStop guards against a stop that follows a change of the grace period
+// made after it began: connections were drained longer than the process is left alive.
+func TestGraceChangedDuringStop(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := startReloading(t, f, 4*time.Second)
+	dial(t, d.callers)
+	// The request keeps the stop waiting until the change is in force.
+	go get(d.callers, "/stock/stuck", "shop.example")
+	<-f.stuckStarted
+	began := time.Now()
+	d.stop()
+	d.awaitLog(t, "msg=leaving")
+	d.change(t, "grace = 4s", "grace = 10m0s")
+	took := d.awaitStop(t, began)
+	assert.Assert(t, strings.Contains(d.log.String(), "settings reloaded"))
+	assert.Assert(t, took < 4*time.Second, "the stop took %v", took)
+}
--- a/internal/kernel/runner/webserver.go
+++ b/internal/kernel/runner/webserver.go
@@ -34,7 +34,7 @@
 		listener        net.Listener
 		sweeper         *sweeper.Sweeper
 		beginStop       func()
-		shutdownTimeout time.Duration
+		shutdownTimeout func() time.Duration
 		clock           clockwork.Clock
 		log             *slog.Logger
 	}
@@ -49,7 +49,7 @@
 
 // newWebServer returns a server whose responses end their connections once it stops. The
 // idle timeout is that of server.
-func newWebServer(server *http.Server, l net.Listener, shutdownTimeout time.Duration, clock clockwork.Clock, log *slog.Logger) *webServer {
+func newWebServer(server *http.Server, l net.Listener, shutdownTimeout func() time.Duration, clock clockwork.Clock, log *slog.Logger) *webServer {
 	sweep := sweeper.New(func() time.Duration { return 0 }, clock, log)
 	stopping := &atomic.Bool{}
 	handler := server.Handler
@@ -80,7 +80,7 @@
 		return errors.Wrap(err, "closing a listener")
 	}
 	s.log.Debug("listener closed", "address", s.listener.Addr().String(), "reason", (<-failed).Error())
-	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.shutdownTimeout)
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), s.shutdownTimeout())
 	defer cancel()
 	if left := s.sweeper.Drain(ctx); left > 0 {
 		s.log.Warn("closing connections that did not end in time", "address", s.listener.Addr().String(), "count", left)
--- a/internal/kernel/runner/webserver_test.go
+++ b/internal/kernel/runner/webserver_test.go
@@ -43,7 +43,7 @@
 	assert.NilError(t, err)
 	s := &webServer{
 		server:   &http.Server{Handler: handler, ConnState: track},
-		listener: listener, sweeper: sweep, beginStop: func() { refusing.Store(true) }, shutdownTimeout: 10 * time.Second,
+		listener: listener, sweeper: sweep, beginStop: func() { refusing.Store(true) }, shutdownTimeout: lasting(10 * time.Second),
 		clock: clockwork.NewRealClock(), log: log,
 	}
 	conn, stop, done := serve(t, s)
@@ -67,6 +67,11 @@
 	assert.NilError(t, <-done)
 }
 
+// lasting returns a function that returns a timeout.
+func lasting(timeout time.Duration) func() time.Duration {
+	return func() time.Duration { return timeout }
+}
+
 // serve runs a server, and returns a connection to it, a function that stops it and a channel
 // with its result.
 func serve(t *testing.T, s *webServer) (conn net.Conn, stop context.CancelFunc, done <-chan error) {
@@ -105,7 +110,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	stopping := make(chan struct{})
-	s := newWebServer(&http.Server{Handler: handler}, listener, 10*time.Second, clockwork.NewRealClock(), log)
+	s := newWebServer(&http.Server{Handler: handler}, listener, lasting(10*time.Second), clockwork.NewRealClock(), log)
 	beginStop := s.beginStop
 	s.beginStop = func() {
 		beginStop()
@@ -134,7 +139,7 @@
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
-	s := newWebServer(&http.Server{Handler: handler}, listener, 5*time.Second, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	s := newWebServer(&http.Server{Handler: handler}, listener, lasting(5*time.Second), clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
 	track := s.server.ConnState
 	s.server.ConnState = func(conn net.Conn, state http.ConnState) {
 		track(conn, state)
@@ -186,7 +191,7 @@
 	gated := gatedListener{TCPListener: listener.(*net.TCPListener), gate: make(chan struct{})}
 	handler := http.HandlerFunc(func(http.ResponseWriter, *http.Request) {})
 	clock := frozenClock{Clock: clockwork.NewRealClock(), now: time.Now()}
-	s := newWebServer(&http.Server{Handler: handler}, gated, 10*time.Second, clock, slog.New(slog.DiscardHandler))
+	s := newWebServer(&http.Server{Handler: handler}, gated, lasting(10*time.Second), clock, slog.New(slog.DiscardHandler))
 	s.beginStop = func() {
 		time.AfterFunc(20*time.Millisecond, func() { close(gated.gate) })
 	}
