runner: a stop reads the settings file before it plans its end

A planned stop within a second after a change of the settings file used the grace period from before the change. After a shortened one the process was killed with connections open.

The file may change without a signal, and is compared once a second. After a signal to reload it is compared by another goroutine than the stop's, so that the stop may come first too. The reloader now offers Reload, which compares the file at once, and the stop calls it.

--- a/internal/kernel/runner/shutdown_routed.go
+++ b/internal/kernel/runner/shutdown_routed.go
@@ -59,7 +59,7 @@
 	clock := c.Find(clockName).(clockwork.Clock)
 	front := c.Find(callersName).(*receiver.Receiver)
 	started := clock.Now()
-	s = c.Find(reloadName).(*reloader.Reloader).Current()
+	s = c.Find(reloadName).(*reloader.Reloader).Reload("stop")
 	grace := s.Routing.ShutdownGrace
 	c.Find(graceName).(*gracePeriod).begin(grace)
 	log.Info("leaving", "busy", front.InFlight())
--- a/internal/kernel/runner/stop_test.go
+++ b/internal/kernel/runner/stop_test.go
@@ -146,3 +146,17 @@
 	assert.Assert(t, strings.Contains(d.log.String(), "settings reloaded"))
 	assert.Assert(t, took < 4*time.Second, "the stop took %v", took)
 }
+
+// TestStopRightAfterChangeOfGrace guards against a stop that uses a grace period that was
+// replaced in the settings file just before, because the next look at the file is due later.
+func TestStopRightAfterChangeOfGrace(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := startReloading(t, f, time.Minute)
+	dial(t, d.callers)
+	d.change(t, "grace = 1m0s", "grace = 2s")
+	began := time.Now()
+	d.stop()
+	took := d.awaitStop(t, began)
+	assert.Assert(t, took < 2*time.Second, "the stop took %v", took)
+}
--- a/internal/settings/reloader/reloader.go
+++ b/internal/settings/reloader/reloader.go
@@ -1,5 +1,5 @@
 // Package reloader reloads the settings file when its text has changed, which it checks
-// on a signal and at a fixed interval. Settings with an error are logged and otherwise
+// on a signal, at a fixed interval and when Reload is called. Settings with an error are logged and otherwise
 // ignored.
 //
 // # Usage
@@ -31,11 +31,14 @@
 
 // Reloader holds the current settings.
 type Reloader struct {
-	path     string
-	signals  <-chan os.Signal
-	clock    clockwork.Clock
-	log      *slog.Logger
-	current  atomic.Pointer[loader.Settings]
+	path    string
+	signals <-chan os.Signal
+	clock   clockwork.Clock
+	log     *slog.Logger
+	current atomic.Pointer[loader.Settings]
+
+	// fileMu is held while the file is compared and its settings are put in force.
+	fileMu   sync.Mutex
 	lastText []byte
 
 	mu        sync.Mutex
@@ -55,7 +58,16 @@
 	return *r.current.Load()
 }
 
-// OnChange adds a callback that Serve calls with the new settings after each change.
+// Reload reloads the settings if the file has changed, and returns the current ones. It is for
+// uses that can't wait until the next check.
+func (r *Reloader) Reload(cause string) loader.Settings {
+	if r.path != "" {
+		r.reloadIfChanged(cause)
+	}
+	return r.Current()
+}
+
+// OnChange adds a callback that is called with the new settings after each change.
 func (r *Reloader) OnChange(f func(loader.Settings)) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
@@ -88,6 +100,8 @@
 // reloadIfChanged reads the file if its text differs from the one that was last
 // read, and makes its settings the current ones if they are valid.
 func (r *Reloader) reloadIfChanged(cause string) {
+	r.fileMu.Lock()
+	defer r.fileMu.Unlock()
 	text, err := os.ReadFile(r.path)
 	if err != nil {
 		r.log.Warn("can't read the settings; keeping the current ones", "path", r.path, "reason", err.Error())
--- a/internal/settings/reloader/reloader_test.go
+++ b/internal/settings/reloader/reloader_test.go
@@ -96,3 +96,13 @@
 	f.signals <- os.Interrupt
 	assert.Equal(t, (<-f.changed).Routing.LookupTTL, 3*time.Second)
 }
+
+// TestReloadAtOnce guards against a caller of Reload that gets settings which were replaced in
+// the file since the last check.
+func TestReloadAtOnce(t *testing.T) {
+	t.Parallel()
+	f := start(t)
+	f.write(t, strings.Replace(settings, "ttl = 2s", "ttl = 1s", 1))
+	assert.Equal(t, f.reloader.Reload("stop").Routing.LookupTTL, time.Second)
+	assert.Equal(t, (<-f.changed).Routing.LookupTTL, time.Second)
+}
