runner: no wait of a stop goes on after the deadline of its requests

A planned stop could wait longer than its grace period before it drained connections, and so end in a kill, with whatever was in progress.

Two waits come before the one for requests and did not know the deadline: up to 2 s for the store to remove the VM from its list, and until the lookup responses that callers cache have expired. Settings with a grace period of 2 s or less, or with a longer time for lookups, led past its end; the usual ones (6 s and 2 s) do not. Both waits now end at the deadline at the latest, and connections are drained after that as in any other stop.

TestStopWithLongLookupTTL failed before in 2 of 2 runs (6.00 s of 4 s), TestStopWithSlowStore in 2 of 2 (2.00 s of 1.9 s). Both passed 20 times after, with the race detector at a load of 17 on 8 processors.

--- a/internal/kernel/runner/shutdown_routed.go
+++ b/internal/kernel/runner/shutdown_routed.go
@@ -67,15 +67,18 @@
 	front.BeginShutdown(deadline)
 	c.Find(steerName).(*steerer.Steerer).BeginShutdown(deadline)
 	c.Find(membersName).(*heartbeater.Heartbeater).BeginShutdown()
-	ctx, cancel := context.WithTimeout(context.Background(), releaseTimeout)
+	ctx, cancel := context.WithTimeout(context.Background(), min(releaseTimeout, deadline.Sub(clock.Now())))
 	defer cancel()
 	if err := c.Find(enrollName).(*enroller.Enroller).Withdraw(ctx); err != nil {
 		log.Warn("VM not removed from the platform's VM list", "reason", err.Error())
 	}
-	// Callers may use a cached lookup response until its TTL expires.
-	if wait := s.Routing.LookupTTL - clock.Since(started); wait > 0 {
-		clock.Sleep(wait)
+	// Callers may use a cached lookup response until its TTL expires. The process ends before
+	// that if its grace period is shorter.
+	expired := started.Add(s.Routing.LookupTTL)
+	if expired.After(deadline) {
+		expired = deadline
 	}
+	clock.Sleep(expired.Sub(clock.Now()))
 	quiet := waitIdle(clock, deadline.Sub(clock.Now()), func() bool { return front.InFlight() == 0 && front.SinceLastRequest() >= minQuietPeriod })
 	log.Info("refusing all further requests", "quiet", quiet, "busy", front.InFlight())
 	front.RefuseNew()
--- a/internal/kernel/runner/stop_test.go
+++ b/internal/kernel/runner/stop_test.go
@@ -15,6 +15,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/runner"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
+	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
 )
 
 // hookHandler calls a function once, before it logs a message.
@@ -160,3 +161,31 @@
 	took := d.awaitStop(t, began)
 	assert.Assert(t, took < 2*time.Second, "the stop took %v", took)
 }
+
+// TestStopWithLongLookupTTL guards against a stop that waits until callers' lookup responses
+// have expired although its grace period ends before that.
+func TestStopWithLongLookupTTL(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := startReloading(t, f, 4*time.Second)
+	d.change(t, "ttl = 100ms", "ttl = 6s")
+	d.awaitLog(t, "settings reloaded")
+	began := time.Now()
+	d.stop()
+	took := d.awaitStop(t, began)
+	assert.Assert(t, took < 4*time.Second, "the stop took %v", took)
+}
+
+// TestStopWithSlowStore guards against a stop that waits for the store to remove the VM from
+// its list although its grace period ends before that.
+func TestStopWithSlowStore(t *testing.T) {
+	t.Parallel()
+	const grace = 1900 * time.Millisecond
+	f := newFixture(t)
+	d := startReloading(t, f, grace)
+	f.storekeeper.SetFaults(storekeeper.Faults{Delay: 20 * time.Second})
+	began := time.Now()
+	d.stop()
+	took := d.awaitStop(t, began)
+	assert.Assert(t, took < grace, "the stop took %v", took)
+}
