runner: the tests' daemons listen on ports that outgoing connections do not get

The fixture let the kernel choose free ports and closed them again. Until the daemon listened, an outgoing connection of any process could get one. It now chooses among ports below the kernel's range for those (32768 to 60999 here), checks that they are free, and gives none out twice in a process. What the tests check is unchanged.

--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -7,6 +7,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -58,6 +59,15 @@
 // sample configuration's route, so that a stuck request outlasts it.
 const grace = 1500 * time.Millisecond
 
+// The daemons' ports.
+const (
+	minPort   = 12000
+	portCount = 20000
+)
+
+// takenAddresses holds the addresses that freeAddresses has returned.
+var takenAddresses sync.Map
+
 // slowDuration is the upstream's processing time for a slow request.
 const slowDuration = 400 * time.Millisecond
 
@@ -88,15 +98,22 @@
 	return b.buf.String()
 }
 
-// freeAddresses returns n loopback addresses that nothing listens on.
+// freeAddresses returns n loopback addresses that nothing listens on and no other call has
+// returned. Their ports are below those that Linux gives to outgoing connections, so that none
+// takes them before the daemon listens.
 func freeAddresses(t *testing.T, n int) []string {
 	t.Helper()
 	var out []string
-	for range n {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		assert.NilError(t, err)
-		defer func() { _ = ln.Close() }()
-		out = append(out, ln.Addr().String())
+	for len(out) < n {
+		address := "127.0.0.1:" + strconv.Itoa(minPort+rand.IntN(portCount))
+		ln, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		assert.NilError(t, ln.Close())
+		if _, taken := takenAddresses.LoadOrStore(address, true); !taken {
+			out = append(out, address)
+		}
 	}
 	return out
 }
