--- a/internal/kernel/runner/crashing_test.go
+++ b/internal/kernel/runner/crashing_test.go
@@ -305,7 +305,7 @@
 	t.Helper()
 	var vms []*daemon
 	for i := range crashVMs {
-		vms = append(vms, startWith(t, fmt.Sprintf("vm-%d", i+1), f.storeAddress, seedsOf(vms), shortWindow))
+		vms = append(vms, startWith(t, fmt.Sprintf("vm-%d", i+1), f.storeAddress, seedsOf(vms), startOptions{routing: shortWindow}))
 	}
 	for _, d := range vms {
 		d.waitReady(t)
@@ -557,7 +557,7 @@
 	last.stop()
 	assert.NilError(t, <-last.done)
 	last.done <- nil
-	d := startWith(t, fmt.Sprintf("vm-%d", crashVMs), f.storeAddress, seedsOf(vms[:crashVMs-1]), shortWindow)
+	d := startWith(t, fmt.Sprintf("vm-%d", crashVMs), f.storeAddress, seedsOf(vms[:crashVMs-1]), startOptions{routing: shortWindow})
 	d.waitReady(t)
 	ready := time.Now()
 	restarted := newCrashingSource(t, "restarted", http.MethodGet, "/stock")
--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -66,9 +67,10 @@
 type daemon struct {
 	callers, ready, lookup, peers string
 
-	stop context.CancelFunc
-	done chan error
-	log  *safeBuffer
+	settingsPath string
+	stop         context.CancelFunc
+	done         chan error
+	log          *safeBuffer
 }
 
 type safeBuffer struct {
@@ -109,11 +111,19 @@
 
 func start(t *testing.T, name, store, seed string) *daemon {
 	t.Helper()
-	return startWith(t, name, store, seed, "")
+	return startWith(t, name, store, seed, startOptions{})
 }
 
-// startWith starts a daemon with additional lines in the routing section of its settings.
-func startWith(t *testing.T, name, store, seed, routing string) *daemon {
+// startOptions are what differs between the daemons of tests: the grace period, if it is not
+// the usual one, additional lines in the routing section of the settings, and the function
+// that runs the daemon.
+type startOptions struct {
+	grace   time.Duration
+	routing string
+	run     func(d *daemon, ctx context.Context, s loader.Settings) error
+}
+
+func startWith(t *testing.T, name, store, seed string, o startOptions) *daemon {
 	t.Helper()
 	dir := t.TempDir()
 	key := filepath.Join(dir, "key")
@@ -123,13 +133,16 @@
 		seed = a[2]
 	}
 	path := filepath.Join(dir, "waxwingd.ini")
-	text := fmt.Sprintf(settings, name, a[0], a[1], a[2], store, key, seed, a[3], a[4], grace, routing)
+	text := fmt.Sprintf(settings, name, a[0], a[1], a[2], store, key, seed, a[3], a[4], cmp.Or(o.grace, grace), o.routing)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
 	s, err := loader.Load(path)
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
-	d := &daemon{callers: a[0], peers: a[2], ready: a[3], lookup: a[4], stop: cancel, done: make(chan error, 1), log: &safeBuffer{}}
-	go func() { d.done <- runner.Run(ctx, s, d.log) }()
+	d := &daemon{callers: a[0], peers: a[2], ready: a[3], lookup: a[4], settingsPath: path, stop: cancel, done: make(chan error, 1), log: &safeBuffer{}}
+	if o.run == nil {
+		o.run = func(d *daemon, ctx context.Context, s loader.Settings) error { return runner.Run(ctx, s, d.log) }
+	}
+	go func() { d.done <- o.run(d, ctx, s) }()
 	t.Cleanup(func() {
 		cancel()
 		select {
