runner, responder: a daemon without routes refuses requests before it ends

In a planned stop of a daemon without routes, a request that came late was passed on, run and cut without a response. That held for idempotent requests, which are spilled to another zone, and for once-only ones, which are relayed to the owner of their token.

The stop waited until nothing was in progress, or for the longest deadline plus 3 s while callers kept sending. The front server then drained its connections for 2 s, still taking requests on those that had sent none before or were in use. Such a request got what was left of the 2 s, whatever its deadline was. A daemon with routes refuses requests while it drains; this one did not.

After the first wait the responder now refuses further requests to services as not run, with code "leaving" and a closing connection; with a token the outcome is "unknown" as in other early refusals, since another copy may have run. The stop then waits once more for what was sent on before, at most for the longest deadline plus 3 s, so that requests accepted until then end by their own deadlines. A stop under steady load may take that much longer. Lookups are served on.

Not covered: a peer that relays a request to a VM which has just found itself idle.

--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -97,6 +97,7 @@
 		log          *slog.Logger
 		inFlight     atomic.Int64
 		shuttingDown atomic.Bool
+		refusing     atomic.Bool
 		counts       *Counts
 	}
 
@@ -142,6 +143,13 @@
 	r.shuttingDown.Store(true)
 }
 
+// RefuseNew makes the responder refuse all further requests to services, because the process
+// ends before it could serve them. Once InFlight has then returned 0, none is in progress any
+// more.
+func (r *Responder) RefuseNew() {
+	r.refusing.Store(true)
+}
+
 // InFlight returns the number of requests in progress.
 func (r *Responder) InFlight() int64 {
 	return r.inFlight.Load()
--- a/internal/front/responder/serve.go
+++ b/internal/front/responder/serve.go
@@ -51,6 +51,12 @@
 	in := c.Request()
 	name := namer.Service(c.Param("service"))
 	req := forwarder.Request{Service: name, Method: in.Method, Headers: forwarder.EndToEndHeaders(in.Header)}
+	// The request counts as in progress already, so that a stop that then finds none in
+	// progress has missed none.
+	if r.refusing.Load() {
+		c.Response().Header().Set("Connection", "close")
+		return req, parser.Class{}, http.StatusServiceUnavailable, r.refuseEarly(c, "leaving", "this VM stops before the request could be served")
+	}
 	current := r.deps.Documents.Current()
 	if current == nil {
 		return req, parser.Class{}, http.StatusServiceUnavailable, r.refuseEarly(c, "not-ready", "no document from the platform or a peer yet")
--- a/internal/kernel/runner/runner.go
+++ b/internal/kernel/runner/runner.go
@@ -125,9 +125,14 @@
 	// From here on no requests should arrive. Those that still do are forwarded to other
 	// VMs, so that the ordinal can be released with nothing in flight.
 	router.SetOrdinal(claimer.Assignment{})
-	idle := waitIdle(clock, longestDeadline+inFlightMargin, func() bool {
+	isIdle := func() bool {
 		return front.InFlight() == 0 && tokens.InFlight() == 0 && peers.answerer.InFlight() == 0 && router.InFlight() == 0
-	})
+	}
+	quiet := waitIdle(clock, longestDeadline+inFlightMargin, isIdle)
+	log.Info("refusing all further requests", "quiet", quiet, "busy", front.InFlight())
+	front.RefuseNew()
+	// Callers that keep their connections may have sent requests until now.
+	idle := waitIdle(clock, longestDeadline+inFlightMargin, isIdle)
 	if !idle {
 		log.Warn("ordinal not released", "reason", "requests are still in flight")
 		return
--- a/internal/kernel/runner/stop_test.go
+++ b/internal/kernel/runner/stop_test.go
@@ -27,7 +27,7 @@
 
 // onMessage returns a logger to a daemon's log that calls hook once, before it logs message.
 func onMessage(d *daemon, message string, hook func()) *slog.Logger {
-	return slog.New(hookHandler{Handler: slog.NewTextHandler(d.log, nil), message: message, hook: sync.OnceFunc(hook)})
+	return slog.New(hookHandler{Handler: slog.NewTextHandler(d.log, &slog.HandlerOptions{Level: slog.LevelDebug}), message: message, hook: sync.OnceFunc(hook)})
 }
 
 // Handle implements slog.Handler.
