runner: tests of responses and bodies that are under way when a stop begins

TestStreamDuringStop: a streamed response whose upstream is silent when the stop begins is delivered whole. TestUploadDuringStop: a request whose body ends during the stop is sent on if its limit is before the end of the process, and refused as not run if not.

--- a/internal/kernel/runner/routed_test.go
+++ b/internal/kernel/runner/routed_test.go
@@ -71,6 +71,10 @@
 // slowDuration is the upstream's processing time for a slow request.
 const slowDuration = 400 * time.Millisecond
 
+// streamPartBytes is the size of each part of a streamed response. It is more than a daemon
+// reads before it passes a response on.
+const streamPartBytes = 1 << 20
+
 // daemon is a routed daemon that runs in the test process on its own addresses.
 type daemon struct {
 	callers, ready, lookup, peers string
@@ -199,6 +203,8 @@
 	// stuckStarted receives a value when a request that is never answered reaches the
 	// upstream.
 	stuckStarted chan struct{}
+	// streamRelease makes the upstream send the rest of a streamed response.
+	streamRelease chan struct{}
 	// slowStarted holds the attempt IDs of the slow requests that the upstream began to
 	// process.
 	slowStarted sync.Map
@@ -206,7 +212,7 @@
 
 func newFixture(t *testing.T) *fixture {
 	t.Helper()
-	f := &fixture{storekeeper: storekeeper.New(clockwork.NewRealClock()), stuckStarted: make(chan struct{}, 1)}
+	f := &fixture{storekeeper: storekeeper.New(clockwork.NewRealClock()), stuckStarted: make(chan struct{}, 1), streamRelease: make(chan struct{})}
 	store := httptest.NewServer(f.storekeeper.Handler())
 	t.Cleanup(store.CloseClientConnections)
 	f.storeAddress = strings.TrimPrefix(store.URL, "http://")
@@ -231,6 +237,15 @@
 			w.Header().Set("Retry-After", "30")
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
+		if strings.HasSuffix(r.URL.Path, "/streamed") {
+			_, _ = w.Write(make([]byte, streamPartBytes))
+			select {
+			case <-f.streamRelease:
+			case <-r.Context().Done():
+			}
+			_, _ = w.Write(make([]byte, streamPartBytes))
+			return
+		}
 		_, _ = w.Write([]byte(r.Header.Get(h.ExpectedUpstream)))
 	}))
 	t.Cleanup(upstream.Close)
--- a/internal/kernel/runner/stop_test.go
+++ b/internal/kernel/runner/stop_test.go
@@ -1,7 +1,9 @@
 package runner_test
 
 import (
+	"bufio"
 	"context"
+	"io"
 	"log/slog"
 	"net/http"
 	"os"
@@ -16,6 +18,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/runner"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
 	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
+	"github.com/waxwingloom/waxwingloom/platform"
 )
 
 // hookHandler calls a function once, before it logs a message.
@@ -189,3 +192,54 @@
 	took := d.awaitStop(t, began)
 	assert.Assert(t, took < grace, "the stop took %v", took)
 }
+
+// TestStreamDuringStop guards against a streamed response that is cut because a stop begins
+// while the upstream is silent.
+func TestStreamDuringStop(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := startReloading(t, f, 4*time.Second)
+	conn := dial(t, d.callers)
+	_, err := io.WriteString(conn, "GET /stock/streamed HTTP/1.1\r\nHost: shop.example\r\n\r\n")
+	assert.NilError(t, err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	_, err = io.CopyN(io.Discard, resp.Body, streamPartBytes)
+	assert.NilError(t, err)
+	d.stop()
+	d.awaitLog(t, "msg=leaving")
+	close(f.streamRelease)
+	rest, err := io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err)
+	assert.Equal(t, rest, int64(streamPartBytes))
+	d.awaitStop(t, time.Now())
+}
+
+// TestUploadDuringStop guards against a request whose body arrives during a stop and that gets
+// no response: it is sent on if its time limit is before the end, and refused if not.
+func TestUploadDuringStop(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name, remaining string
+		grace           time.Duration
+		want            int
+	}{
+		{"limit before the end", "1900", 4 * time.Second, http.StatusOK},
+		{"limit after the end", "1900", 2 * time.Second, http.StatusServiceUnavailable},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t)
+			d := startReloading(t, f, tc.grace)
+			conn := dial(t, d.callers)
+			_, err := io.WriteString(conn, "POST /stock/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\n"+
+				platform.Headers().RemainingMs+": "+tc.remaining+"\r\n\r\nab")
+			assert.NilError(t, err)
+			d.stop()
+			d.awaitLog(t, "msg=leaving")
+			assert.Equal(t, exchangeRaw(t, conn, "cd"), tc.want)
+			d.awaitStop(t, time.Now())
+		})
+	}
+}
