quarantiner: VMs do not learn again what they have forgotten

A response to a request that has been in quarantine for longer than holdTime cleared it, and each VM dropped the record within a second. Merge took it from those VMs that still had it, as something new that is passed on at once, so that it went round for ever: up to an hour after the crash, with heartbeats between all pairs of VMs each time.

A VM no longer takes a record that it lacks if that would soon expire. A record is kept for 10 s after a change, so that the clearing reaches VMs before the one that saw it drops it.

--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -48,6 +48,12 @@
 	forgetTime = time.Hour
 	// doubtTime is how long it may take to find out whether a process has crashed.
 	doubtTime = 10 * time.Second
+	// minTimeLeft is how long evidence that this VM lacks must still be of use to be taken from
+	// another VM. VMs drop a record at different times and must not learn it from each other
+	// again.
+	minTimeLeft = 10 * time.Second
+	// spreadTime is how long a record is kept after a change, so that heartbeats carry it.
+	spreadTime = 10 * time.Second
 	// forgetInterval is the shortest interval between searches for evidence that is too old.
 	forgetInterval = time.Second
 	// maxRecords and maxCrashesPerRecord bound the memory.
@@ -244,6 +250,9 @@
 	defer q.mu.Unlock()
 	changed := false
 	for _, in := range records {
+		if q.records[in.Fingerprint] == nil && in.expired(now.Add(minTimeLeft)) {
+			continue
+		}
 		for _, c := range in.Crashes {
 			changed = now.Sub(c.At) < forgetTime && q.add(now, in.Fingerprint, c) || changed
 		}
@@ -354,7 +363,9 @@
 	if now.Sub(q.forgot) >= forgetInterval {
 		q.forgot = now
 		maps.DeleteFunc(q.doubts, func(_ Process, d *doubt) bool { return now.Sub(d.since) > doubtTime })
-		maps.DeleteFunc(q.records, func(_ Fingerprint, r *record) bool { return r.expired(now) })
+		maps.DeleteFunc(q.records, func(fp Fingerprint, r *record) bool {
+			return now.Sub(r.changed) >= spreadTime && Record{fp, r.sorted()}.expired(now)
+		})
 	}
 	if len(q.records) > maxRecords {
 		q.dropLeast()
@@ -411,11 +422,13 @@
 }
 
 // expired reports whether the record is of no further use.
-func (r *record) expired(now time.Time) bool {
-	count, _ := r.evidence()
-	last := time.Time{}
-	for _, c := range r.crashes {
+func (r Record) expired(now time.Time) bool {
+	count, last := 0, time.Time{}
+	for _, c := range r.Crashes {
 		last = namer.Later(last, c.At)
+		if !c.Cleared {
+			count++
+		}
 	}
 	if count >= maxCrashes {
 		return now.Sub(last) >= forgetTime
