steerer: a probe clears only requests that broke before it began

A broken connection to an upstream, such as an idle one that was closed, starts a probe. A request that crashed the upstream while the probe ran was in doubt with the others, and the connection that the probe had opened before the crash cleared it too. One that was recorded after the probe's end, but had seen it in progress, was never probed for.

Connections that a process broke are numbered. A probe clears those up to the number at its begin and leads to another one if there are more. They are recorded before the check for a probe in progress.

--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -127,9 +127,12 @@
 		changed time.Time
 	}
 
+	// doubt holds the number of connections that a process broke and, for each request, the
+	// number of the last one that it was sent on.
 	doubt struct {
 		since    time.Time
-		requests []Fingerprints
+		broken   int
+		requests map[Fingerprints]int
 	}
 )
 
@@ -181,21 +184,40 @@
 	defer q.mu.Unlock()
 	d := q.doubts[p]
 	if d == nil {
-		d = &doubt{since: now}
+		d = &doubt{since: now, requests: make(map[Fingerprints]int)}
 		q.doubts[p] = d
 	}
-	if !slices.Contains(d.requests, fps) {
-		d.requests = append(d.requests, fps)
-	}
+	d.broken++
+	d.requests[fps] = d.broken
 	q.forget(now)
 }
 
-// RecordAlive records that a process runs, so that its broken connections prove nothing.
-func (q *Quarantiner) RecordAlive(p Process) {
+// Broken returns the number of connections that a process in doubt has broken.
+func (q *Quarantiner) Broken(p Process) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if d := q.doubts[p]; d != nil {
+		return d.broken
+	}
+	return 0
+}
+
+// RecordAlive records that a process ran when it had broken a number of connections, so that
+// these prove nothing. It reports whether the process has broken others since.
+func (q *Quarantiner) RecordAlive(p Process, broken int) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	d := q.doubts[p]
+	if d == nil {
+		return false
+	}
+	maps.DeleteFunc(d.requests, func(_ Fingerprints, last int) bool { return last <= broken })
+	if len(d.requests) > 0 {
+		return true
+	}
 	delete(q.doubts, p)
 	q.countSize()
+	return false
 }
 
 // RecordGone records that a process has crashed. It returns the requests that were in
@@ -208,13 +230,13 @@
 		return nil
 	}
 	delete(q.doubts, p)
-	for _, fps := range d.requests {
+	for fps := range d.requests {
 		for _, fp := range fps {
 			q.add(now, fp, Crash{Process: p, At: now})
 		}
 	}
 	q.forget(now)
-	return d.requests
+	return slices.Collect(maps.Keys(d.requests))
 }
 
 // RecordResponse clears a request that an upstream responded to.
@@ -334,8 +356,11 @@
 func (q *Quarantiner) doubtsAgainst(fp Fingerprint) int {
 	count := 0
 	for _, d := range q.doubts {
-		if slices.ContainsFunc(d.requests, func(fps Fingerprints) bool { return slices.Contains(fps[:], fp) }) {
-			count++
+		for fps := range d.requests {
+			if slices.Contains(fps[:], fp) {
+				count++
+				break
+			}
 		}
 	}
 	return count
--- a/internal/route/quarantiner/quarantiner_test.go
+++ b/internal/route/quarantiner/quarantiner_test.go
@@ -55,7 +55,7 @@
 		{"processes that run", func(q *quarantiner.Quarantiner) {
 			for n := range 3 {
 				q.RecordBroken(start, fp, process(n))
-				q.RecordAlive(process(n))
+				q.RecordAlive(process(n), q.Broken(process(n)))
 				q.RecordGone(start, process(n))
 			}
 		}, 0, quarantiner.Admit},
--- a/internal/route/steerer/quarantine.go
+++ b/internal/route/steerer/quarantine.go
@@ -64,32 +64,43 @@
 		return
 	}
 	target := d.Target()
-	p := processOf(target)
 	s.mu.Lock()
 	draining := s.selector.IsDraining(d)
-	probing := s.probing[p]
-	s.probing[p] = s.probing[p] || !draining
 	s.mu.Unlock()
 	if draining {
 		return
 	}
-	s.quarantine.RecordBroken(s.clock.Now(), a.fingerprints(), p)
-	if !probing {
-		go s.probe(target)
+	// A probe in progress must find the request when it ends.
+	s.quarantine.RecordBroken(s.clock.Now(), a.fingerprints(), processOf(target))
+	s.startProbe(target)
+}
+
+// startProbe starts a probe of an upstream unless one is in progress.
+func (s *Steerer) startProbe(t cataloger.Target) {
+	p := processOf(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.probing[p] {
+		s.probing[p] = true
+		go s.probe(t)
 	}
 }
 
 // probe finds out whether the process of an upstream has crashed: its host then refuses
-// connections. Without any reply that remains open.
+// connections. Without any reply that remains open. A connection that it opened proves
+// nothing of those that broke since the probe began.
 func (s *Steerer) probe(t cataloger.Target) {
 	p := processOf(t)
+	broken := s.quarantine.Broken(p)
 	_, err := s.upstreams.Preconnect(context.Background(), t)
 	s.mu.Lock()
 	delete(s.probing, p)
 	s.mu.Unlock()
 	switch {
 	case err == nil:
-		s.quarantine.RecordAlive(p)
+		if s.quarantine.RecordAlive(p, broken) {
+			s.startProbe(t)
+		}
 	case errors.Is(err, syscall.ECONNREFUSED):
 		s.recordCrash(p, "connection refused")
 	default:
