--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -48,6 +48,12 @@
 	forgetTime = time.Hour
 	// doubtTime is how long it may take to find out whether a process has crashed.
 	doubtTime = 10 * time.Second
+	// minTimeLeft is how long evidence that this VM lacks must still be of use to be taken from
+	// another VM. VMs drop a record at different times and must not learn it from each other
+	// again.
+	minTimeLeft = 10 * time.Second
+	// spreadTime is how long a record is kept after a change, so that heartbeats carry it.
+	spreadTime = 10 * time.Second
 	// forgetInterval is the shortest interval between searches for evidence that is too old.
 	forgetInterval = time.Second
 	// maxRecords and maxCrashesPerRecord bound the memory.
@@ -121,9 +127,12 @@
 		changed time.Time
 	}
 
+	// doubt holds the number of connections that a process broke and, for each request, the
+	// number of the last one that it was sent on.
 	doubt struct {
 		since    time.Time
-		requests []Fingerprints
+		broken   int
+		requests map[Fingerprints]int
 	}
 )
 
@@ -175,21 +184,40 @@
 	defer q.mu.Unlock()
 	d := q.doubts[p]
 	if d == nil {
-		d = &doubt{since: now}
+		d = &doubt{since: now, requests: make(map[Fingerprints]int)}
 		q.doubts[p] = d
 	}
-	if !slices.Contains(d.requests, fps) {
-		d.requests = append(d.requests, fps)
-	}
+	d.broken++
+	d.requests[fps] = d.broken
 	q.forget(now)
 }
 
-// RecordAlive records that a process runs, so that its broken connections prove nothing.
-func (q *Quarantiner) RecordAlive(p Process) {
+// Broken returns the number of connections that a process in doubt has broken.
+func (q *Quarantiner) Broken(p Process) int {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	if d := q.doubts[p]; d != nil {
+		return d.broken
+	}
+	return 0
+}
+
+// RecordAlive records that a process ran when it had broken a number of connections, so that
+// these prove nothing. It reports whether the process has broken others since.
+func (q *Quarantiner) RecordAlive(p Process, broken int) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	d := q.doubts[p]
+	if d == nil {
+		return false
+	}
+	maps.DeleteFunc(d.requests, func(_ Fingerprints, last int) bool { return last <= broken })
+	if len(d.requests) > 0 {
+		return true
+	}
 	delete(q.doubts, p)
 	q.countSize()
+	return false
 }
 
 // RecordGone records that a process has crashed. It returns the requests that were in
@@ -202,13 +230,13 @@
 		return nil
 	}
 	delete(q.doubts, p)
-	for _, fps := range d.requests {
+	for fps := range d.requests {
 		for _, fp := range fps {
 			q.add(now, fp, Crash{Process: p, At: now})
 		}
 	}
 	q.forget(now)
-	return d.requests
+	return slices.Collect(maps.Keys(d.requests))
 }
 
 // RecordResponse clears a request that an upstream responded to.
@@ -244,6 +272,9 @@
 	defer q.mu.Unlock()
 	changed := false
 	for _, in := range records {
+		if q.records[in.Fingerprint] == nil && in.expired(now.Add(minTimeLeft)) {
+			continue
+		}
 		for _, c := range in.Crashes {
 			changed = now.Sub(c.At) < forgetTime && q.add(now, in.Fingerprint, c) || changed
 		}
@@ -325,8 +356,11 @@
 func (q *Quarantiner) doubtsAgainst(fp Fingerprint) int {
 	count := 0
 	for _, d := range q.doubts {
-		if slices.ContainsFunc(d.requests, func(fps Fingerprints) bool { return slices.Contains(fps[:], fp) }) {
-			count++
+		for fps := range d.requests {
+			if slices.Contains(fps[:], fp) {
+				count++
+				break
+			}
 		}
 	}
 	return count
@@ -354,7 +388,9 @@
 	if now.Sub(q.forgot) >= forgetInterval {
 		q.forgot = now
 		maps.DeleteFunc(q.doubts, func(_ Process, d *doubt) bool { return now.Sub(d.since) > doubtTime })
-		maps.DeleteFunc(q.records, func(_ Fingerprint, r *record) bool { return r.expired(now) })
+		maps.DeleteFunc(q.records, func(fp Fingerprint, r *record) bool {
+			return now.Sub(r.changed) >= spreadTime && Record{fp, r.sorted()}.expired(now)
+		})
 	}
 	if len(q.records) > maxRecords {
 		q.dropLeast()
@@ -411,11 +447,13 @@
 }
 
 // expired reports whether the record is of no further use.
-func (r *record) expired(now time.Time) bool {
-	count, _ := r.evidence()
-	last := time.Time{}
-	for _, c := range r.crashes {
+func (r Record) expired(now time.Time) bool {
+	count, last := 0, time.Time{}
+	for _, c := range r.Crashes {
 		last = namer.Later(last, c.At)
+		if !c.Cleared {
+			count++
+		}
 	}
 	if count >= maxCrashes {
 		return now.Sub(last) >= forgetTime
