quarantiner: an outage does not quarantine the requests in flight

When upstreams ended together, a popular request that was in flight at three of them would have been refused by all VMs for ten minutes, and prolonged the outage for its callers.

Evidence counted processes. A request that crashes upstreams does so one after the other, whereas an outage ends many together. Crashes within 100 ms now count as one. The refusal lasts 3 minutes at first and four times as long after each further crash, up to an hour, in place of 10 minutes each time, so that a wrong one ends sooner.

TestOutageBlamesNobody (20 processes within 76 ms) failed before and passes. A request whose first attempt crashes two upstreams within 100 ms now crashes four in all (TestRequestCrashesEachUpstream). The tests of the runner still count 3.

--- a/internal/member/heartbeater/evidence_test.go
+++ b/internal/member/heartbeater/evidence_test.go
@@ -108,13 +108,15 @@
 	})
 }
 
-// crash records at a VM that a process crashed under the request.
+// crash records at a VM that a process crashed under the request, and waits until another
+// crash does not count as the same.
 func (f *evidenceFleet) crash(name string, fp quarantiner.Fingerprints, process int) {
 	now := time.Now()
 	p := quarantiner.Process{Upstream: namer.Upstream(fmt.Sprintf("u%d", process)), StartedMs: 1}
 	f.evidence[name].RecordBroken(now, fp, p)
 	f.evidence[name].RecordGone(now, p)
 	f.members[name].SendEvidence()
+	time.Sleep(120 * time.Millisecond)
 }
 
 // refusedBy waits until all of the VMs refuse a request.
--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -6,8 +6,9 @@
 // and one without its caller, either of which is enough to refuse it. Every request that was in flight when an upstream crashed is suspect, and most of them are
 // innocent. So the evidence against a request is the set of the upstream processes that
 // crashed under it, and a response to it clears it of all of them. A request is refused
-// once maxCrashes processes crashed under it without a response in between. After holdTime
-// it may be sent to one upstream, to see whether the fault is mended.
+// once processes crashed under it at maxCrashes different times without a response in
+// between: those that end together have another cause. After a time that grows with each
+// further crash it may be sent to one upstream, to see whether the fault is mended.
 //
 // VMs exchange their evidence. Two sets are merged by their union, so that evidence may
 // arrive in any order and more than once. The package does no I/O.
@@ -38,14 +39,21 @@
 )
 
 const (
-	// maxCrashes is the number of crashes from which on a request is refused. A lower one
-	// would refuse innocent requests whose retry meets a second crash.
+	// maxCrashes is the number of crashes at different times from which on a request is
+	// refused. A lower one would refuse innocent requests whose retry meets a second crash.
 	maxCrashes = 3
-	// holdTime is how long a request is refused after the last crash under it, and how long
-	// evidence against a request that is not refused is kept.
-	holdTime = 10 * time.Minute
-	// forgetTime is how long evidence against a refused request is kept after the last crash.
-	forgetTime = time.Hour
+	// crashSpacing is the time within which crashes count as one: an outage ends many
+	// processes together, and VMs notice it within some round trips.
+	crashSpacing = 100 * time.Millisecond
+	// firstHold is how long a request is refused after crash number maxCrashes. With each
+	// further one the time grows by holdGrowth, up to maxHold.
+	firstHold  = 3 * time.Minute
+	holdGrowth = 4
+	maxHold    = time.Hour
+	// suspectTime is how long evidence against a request that is not refused is kept after
+	// the last crash, forgetTime that against one that was.
+	suspectTime = 10 * time.Minute
+	forgetTime  = 2 * time.Hour
 	// doubtTime is how long it may take to find out whether a process has crashed.
 	doubtTime = 10 * time.Second
 	// minTimeLeft is how long evidence that this VM lacks must still be of use to be taken from
@@ -122,15 +130,20 @@
 		forgot  time.Time
 	}
 
-	// record holds the crashes under a request. Count is the number of those that count, last
-	// the time of the last one.
 	record struct {
 		crashes map[Process]Crash
-		count   int
-		last    time.Time
+		evidence
 		changed time.Time
 	}
 
+	// evidence sums up the crashes under a request that are not cleared: the number of
+	// processes, at how many different times they crashed, and when the last one did.
+	evidence struct {
+		processes int
+		times     int
+		last      time.Time
+	}
+
 	// doubt holds the number of connections that a process broke and, for each request, the
 	// number of the last one that it was sent on.
 	doubt struct {
@@ -167,15 +180,14 @@
 
 // decide returns what the evidence against one fingerprint says. The caller holds q.mu.
 func (q *Quarantiner) decide(now time.Time, fp Fingerprint) Decision {
-	count, last := 0, time.Time{}
+	var e evidence
 	if r := q.records[fp]; r != nil {
-		count, last = r.count, r.last
+		e = r.evidence
 	}
-	hold := holdTime - now.Sub(last)
 	switch {
-	case count >= maxCrashes && hold > 0:
-		return Decision{Action: Refuse, RetryAfter: hold}
-	case count+q.doubtsAgainst(fp) >= maxCrashes-1:
+	case e.refuses(now):
+		return Decision{Action: Refuse, RetryAfter: e.hold() - now.Sub(e.last)}
+	case e.processes+q.doubtsAgainst(fp) >= maxCrashes-1:
 		return Decision{Action: AdmitOnce}
 	}
 	return Decision{Action: Admit}
@@ -302,7 +314,7 @@
 func (q *Quarantiner) Refused(now time.Time, limit int) []Record {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return q.list(limit, func(r *record) bool { return r.refused(now) })
+	return q.list(limit, func(r *record) bool { return r.refuses(now) })
 }
 
 // Hash returns a hash of the set of requests that are refused, 0 if there are none.
@@ -311,7 +323,7 @@
 	defer q.mu.Unlock()
 	hash := uint64(0)
 	for fp, r := range q.records {
-		if r.refused(now) {
+		if r.refuses(now) {
 			hash ^= binary.BigEndian.Uint64(fp[:])
 		}
 	}
@@ -324,10 +336,10 @@
 	defer q.mu.Unlock()
 	var c Counts
 	for _, r := range q.records {
-		if r.count > 0 {
+		if r.processes > 0 {
 			c.Suspect++
 		}
-		if r.refused(now) {
+		if r.refuses(now) {
 			c.Refused++
 		}
 	}
@@ -387,7 +399,7 @@
 	if !r.add(c) {
 		return false
 	}
-	r.count, r.last = r.evidence()
+	r.evidence = sumUp(r.sorted())
 	r.changed, q.changed = now, now
 	return true
 }
@@ -441,39 +453,52 @@
 	return true
 }
 
-// evidence returns the number of crashes that count, and the time of the last one.
-func (r *record) evidence() (count int, last time.Time) {
-	for _, c := range r.crashes {
-		if !c.Cleared {
-			count++
-			last = namer.Later(last, c.At)
+// sumUp returns the evidence of crashes.
+func sumUp(crashes []Crash) evidence {
+	var e evidence
+	slices.SortFunc(crashes, func(x, y Crash) int { return x.At.Compare(y.At) })
+	for _, c := range crashes {
+		if c.Cleared {
+			continue
+		}
+		e.processes++
+		if e.times == 0 || c.At.Sub(e.last) >= crashSpacing {
+			e.times++
+			e.last = c.At
 		}
 	}
-	return count, last
+	return e
 }
 
-func (r *record) refused(now time.Time) bool {
-	return r.count >= maxCrashes && now.Sub(r.last) < holdTime
+// refuses reports whether the request is refused.
+func (e evidence) refuses(now time.Time) bool {
+	return e.times >= maxCrashes && now.Sub(e.last) < e.hold()
+}
+
+// hold returns how long a request with enough evidence is refused.
+func (e evidence) hold() time.Duration {
+	hold := firstHold
+	for n := maxCrashes; n < e.times && hold < maxHold; n++ {
+		hold *= holdGrowth
+	}
+	return min(hold, maxHold)
 }
 
 // expired reports whether the record is of no further use.
 func (r Record) expired(now time.Time) bool {
-	count, last := 0, time.Time{}
+	last := time.Time{}
 	for _, c := range r.Crashes {
 		last = namer.Later(last, c.At)
-		if !c.Cleared {
-			count++
-		}
 	}
-	if count >= maxCrashes {
+	if sumUp(slices.Clone(r.Crashes)).times >= maxCrashes {
 		return now.Sub(last) >= forgetTime
 	}
-	return now.Sub(last) >= holdTime
+	return now.Sub(last) >= suspectTime
 }
 
 // compare orders records by the number of crashes that count, then by their last change.
 func (r *record) compare(o *record) int {
-	if c := cmp.Compare(r.count, o.count); c != 0 {
+	if c := cmp.Compare(r.processes, o.processes); c != 0 {
 		return c
 	}
 	return r.changed.Compare(o.changed)
