steerer: the beginning of a streamed response clears no request

A request that crashes upstreams after the beginning of a long response was sent on for ever: the head of the response cleared it of all crashes, and the break of the rest was not recorded.

Now the end of the rest clears the request, and a break of it is recorded as any other broken connection.

TestCulpritThatStreams failed before with 13 sends and passes with 6: 3 that count and 3 that a whole response stands between.

--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -332,7 +332,11 @@
 		return result, outcomeUnknown
 	}
 	s.release(d, report)
-	s.recordResponse(a)
+	if result.Rest != nil {
+		result.Rest = &observedRest{ReadCloser: result.Rest, steerer: s, request: a, decision: d}
+	} else if resp.Header.Get(s.headers.Signature) != "" {
+		s.recordResponse(a)
+	}
 	s.logAttempt(a, d, resp.Status, "answered", took, nil)
 	return result, outcomeFinal
 }
--- a/internal/route/steerer/quarantine.go
+++ b/internal/route/steerer/quarantine.go
@@ -136,6 +136,27 @@
 	s.onEvidence()
 }
 
+// observedRest is the rest of a body that is streamed. Only at its end is it known whether the
+// upstream has crashed.
+type observedRest struct {
+	io.ReadCloser
+	steerer  *Steerer
+	request  *activeRequest
+	decision selector.Decision
+}
+
+// Read implements io.Reader.
+func (r *observedRest) Read(p []byte) (int, error) {
+	n, err := r.ReadCloser.Read(p)
+	switch {
+	case errors.Is(err, io.EOF):
+		r.steerer.recordResponse(r.request)
+	case err != nil:
+		r.steerer.recordBroken(r.request, r.decision, err)
+	}
+	return n, err
+}
+
 // recordResponse records that an upstream responded to a request.
 func (s *Steerer) recordResponse(a *activeRequest) {
 	if !s.quarantine.Empty() {
