--- a/internal/route/steerer/quarantine_test.go
+++ b/internal/route/steerer/quarantine_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"slices"
 	"sync"
 	"syscall"
 	"testing"
@@ -174,6 +175,33 @@
 	assert.Assert(t, q.Empty())
 }
 
+// TestCulpritWithOpenPort guards against a request that is never blamed since the ports of
+// upstreams that crashed accept connections: the next process is there at once, under the same
+// name or at the same address.
+func TestCulpritWithOpenPort(t *testing.T) {
+	t.Parallel()
+	for _, renamed := range []bool{false, true} {
+		t.Run(fmt.Sprint(renamed), func(t *testing.T) {
+			t.Parallel()
+			up, s, _ := newQuarantineFixture(t)
+			up.culprit, up.reachable = "/order/culprit", true
+			view := viewOf(16, 4)
+			for n := range 10 {
+				s.Steer(t.Context(), request("/order/culprit"))
+				time.Sleep(betweenAttempts)
+				for i := range view.Upstreams {
+					view.Upstreams[i].StartedMs++
+					if renamed {
+						view.Upstreams[i].Upstream = namer.Upstream(fmt.Sprintf("u%d-%d", i, n))
+					}
+				}
+				s.SetUpstreams(&cataloger.View{Upstreams: slices.Clone(view.Upstreams)})
+			}
+			assert.Equal(t, up.sentCount("/order/culprit"), 3)
+		})
+	}
+}
+
 // TestRequestQuarantinedWhileConnecting guards against a request that is sent although its
 // quarantine was learned before its first byte.
 func TestRequestQuarantinedWhileConnecting(t *testing.T) {
