messenger: a stop does not wait for a handshake

A planned stop could last up to 2 s longer than the process is left alive, and so end in a kill, when something had just connected to the peers' port and sent nothing yet.

Once a stop ends the services, the messenger waits until each accepted connection is served. Open sessions are closed at that moment, but a connection in its handshake was only ended by the timeout of 2 s. That comes after the requests' deadline and after the drain of callers' connections, for which no time was counted.

The connection is now closed when the messenger stops, during its handshake too. Closing is final, where a read deadline could be replaced by that of the handshake.

TestStopWithSilentPeer connects after the stop has found the VM idle. That a stop met this outside the test was not seen.

--- a/internal/kernel/runner/stop_test.go
+++ b/internal/kernel/runner/stop_test.go
@@ -245,3 +245,20 @@
 		})
 	}
 }
+
+// TestStopWithSilentPeer guards against a stop that exceeds its grace period because a connection
+// to the peers' port has sent nothing yet: the stop waited until its handshake timed out.
+func TestStopWithSilentPeer(t *testing.T) {
+	t.Parallel()
+	const grace = 2 * time.Second
+	f := newFixture(t)
+	run := func(d *daemon, ctx context.Context, s loader.Settings) error {
+		return runner.RunWithLogger(ctx, s, onMessage(d, "left", func() { dial(t, d.peers) }))
+	}
+	d := startWith(t, "vm-1", f.storeAddress, "", startOptions{grace: grace, run: run})
+	d.waitReady(t)
+	began := time.Now()
+	d.stop()
+	took := d.awaitStop(t, began)
+	assert.Assert(t, took < grace, "the stop took %v", took)
+}
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -153,7 +153,12 @@
 }
 
 func (m *Messenger) accept(ctx context.Context, conn net.Conn, h Handler) {
+	// Serve returns once all connections are served, and must not wait for a silent dialer.
+	stopClosing := context.AfterFunc(ctx, func() { _ = conn.Close() })
 	secured, remote, err := m.handshake(conn, false)
+	if !stopClosing() {
+		return
+	}
 	if err != nil {
 		_ = conn.Close()
 		m.log.Warn("rejected a peer connection", "address", conn.RemoteAddr().String(), "reason", err.Error())
