enroller: a withdrawal waits for a write that adds the VM

A VM that was stopped while it was being added to the platform's VM list could stay on the list after its end. VMs that know no peer then try to reach it.

Withdraw noted that the VM is withdrawn and removed it, though Serve may have looked at that note already and have a write in progress, which the store applied after the removal. It needs a stop at the start of the process, or after a restoration of the store, when each VM is added again.

Only one write is now in progress, and the note is read by the one that adds the VM. A withdrawal that waits longer than its context ends with an error, which the stop logs as before.

TestWithdrawWhileEnrolling failed before ("l.listed is true"). TestWithdrawWithSlowStore guards the limit of the wait; before, there was no wait. That a VM stayed on the list outside the test was not seen.

--- a/internal/member/enroller/enroller.go
+++ b/internal/member/enroller/enroller.go
@@ -16,6 +16,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
@@ -32,6 +33,9 @@
 	maxEnrollDelay = 20 * time.Second
 )
 
+// errWithdrawn is returned for a VM that is not added because it was withdrawn.
+var errWithdrawn = errors.New("the VM was withdrawn")
+
 type (
 	// VMList is the platform's VM list.
 	VMList interface {
@@ -50,12 +54,15 @@
 		clock     clockwork.Clock
 		log       *slog.Logger
 		withdrawn atomic.Bool
+		// writing holds a value while the list is written. Another write waits for it, since
+		// the store may apply writes in progress in any order.
+		writing chan struct{}
 	}
 )
 
 // New returns an enroller for the VM self.
 func New(list VMList, self storer.ListedVM, era LatestEra, clock clockwork.Clock, log *slog.Logger) *Enroller {
-	return &Enroller{list: list, self: self, latestEra: era, clock: clock, log: log}
+	return &Enroller{list: list, self: self, latestEra: era, clock: clock, log: log, writing: make(chan struct{}, 1)}
 }
 
 // Serve adds the VM to the list at the start and after each restoration of the store, until
@@ -63,7 +70,10 @@
 // ends.
 func (e *Enroller) Serve(ctx context.Context) error {
 	for ctx.Err() == nil && !e.withdrawn.Load() {
-		era, err := e.list.Enroll(ctx, e.self)
+		era, err := e.enroll(ctx)
+		if errors.Is(err, errWithdrawn) {
+			break
+		}
 		if err != nil {
 			e.log.Warn("writing to the VM list failed; retrying", "reason", err.Error())
 			e.sleep(ctx, retryInterval)
@@ -79,6 +89,16 @@
 	return nil
 }
 
+// enroll adds the VM to the list unless it was withdrawn.
+func (e *Enroller) enroll(ctx context.Context) (storer.Era, error) {
+	e.writing <- struct{}{}
+	defer func() { <-e.writing }()
+	if e.withdrawn.Load() {
+		return 0, errWithdrawn
+	}
+	return e.list.Enroll(ctx, e.self)
+}
+
 // sleep waits for d or until ctx ends.
 func (e *Enroller) sleep(ctx context.Context, d time.Duration) {
 	timer := e.clock.NewTimer(d)
@@ -89,8 +109,15 @@
 	}
 }
 
-// Withdraw removes the VM from the list for good.
+// Withdraw removes the VM from the list for good. It waits for a write that adds the VM until
+// ctx ends.
 func (e *Enroller) Withdraw(ctx context.Context) error {
 	e.withdrawn.Store(true)
+	select {
+	case e.writing <- struct{}{}:
+	case <-ctx.Done():
+		return errors.Wrap(ctx.Err(), "waiting for the write that adds the VM")
+	}
+	defer func() { <-e.writing }()
 	return e.list.Withdraw(ctx, e.self.VM)
 }
--- a/internal/member/enroller/enroller_test.go
+++ b/internal/member/enroller/enroller_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -139,3 +140,61 @@
 	cancel()
 	assert.NilError(t, <-done)
 }
+
+// slowList is a VM list whose store takes a while to add a VM.
+type slowList struct {
+	list
+	enrolling, proceed chan struct{}
+}
+
+// Enroll implements enroller.VMList.
+func (l *slowList) Enroll(ctx context.Context, vm storer.ListedVM) (storer.Era, error) {
+	l.enrolling <- struct{}{}
+	<-l.proceed
+	return l.list.Enroll(ctx, vm)
+}
+
+// startSlow starts an enroller on a list whose store does not proceed yet.
+func startSlow(t *testing.T) (l *slowList, e *enroller.Enroller) {
+	t.Helper()
+	l = &slowList{enrolling: make(chan struct{}), proceed: make(chan struct{})}
+	e = enroller.New(l, storer.ListedVM{VM: "vm-1"}, l.latestEra, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- e.Serve(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		assert.NilError(t, <-done)
+	})
+	<-l.enrolling
+	return l, e
+}
+
+// TestWithdrawWhileEnrolling guards against a VM that stays on the list after it has ended, because
+// it was withdrawn while a write that adds it was in progress.
+func TestWithdrawWhileEnrolling(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		l, e := startSlow(t)
+		withdrawn := make(chan error, 1)
+		go func() { withdrawn <- e.Withdraw(t.Context()) }()
+		synctest.Wait()
+		close(l.proceed)
+		assert.NilError(t, <-withdrawn)
+		synctest.Wait()
+		assert.Assert(t, !l.listed)
+	})
+}
+
+// TestWithdrawWithSlowStore guards against a stop that outlasts its time because a write that adds
+// the VM gets no response.
+func TestWithdrawWithSlowStore(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		l, e := startSlow(t)
+		defer close(l.proceed)
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		assert.ErrorIs(t, e.Withdraw(ctx), context.DeadlineExceeded)
+	})
+}
