messenger: a lack of file descriptors does not end the daemon

A daemon that had no file descriptor left when a peer connected ended at once, and with it the requests in progress that took longer than the drain.

The messenger took every error of Accept for final, and when one service ends, all are stopped. Callers' connections use file descriptors of the same process, so their number can bring this about. net/http retries in this case, on callers' ports. The messenger now does the same, after 50 ms, where the process or the kernel lacks resources. Other errors end it as before.

TestAcceptWithoutFileDescriptors fails one Accept with EMFILE. That a daemon ran out of file descriptors was not seen.

--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -23,6 +23,7 @@
 
 	"github.com/cockroachdb/errors"
 	"github.com/hashicorp/yamux"
+	"golang.org/x/sys/unix"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
@@ -34,6 +35,8 @@
 	writeTimeout       = 2 * time.Second
 	acceptBacklog      = 4096
 	streamCloseTimeout = 10 * time.Second
+	// acceptRetryDelay is how long the messenger waits for resources to accept connections again.
+	acceptRetryDelay = 50 * time.Millisecond
 )
 
 // ErrWrongIncarnation is returned when the peer at an address is not the incarnation
@@ -111,6 +114,11 @@
 		if ctx.Err() != nil {
 			return nil
 		}
+		if errors.IsAny(err, unix.EMFILE, unix.ENFILE, unix.ENOBUFS, unix.ENOMEM) {
+			m.log.Warn("peer connection not accepted; retrying", "reason", err.Error())
+			sleep(ctx, acceptRetryDelay)
+			continue
+		}
 		if err != nil {
 			return errors.Wrap(err, "accepting a peer connection")
 		}
@@ -118,6 +126,16 @@
 	}
 }
 
+// sleep waits for d or until ctx ends.
+func sleep(ctx context.Context, d time.Duration) {
+	timer := time.NewTimer(d)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
+
 // Call sends one request and waits for its reply. With a zero incarnation, any peer at
 // the address will do.
 func (m *Messenger) Call(
--- a/internal/peer/messenger/messenger_test.go
+++ b/internal/peer/messenger/messenger_test.go
@@ -3,6 +3,9 @@
 import (
 	"context"
 	"net"
+	"os"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -38,6 +41,10 @@
 func newNode(t *testing.T, inc byte, h messenger.Handler, keys ...string) node {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	return startNode(t, ln, inc, h, keys...)
+}
+
+func startNode(t *testing.T, ln net.Listener, inc byte, h messenger.Handler, keys ...string) node {
 	raw := make([][]byte, len(keys))
 	for i, k := range keys {
 		raw[i] = []byte(k)
@@ -228,3 +235,31 @@
 		})
 	}
 }
+
+// exhaustedListener fails to accept once, as when the process has no file descriptor left.
+type exhaustedListener struct {
+	net.Listener
+	failed atomic.Bool
+}
+
+// Accept implements net.Listener.
+func (l *exhaustedListener) Accept() (net.Conn, error) {
+	if l.failed.CompareAndSwap(false, true) {
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// TestAcceptWithoutFileDescriptors guards against a daemon that ends, with all requests in progress,
+// because it has no file descriptor left for a peer's connection.
+func TestAcceptWithoutFileDescriptors(t *testing.T) {
+	t.Parallel()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	a := startNode(t, &exhaustedListener{Listener: ln}, 1, echoVM, "k1")
+	b := newNode(t, 2, echoVM, "k1")
+	ctx, cancel := context.WithTimeout(t.Context(), testTimeout)
+	defer cancel()
+	_, err = b.Call(ctx, a.address, a.inc, pullRequest())
+	assert.NilError(t, err)
+}
