receiver: an upload that does not end before a stop's deadline is refused

A caller whose request's body was still arriving at the deadline of a planned stop got no response: its connection was closed. Nothing was sent on.

BeginShutdown says that reads of bodies end at its deadline, but the deadline was looked up when a read began. A read that began before the stop went on until the read time limit or the end of the drain.

The receiver now keeps the reads in progress, and BeginShutdown shortens them. Begin, end and stop of a read exclude each other, so that no shortened deadline is left on a connection whose body is complete.

TestUnfinishedUploadDuringStop waits for "100 Continue", which is sent when the read begins.

--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -22,6 +22,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -80,6 +81,10 @@
 		// lastRequest is the arrival of the latest request, in ns after createdAt.
 		lastRequest atomic.Int64
 		createdAt   time.Time
+
+		mu sync.Mutex
+		// bodyReads holds when each body that is being read has to be complete.
+		bodyReads map[*http.ResponseController]time.Time
 	}
 
 	// errorBody is the JSON body of every response that doesn't come from an upstream.
@@ -93,6 +98,7 @@
 func New(router Router, headers namer.HeaderNames, limits Limits, clock clockwork.Clock, log *slog.Logger) *Receiver {
 	return &Receiver{
 		router: router, headers: headers, limits: limits, clock: clock, log: log, createdAt: clock.Now(), latencies: recorder.New(),
+		bodyReads: make(map[*http.ResponseController]time.Time),
 	}
 }
 
@@ -100,7 +106,34 @@
 // reconnect to other VMs. Requests are still served. Reads of request bodies time
 // out at deadline, when the process exits.
 func (r *Receiver) BeginShutdown(deadline time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	r.shutdownDeadline.Store(&deadline)
+	for rc, end := range r.bodyReads {
+		if deadline.Before(end) {
+			_ = rc.SetReadDeadline(deadline)
+		}
+	}
+}
+
+// beginBodyRead limits the time to read a request's body.
+func (r *Receiver) beginBodyRead(rc *http.ResponseController, readTime time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	now := r.clock.Now()
+	if deadline := r.shutdownDeadline.Load(); deadline != nil {
+		readTime = min(readTime, max(0, deadline.Sub(now)))
+	}
+	r.bodyReads[rc] = now.Add(readTime)
+	// The error is ignored: if the connection is closed, reading the body fails too.
+	_ = rc.SetReadDeadline(time.Now().Add(readTime))
+}
+
+// endBodyRead notes that a request's body is not read any more.
+func (r *Receiver) endBodyRead(rc *http.ResponseController) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.bodyReads, rc)
 }
 
 // ShuttingDown reports whether BeginShutdown was called.
@@ -220,13 +253,9 @@
 		return nil, unavailable(steerer.CodeBusy, "the bodies in progress take all of their memory")
 	}
 	rc := http.NewResponseController(w)
-	readTime := limits.ReadTimeout
-	if deadline := r.shutdownDeadline.Load(); deadline != nil {
-		readTime = min(readTime, max(0, deadline.Sub(r.clock.Now())))
-	}
-	// The error is ignored: if the connection is closed, reading the body fails too.
-	_ = rc.SetReadDeadline(time.Now().Add(readTime))
+	r.beginBodyRead(rc, limits.ReadTimeout)
 	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, limits.MaxRequestBodyBytes))
+	r.endBodyRead(rc)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		r.bufferedBytes.Add(int64(len(body)))
--- a/internal/kernel/runner/stop_test.go
+++ b/internal/kernel/runner/stop_test.go
@@ -262,3 +262,22 @@
 	took := d.awaitStop(t, began)
 	assert.Assert(t, took < grace, "the stop took %v", took)
 }
+
+// TestUnfinishedUploadDuringStop guards against a connection that ends without a response because
+// the body of its request, begun before a stop, is still arriving at the stop's deadline.
+func TestUnfinishedUploadDuringStop(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	d := startReloading(t, f, 2*time.Second)
+	conn := dial(t, d.callers)
+	_, err := io.WriteString(conn, "POST /stock/1 HTTP/1.1\r\nHost: shop.example\r\nContent-Length: 4\r\nExpect: 100-continue\r\n\r\n")
+	assert.NilError(t, err)
+	status, _ := responseStatus(conn)
+	assert.Equal(t, status, http.StatusContinue)
+	_, err = io.WriteString(conn, "ab")
+	assert.NilError(t, err)
+	d.stop()
+	status, _ = responseStatus(conn)
+	d.awaitStop(t, time.Now())
+	assert.Equal(t, status, http.StatusRequestTimeout)
+}
