--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -3,12 +3,13 @@
 // otherwise take down upstream after upstream.
 //
 // A request is identified by fingerprints of what its repetitions have in common: one with
-// and one without its caller, either of which is enough to refuse it. Every request that was in flight when an upstream crashed is suspect, and most of them are
-// innocent. So the evidence against a request is the set of the upstream processes that
-// crashed under it, and a response to it clears it of all of them. A request is refused
-// once processes crashed under it at maxCrashes different times without a response in
-// between: those that end together have another cause. After a time that grows with each
-// further crash it may be sent to one upstream, to see whether the fault is mended.
+// and one without its caller, either of which is enough to refuse it. Every request that was
+// in flight when an upstream crashed is suspect, and most of them are innocent. So the
+// evidence against a request is the set of the upstream processes that crashed under it, and
+// a response to it clears it of all of them. A request is refused once processes crashed
+// under it at maxCrashes different times without a response in between: those that end
+// together have another cause. After a time that grows with each further crash it may be
+// sent to one upstream, to see whether the fault is mended.
 //
 // VMs exchange their evidence. Two sets are merged by their union, so that evidence may
 // arrive in any order and more than once. The package does no I/O.
@@ -26,9 +27,6 @@
 package quarantiner
 
 import (
-	"bytes"
-	"cmp"
-	"encoding/binary"
 	"maps"
 	"slices"
 	"sync"
@@ -130,20 +128,6 @@
 		forgot  time.Time
 	}
 
-	record struct {
-		crashes map[Process]Crash
-		evidence
-		changed time.Time
-	}
-
-	// evidence sums up the crashes under a request that are not cleared: the number of
-	// processes, at how many different times they crashed, and when the last one did.
-	evidence struct {
-		processes int
-		times     int
-		last      time.Time
-	}
-
 	// doubt holds the number of connections that a process broke and, for each request, the
 	// number of the last one that it was sent on.
 	doubt struct {
@@ -282,54 +266,6 @@
 	return out
 }
 
-// Merge adds another VM's evidence. It reports whether any of it was new.
-func (q *Quarantiner) Merge(now time.Time, records []Record) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	changed := false
-	for _, in := range records {
-		if q.records[in.Fingerprint] == nil && in.expired(now.Add(minTimeLeft)) {
-			continue
-		}
-		for _, c := range in.Crashes {
-			changed = now.Sub(c.At) < forgetTime && q.add(now, in.Fingerprint, c) || changed
-		}
-	}
-	q.forget(now)
-	return changed
-}
-
-// Changed returns the records that changed after a time, at most limit of them, those with
-// most crashes first.
-func (q *Quarantiner) Changed(after time.Time, limit int) []Record {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	if !q.changed.After(after) {
-		return nil
-	}
-	return q.list(limit, func(r *record) bool { return r.changed.After(after) })
-}
-
-// Refused returns the records of the requests that are refused, at most limit of them.
-func (q *Quarantiner) Refused(now time.Time, limit int) []Record {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.list(limit, func(r *record) bool { return r.refuses(now) })
-}
-
-// Hash returns a hash of the set of requests that are refused, 0 if there are none.
-func (q *Quarantiner) Hash(now time.Time) uint64 {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	hash := uint64(0)
-	for fp, r := range q.records {
-		if r.refuses(now) {
-			hash ^= binary.BigEndian.Uint64(fp[:])
-		}
-	}
-	return hash
-}
-
 // Counts returns the numbers of requests with evidence.
 func (q *Quarantiner) Counts(now time.Time) Counts {
 	q.mu.Lock()
@@ -346,33 +282,6 @@
 	return c
 }
 
-// list returns the matching records, those with most crashes first and of these the ones
-// that changed last. The caller holds q.mu.
-func (q *Quarantiner) list(limit int, matching func(r *record) bool) []Record {
-	type match struct {
-		fp Fingerprint
-		*record
-	}
-	var matches []match
-	for fp, r := range q.records {
-		if matching(r) {
-			matches = append(matches, match{fp, r})
-		}
-	}
-	slices.SortFunc(matches, func(x, y match) int {
-		if c := y.compare(x.record); c != 0 {
-			return c
-		}
-		return bytes.Compare(x.fp[:], y.fp[:])
-	})
-	matches = matches[:min(limit, len(matches))]
-	out := make([]Record, 0, len(matches))
-	for _, m := range matches {
-		out = append(out, Record{Fingerprint: m.fp, Crashes: m.sorted()})
-	}
-	return out
-}
-
 // doubtsAgainst returns the number of processes that may have crashed under a request. The
 // caller holds q.mu.
 func (q *Quarantiner) doubtsAgainst(fp Fingerprint) int {
@@ -433,85 +342,3 @@
 func (q *Quarantiner) countSize() {
 	q.size.Store(int64(len(q.records) + len(q.doubts)))
 }
-
-// add merges a crash into the record, and reports whether that changes it. Of the same
-// crash, the earliest time counts. The oldest crash beyond maxCrashesPerRecord is dropped.
-func (r *record) add(c Crash) bool {
-	known, ok := r.crashes[c.Process]
-	if ok && (known.Cleared || !c.Cleared) {
-		return false
-	}
-	if ok && known.At.Before(c.At) {
-		c.At = known.At
-	}
-	r.crashes[c.Process] = c
-	if len(r.crashes) > maxCrashesPerRecord {
-		oldest := slices.MinFunc(r.sorted(), func(x, y Crash) int { return x.At.Compare(y.At) })
-		delete(r.crashes, oldest.Process)
-		return oldest.Process != c.Process
-	}
-	return true
-}
-
-// sumUp returns the evidence of crashes.
-func sumUp(crashes []Crash) evidence {
-	var e evidence
-	slices.SortFunc(crashes, func(x, y Crash) int { return x.At.Compare(y.At) })
-	for _, c := range crashes {
-		if c.Cleared {
-			continue
-		}
-		e.processes++
-		if e.times == 0 || c.At.Sub(e.last) >= crashSpacing {
-			e.times++
-			e.last = c.At
-		}
-	}
-	return e
-}
-
-// refuses reports whether the request is refused.
-func (e evidence) refuses(now time.Time) bool {
-	return e.times >= maxCrashes && now.Sub(e.last) < e.hold()
-}
-
-// hold returns how long a request with enough evidence is refused.
-func (e evidence) hold() time.Duration {
-	hold := firstHold
-	for n := maxCrashes; n < e.times && hold < maxHold; n++ {
-		hold *= holdGrowth
-	}
-	return min(hold, maxHold)
-}
-
-// expired reports whether the record is of no further use.
-func (r Record) expired(now time.Time) bool {
-	last := time.Time{}
-	for _, c := range r.Crashes {
-		last = namer.Later(last, c.At)
-	}
-	if sumUp(slices.Clone(r.Crashes)).times >= maxCrashes {
-		return now.Sub(last) >= forgetTime
-	}
-	return now.Sub(last) >= suspectTime
-}
-
-// compare orders records by the number of crashes that count, then by their last change.
-func (r *record) compare(o *record) int {
-	if c := cmp.Compare(r.processes, o.processes); c != 0 {
-		return c
-	}
-	return r.changed.Compare(o.changed)
-}
-
-// sorted returns the crashes in the order of their processes.
-func (r *record) sorted() []Crash {
-	out := make([]Crash, 0, len(r.crashes))
-	for _, c := range r.crashes {
-		out = append(out, c)
-	}
-	slices.SortFunc(out, func(x, y Crash) int {
-		return cmp.Or(cmp.Compare(x.Upstream, y.Upstream), cmp.Compare(x.StartedMs, y.StartedMs))
-	})
-	return out
-}
