--- a/internal/route/steerer/quarantine_test.go
+++ b/internal/route/steerer/quarantine_test.go
@@ -34,8 +34,10 @@
 	reachable bool
 	down      map[namer.Upstream]bool
 	sent      map[string]int
-	// hold keeps a request from being sent until it is closed, nil sends at once.
-	hold chan struct{}
+	// hold keeps a request from being sent until it is closed, nil sends at once. connecting
+	// receives a value for each request that is held.
+	hold       chan struct{}
+	connecting chan struct{}
 }
 
 func newCrashingUpstreams() *crashingUpstreams {
@@ -58,6 +60,7 @@
 	hold := u.hold
 	u.mu.Unlock()
 	if hold != nil {
+		u.connecting <- struct{}{}
 		<-hold
 	}
 	if !r.Usable() {
@@ -207,10 +210,11 @@
 func TestRequestQuarantinedWhileConnecting(t *testing.T) {
 	t.Parallel()
 	up, s, q := newQuarantineFixture(t)
-	up.hold = make(chan struct{})
+	up.hold, up.connecting = make(chan struct{}), make(chan struct{})
 	r := request("/read/culprit")
 	done := make(chan steerer.Result, 1)
 	go func() { done <- s.Steer(t.Context(), r) }()
+	<-up.connecting
 	fp := quarantiner.FingerprintsOf(r.Caller, r.Method, r.Host, r.Target, r.Body)
 	for n := range 3 {
 		p := quarantiner.Process{Upstream: namer.Upstream(fmt.Sprintf("elsewhere%d", n)), StartedMs: 1}
