--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -25,6 +25,7 @@
 
 // cases maps a name to a function that plays the case, and reports whether the rule held.
 var cases = map[string]func(r *record, trouble bool) (bool, error){
+	"uploads":  playUploads,
 	"unframed": playUnframed,
 }
 
