--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -27,6 +27,7 @@
 var cases = map[string]func(r *record, trouble bool) (bool, error){
 	"uploads":  playUploads,
 	"unframed": playUnframed,
+	"stalled":  playStalled,
 }
 
 func main() {
