review: a slow backend's answer is cut and passes for complete

The daemon ends connections to peers that do not read for 2 s, and loses the error if the write of the request gets it.

--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -28,6 +28,8 @@
 	"uploads":  playUploads,
 	"unframed": playUnframed,
 	"stalled":  playStalled,
+	"slow":     playSlowAnswer,
+	"interim":  playInterim,
 }
 
 func main() {
--- a/review/_stand/stalled.go
+++ b/review/_stand/stalled.go
@@ -7,7 +7,6 @@
 	"net"
 	"net/http"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/platform"
@@ -95,98 +94,17 @@
 		return false, err
 	}
 	defer d.close()
-	err = d.configure(map[string]any{
-		"version": "r1",
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 64 << 20, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
-		"listeners": []any{map[string]any{"hostname": "shop.example", "ruleSet": []any{map[string]any{
-			"name": "orders", "kind": "non_idempotent", "targetLatency": "300ms", "priority": 1,
-			"match":  map[string]any{"pathPrefix": "/orders/"},
-			"action": map[string]any{"service": "desk", "timeout": orderDeadline.String(), "maxAttempts": 2, "allowedRegions": []string{}},
-		}}}},
-		"clusters": []any{map[string]any{"name": "desk", "healthCheckPath": "/healthz", "maxConnections": 330, "coldStart": "0s", "coldPerS": 1000}},
-	})
-	if err != nil {
-		return false, err
-	}
 	u := &stallingUpstream{id: "i-1", record: r, began: make(map[string]time.Time), broken: make(map[string]time.Time)}
-	l, err := net.Listen("tcp", net.JoinHostPort(d.host, "0"))
-	if err != nil {
-		return false, err
-	}
-	defer func() { _ = l.Close() }()
-	go u.serve(l)
-	err = d.store.Write(platform.UpstreamKind, u.id, map[string]any{
-		"address": l.Addr().String(), "born": time.Now().UnixMilli(),
-		"info":   map[string]any{"service": "desk", "zone": places[0].zone, "version": "v1", "slots": stallSlots},
-		"status": map[string]any{"state": "ready", "sequence": 1, "coldLeft": "0ms"},
-	})
+	v, address, err := d.startForStop(u.id, u.serve)
 	if err != nil {
 		return false, err
 	}
-	var seeds []string
-	v, err := d.addVM("edge-ctx-fbg-1", places[0], &seeds)
-	if err != nil {
-		return false, err
-	}
-	if err := d.waitReady(); err != nil {
-		return false, err
-	}
-	addresses, err := v.resolve("shop.example")
-	if err != nil || len(addresses) == 0 {
-		return false, fmt.Errorf("the directory names no address: %w", err)
-	}
-	results, stopped := sendOrders(r, v, addresses[0], trouble)
-	ended := make(map[string]int)
-	cut := 0
-	for _, res := range results {
-		ended[fmt.Sprintf("%s %d", res.how, res.status)]++
+	results, stopped := sendOrders(r, v, address, make([]byte, orderBytes), trouble)
+	began := func(attempt string) (time.Time, bool) {
 		u.mu.Lock()
-		began, atWork := u.began[res.attempt]
-		u.mu.Unlock()
-		early := res.endedAt.Before(res.sentAt.Add(orderDeadline - 100*time.Millisecond))
-		if !trouble || !atWork || res.how == endedAnswered || res.signed || !early || res.endedAt.Before(stopped) {
-			continue
-		}
-		cut++
-		r.note("lost: the backend was at work on %s for %d ms when the client got %s %d, %.1f s after the signal and %.1f s before its deadline",
-			res.attempt, res.endedAt.Sub(began).Milliseconds(), res.how, res.status, res.endedAt.Sub(stopped).Seconds(), time.Until(res.sentAt.Add(orderDeadline)).Seconds()+time.Since(res.endedAt).Seconds())
-	}
-	r.say("requests ended: %v", ended)
-	r.say("requests in a planned stop that the daemon broke off while the backend was at work: %d; allowed are none", cut)
-	return cut == 0, nil
-}
-
-// sendOrders sends orders before and after the signal to stop, and returns their results and
-// the time of the signal.
-func sendOrders(r *record, v *vm, address string, trouble bool) ([]result, time.Time) {
-	var mu sync.Mutex
-	var results []result
-	var clients sync.WaitGroup
-	body := make([]byte, orderBytes)
-	send := func(name string, wait time.Duration) {
-		c := &caller{name: name, host: "shop.example", record: r, address: func() string { return address }}
-		clients.Go(func() {
-			defer c.drop()
-			if res := c.do(call{method: "POST", path: "/orders/0", deadline: orderDeadline}); res.how != endedAnswered {
-				r.say("the first request of %s failed", name)
-			}
-			time.Sleep(wait)
-			res := c.do(call{method: "POST", path: "/orders/1", body: body, deadline: orderDeadline})
-			mu.Lock()
-			defer mu.Unlock()
-			results = append(results, res)
-		})
-	}
-	const untilSignal = 2 * time.Second
-	for i := range stallClients {
-		send(fmt.Sprintf("before%d", i), untilSignal-sentBefore)
-		send(fmt.Sprintf("after%d", i), untilSignal+sentAfter)
-	}
-	time.Sleep(untilSignal)
-	stopped := time.Now()
-	if trouble {
-		v.signal(syscall.SIGTERM)
+		defer u.mu.Unlock()
+		at, ok := u.began[attempt]
+		return at, ok
 	}
-	clients.Wait()
-	return results, stopped
+	return judgeStop(r, results, stopped, trouble, began), nil
 }
--- a/review/_stand/unframed.go
+++ b/review/_stand/unframed.go
@@ -16,6 +16,8 @@
 const (
 	// scanBytes is the size of an upload; the configuration's maxBodyBytes is 64 MiB.
 	scanBytes = 4 << 20
+	// scanDeadline is how long clients wait, and the timeout of the route.
+	scanDeadline = 4 * time.Second
 	// scanClients upload at the same time, scansPerClient bodies each.
 	scanClients    = 6
 	scansPerClient = 150
@@ -103,42 +105,32 @@
 		return false, err
 	}
 	defer d.close()
-	err = d.configure(map[string]any{
-		"version": "r1",
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 64 << 20, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
-		"listeners": []any{map[string]any{"hostname": "shop.example", "ruleSet": []any{map[string]any{
-			"name": "scans", "kind": "non_idempotent", "targetLatency": "300ms", "priority": 1, "sessionAffinity": true,
-			"match":  map[string]any{"pathPrefix": "/scans/"},
-			"action": map[string]any{"service": "desk", "timeout": "2500ms", "maxAttempts": 2, "allowedRegions": []string{}},
-		}}}},
-		"clusters": []any{map[string]any{"name": "desk", "healthCheckPath": "/healthz", "maxConnections": 330, "coldStart": "0s", "coldPerS": 1000}},
-	})
-	if err != nil {
-		return false, err
-	}
 	var upstreams []*unframedUpstream
+	var backends []func(net.Listener)
 	for i := range unframedUpstreams {
 		u := &unframedUpstream{id: fmt.Sprintf("i-%d", i), spoiled: trouble && i < spoiledUpstreams, record: r}
 		upstreams = append(upstreams, u)
-		if err := d.addUnframed(u, places[0].zone); err != nil {
-			return false, err
-		}
+		backends = append(backends, u.serve)
 	}
-	var seeds []string
-	v, err := d.addVM("edge-ctx-fbg-1", places[0], &seeds)
+	address, err := d.startScans(backends)
 	if err != nil {
 		return false, err
 	}
-	if err := d.waitReady(); err != nil {
-		return false, err
-	}
-	addresses, err := v.resolve("shop.example")
-	if err != nil || len(addresses) == 0 {
-		return false, fmt.Errorf("the directory names no address: %w", err)
+	results := uploadScans(r, address, scanClients, scansPerClient)
+	broken := 0
+	for _, u := range upstreams {
+		u.mu.Lock()
+		broken += u.broken
+		u.mu.Unlock()
 	}
-	results := uploadScans(r, addresses[0])
+	r.say("answers that backends broke off: %d", broken)
+	return judgeWhole(r, results), nil
+}
+
+// judgeWhole counts the successes whose body is not the backend's whole body.
+func judgeWhole(r *record, results []result) bool {
 	ended := make(map[string]int)
-	mixed, broken := 0, 0
+	mixed := 0
 	for _, res := range results {
 		ended[fmt.Sprintf("%s %d", res.how, res.status)]++
 		if res.how == endedAnswered && len(res.body) != answerBytes {
@@ -146,41 +138,71 @@
 			r.note("mixed: the client of %s got 200 with a complete body of %d bytes; the backend's answer has %d", res.attempt, len(res.body), answerBytes)
 		}
 	}
-	for _, u := range upstreams {
-		broken += u.broken
-	}
-	r.say("requests ended: %v; answers that backends broke off: %d", ended, broken)
+	r.say("requests ended: %v", ended)
 	r.say("successes with a body that is not the backend's whole body: %d; allowed are none", mixed)
-	return mixed == 0, nil
+	return mixed == 0
 }
 
-// addUnframed starts a backend and registers it in the store.
-func (d *deployment) addUnframed(u *unframedUpstream, zone string) error {
-	l, err := net.Listen("tcp", net.JoinHostPort(d.host, "0"))
-	if err != nil {
-		return err
-	}
-	d.closers = append(d.closers, func() { _ = l.Close() })
-	go u.serve(l)
-	return d.store.Write(platform.UpstreamKind, u.id, map[string]any{
-		"address": l.Addr().String(), "born": time.Now().UnixMilli(),
-		"info":   map[string]any{"service": "desk", "zone": zone, "version": "v1", "slots": 6},
-		"status": map[string]any{"state": "ready", "sequence": 1, "coldLeft": "0ms"},
+// startScans configures a route for long requests, and starts backends and a daemon. It
+// returns the daemon's address for clients.
+func (d *deployment) startScans(backends []func(net.Listener)) (string, error) {
+	err := d.configure(map[string]any{
+		"version": "r1",
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 64 << 20, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
+		"listeners": []any{map[string]any{"hostname": "shop.example", "ruleSet": []any{map[string]any{
+			"name": "scans", "kind": "non_idempotent", "targetLatency": "300ms", "priority": 1, "sessionAffinity": true,
+			"match":  map[string]any{"pathPrefix": "/scans/"},
+			"action": map[string]any{"service": "desk", "timeout": scanDeadline.String(), "maxAttempts": 2, "allowedRegions": []string{}},
+		}}}},
+		"clusters": []any{map[string]any{"name": "desk", "healthCheckPath": "/healthz", "maxConnections": 330, "coldStart": "0s", "coldPerS": 1000}},
 	})
+	if err != nil {
+		return "", err
+	}
+	zone := d.places[0].zone
+	for i, serve := range backends {
+		l, err := net.Listen("tcp", net.JoinHostPort(d.host, "0"))
+		if err != nil {
+			return "", err
+		}
+		d.closers = append(d.closers, func() { _ = l.Close() })
+		go serve(l)
+		err = d.store.Write(platform.UpstreamKind, fmt.Sprintf("i-%d", i), map[string]any{
+			"address": l.Addr().String(), "born": time.Now().UnixMilli(),
+			"info":   map[string]any{"service": "desk", "zone": zone, "version": "v1", "slots": 6},
+			"status": map[string]any{"state": "ready", "sequence": 1, "coldLeft": "0ms"},
+		})
+		if err != nil {
+			return "", err
+		}
+	}
+	var seeds []string
+	v, err := d.addVM("edge-"+zone+"-1", d.places[0], &seeds)
+	if err != nil {
+		return "", err
+	}
+	if err := d.waitReady(); err != nil {
+		return "", err
+	}
+	addresses, err := v.resolve("shop.example")
+	if err != nil || len(addresses) == 0 {
+		return "", fmt.Errorf("the directory names no address: %w", err)
+	}
+	return addresses[0], nil
 }
 
 // uploadScans runs the clients and returns the results of their requests.
-func uploadScans(r *record, address string) []result {
+func uploadScans(r *record, address string, n, each int) []result {
 	var mu sync.Mutex
 	var results []result
 	var clients sync.WaitGroup
 	body := make([]byte, scanBytes)
-	for i := range scanClients {
+	for i := range n {
 		clients.Go(func() {
 			c := &caller{name: fmt.Sprintf("upload%d", i), host: "shop.example", record: r, address: func() string { return address }}
 			defer c.drop()
-			for n := range scansPerClient {
-				res := c.do(call{method: "PUT", path: "/scans/1", object: fmt.Sprint(n), body: body, deadline: 2500 * time.Millisecond})
+			for k := range each {
+				res := c.do(call{method: "PUT", path: "/scans/1", object: fmt.Sprint(k*n + i), body: body, deadline: scanDeadline})
 				mu.Lock()
 				results = append(results, res)
 				mu.Unlock()
