--- a/review/_stand/main.go
+++ b/review/_stand/main.go
@@ -29,7 +29,6 @@
 	"unframed": playUnframed,
 	"stalled":  playStalled,
 	"slow":     playSlowAnswer,
-	"interim":  playInterim,
 }
 
 func main() {
--- a/review/_stand/stalled.go
+++ b/review/_stand/stalled.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/platform"
@@ -108,3 +109,103 @@
 	}
 	return judgeStop(r, results, stopped, trouble, began), nil
 }
+
+// startForStop configures a route with a timeout of orderDeadline, and starts a backend and a
+// daemon. It returns the daemon and its address for clients.
+func (d *deployment) startForStop(id string, serve func(net.Listener)) (*vm, string, error) {
+	err := d.configure(map[string]any{
+		"version": "r1",
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 64 << 20, "headerTimeout": "3000ms", "idleTimeout": "15000ms"},
+		"listeners": []any{map[string]any{"hostname": "shop.example", "ruleSet": []any{map[string]any{
+			"name": "orders", "kind": "non_idempotent", "targetLatency": "300ms", "priority": 1,
+			"match":  map[string]any{"pathPrefix": "/orders/"},
+			"action": map[string]any{"service": "desk", "timeout": orderDeadline.String(), "maxAttempts": 2, "allowedRegions": []string{}},
+		}}}},
+		"clusters": []any{map[string]any{"name": "desk", "healthCheckPath": "/healthz", "maxConnections": 330, "coldStart": "0s", "coldPerS": 1000}},
+	})
+	if err != nil {
+		return nil, "", err
+	}
+	l, err := net.Listen("tcp", net.JoinHostPort(d.host, "0"))
+	if err != nil {
+		return nil, "", err
+	}
+	d.closers = append(d.closers, func() { _ = l.Close() })
+	go serve(l)
+	err = d.store.Write(platform.UpstreamKind, id, map[string]any{
+		"address": l.Addr().String(), "born": time.Now().UnixMilli(),
+		"info":   map[string]any{"service": "desk", "zone": d.places[0].zone, "version": "v1", "slots": stallSlots},
+		"status": map[string]any{"state": "ready", "sequence": 1, "coldLeft": "0ms"},
+	})
+	if err != nil {
+		return nil, "", err
+	}
+	var seeds []string
+	v, err := d.addVM("edge-ctx-fbg-1", d.places[0], &seeds)
+	if err != nil {
+		return nil, "", err
+	}
+	if err := d.waitReady(); err != nil {
+		return nil, "", err
+	}
+	addresses, err := v.resolve("shop.example")
+	if err != nil || len(addresses) == 0 {
+		return nil, "", fmt.Errorf("the directory names no address: %w", err)
+	}
+	return v, addresses[0], nil
+}
+
+// judgeStop counts the requests that the daemon broke off after the signal although their
+// backend was at work and their deadline was not near.
+func judgeStop(r *record, results []result, stopped time.Time, trouble bool, began func(string) (time.Time, bool)) bool {
+	ended := make(map[string]int)
+	cut := 0
+	for _, res := range results {
+		ended[fmt.Sprintf("%s %d", res.how, res.status)]++
+		at, atWork := began(res.attempt)
+		left := res.sentAt.Add(orderDeadline).Sub(res.endedAt)
+		if !trouble || !atWork || res.how == endedAnswered || res.signed || left < 100*time.Millisecond || res.endedAt.Before(stopped) {
+			continue
+		}
+		cut++
+		r.note("lost: the backend was at work on %s for %d ms when the client got %s %d, %.1f s after the signal and %.1f s before its deadline",
+			res.attempt, res.endedAt.Sub(at).Milliseconds(), res.how, res.status, res.endedAt.Sub(stopped).Seconds(), left.Seconds())
+	}
+	r.say("requests ended: %v", ended)
+	r.say("requests in a planned stop that the daemon broke off while the backend was at work: %d; allowed are none", cut)
+	return cut == 0
+}
+
+// sendOrders sends orders before and after the signal to stop, and returns their results and
+// the time of the signal.
+func sendOrders(r *record, v *vm, address string, body []byte, trouble bool) ([]result, time.Time) {
+	var mu sync.Mutex
+	var results []result
+	var clients sync.WaitGroup
+	send := func(name string, wait time.Duration) {
+		c := &caller{name: name, host: "shop.example", record: r, address: func() string { return address }}
+		clients.Go(func() {
+			defer c.drop()
+			if res := c.do(call{method: "POST", path: "/orders/0", deadline: orderDeadline}); res.how != endedAnswered {
+				r.say("the first request of %s failed", name)
+			}
+			time.Sleep(wait)
+			res := c.do(call{method: "POST", path: "/orders/1", body: body, deadline: orderDeadline})
+			mu.Lock()
+			defer mu.Unlock()
+			results = append(results, res)
+		})
+	}
+	const untilSignal = 2 * time.Second
+	for i := range stallClients {
+		send(fmt.Sprintf("before%d", i), untilSignal-sentBefore)
+		send(fmt.Sprintf("after%d", i), untilSignal+sentAfter)
+	}
+	time.Sleep(untilSignal)
+	stopped := time.Now()
+	if trouble {
+		v.signal(syscall.SIGTERM)
+	}
+	clients.Wait()
+	return results, stopped
+}
