--- a/review/_stand/slowanswer.go
+++ b/review/_stand/slowanswer.go
@@ -32,7 +32,7 @@
 // before it has read a long body, and reads on when it has answered.
 type slowAnswerUpstream struct {
 	id     string
-	factor time.Duration
+	factor int
 	record *record
 }
 
@@ -59,7 +59,7 @@
 	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 200.%s.%d\r\nConnection: close\r\n\r\n", h.AttemptID, attempt, h.Signature, attempt, answerBytes)
 	part := strings.Repeat("0123456789abcdef", answerBytes/answerParts/16)
 	for i := 0; i < answerParts && err == nil; i++ {
-		time.Sleep(u.factor * answerTime / answerParts)
+		time.Sleep(time.Duration(u.factor) * answerTime / answerParts)
 		if _, err = io.WriteString(conn, part); err != nil {
 			u.record.note("backend %s: the connection of %s ended after %d of %d bytes of the answer: %v", u.id, attempt, i*len(part), answerBytes, err)
 		}
