--- a/review/_stand/slowanswer.go
+++ b/review/_stand/slowanswer.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/platform"
@@ -19,6 +20,8 @@
 	// long a slow one takes.
 	answerTime = 500 * time.Millisecond
 	slowFactor = 5
+	// slowTime is how long that lasts, from a backend's first request.
+	slowTime = 9 * time.Second
 	// slowAnswerUpstreams is the number of backends; slowUpstreams of them, a share of 0.375,
 	// turn slow.
 	slowAnswerUpstreams = 8
@@ -34,6 +37,22 @@
 	id     string
 	factor int
 	record *record
+
+	mu    sync.Mutex
+	first time.Time
+}
+
+// partTime returns how long the backend takes to send a part of an answer.
+func (u *slowAnswerUpstream) partTime() time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.first.IsZero() {
+		u.first = time.Now()
+	}
+	if time.Since(u.first) > slowTime {
+		return answerTime / answerParts
+	}
+	return time.Duration(u.factor) * answerTime / answerParts
 }
 
 func (u *slowAnswerUpstream) serve(l net.Listener) {
@@ -59,7 +78,7 @@
 	_, err = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\n%s: %s\r\n%s: 200.%s.%d\r\nConnection: close\r\n\r\n", h.AttemptID, attempt, h.Signature, attempt, answerBytes)
 	part := strings.Repeat("0123456789abcdef", answerBytes/answerParts/16)
 	for i := 0; i < answerParts && err == nil; i++ {
-		time.Sleep(time.Duration(u.factor) * answerTime / answerParts)
+		time.Sleep(u.partTime())
 		if _, err = io.WriteString(conn, part); err != nil {
 			u.record.note("backend %s: the connection of %s ended after %d of %d bytes of the answer: %v", u.id, attempt, i*len(part), answerBytes, err)
 		}
--- a/review/_stand/unframed.go
+++ b/review/_stand/unframed.go
@@ -28,6 +28,8 @@
 	unframedUpstreams = 4
 	spoiledUpstreams  = 2
 	breakOffEvery     = 20
+	// spoiledTime is how long that lasts, from a backend's first answer.
+	spoiledTime = 5 * time.Second
 	// answerDelay is how long a backend works before it answers.
 	answerDelay = 20 * time.Millisecond
 )
@@ -41,6 +43,7 @@
 	record  *record
 
 	mu      sync.Mutex
+	first   time.Time
 	answers int
 	broken  int
 }
@@ -49,8 +52,11 @@
 func (u *unframedUpstream) breaksOff() bool {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.answers == 0 {
+		u.first = time.Now()
+	}
 	u.answers++
-	if !u.spoiled || u.answers%breakOffEvery != 0 {
+	if !u.spoiled || u.answers%breakOffEvery != 0 || time.Since(u.first) > spoiledTime {
 		return false
 	}
 	u.broken++
