steerer: the line of an attempt names the process and how long it counts as cold

The logs did not tell whether a flood comes from VMs that take a new process for the one before, or from VMs that know it as cold.

--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -91,6 +91,8 @@
 		// age of the load that the upstream last reported.
 		Load    float64
 		LoadAge time.Duration
+		// ColdLeft is how much longer the upstream is known to be cold, 0 when it is not.
+		ColdLeft time.Duration
 		// Zone is the upstream's zone.
 		Zone namer.Zone
 
@@ -239,7 +241,7 @@
 // candidate's position in the object's order, usual the route's usual processing time.
 func (s *Selector) evaluate(now time.Time, u *upstreamState, position int, usual time.Duration) Decision {
 	load := u.estimatedLoad(now)
-	d := Decision{upstream: u, Zone: u.Zone, Load: load, LoadAge: u.loadAge(now), Reason: ReasonPrimary, warm: position < warmCopies}
+	d := Decision{upstream: u, Zone: u.Zone, Load: load, LoadAge: u.loadAge(now), ColdLeft: u.coldLeft(now), Reason: ReasonPrimary, warm: position < warmCopies}
 	processing := u.expectedProcessingTime(now, usual)
 	switch {
 	case position == 1:
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -247,6 +247,11 @@
 	return now.Before(u.ColdUntil)
 }
 
+// coldLeft returns how much longer the upstream is known to be cold, at least 0.
+func (u *upstreamState) coldLeft(now time.Time) time.Duration {
+	return max(0, u.ColdUntil.Sub(now))
+}
+
 // decayFactor returns the factor by which a value decays exponentially within a time.
 func decayFactor(age, halfLife time.Duration) float64 {
 	if age <= 0 {
