selector: requests to an upstream count in its limit before it is known to be cold

Callers saw an upstream that had just started again crash under their requests. A VM counted requests to it only from the news of the new process on, with fresh state, so that the second around the news held the VM's share on top of what it had sent before.

Each request is now counted when its upstream is chosen, and again when its first byte is about to be written; a new process at the same address inherits the count, and what could not be sent leaves it. An attempt that was chosen while the upstream was taken for warm is checked once more before it is sent.

It stays broken since the VMs don't know of the new process for half a second; that is a fault of its own.

--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -71,7 +71,8 @@
 	}
 }
 
-// stateOf returns the state of an upstream. A new process starts with fresh state.
+// stateOf returns the state of an upstream. A new process starts with fresh state, but what
+// was sent to its address lately may have reached it.
 func (s *Selector) stateOf(u cataloger.Upstream) *upstreamState {
 	known, ok := s.upstreams[u.Upstream]
 	if ok && known.StartedMs == u.StartedMs && known.Address == u.Address {
@@ -82,7 +83,11 @@
 		}
 		return known
 	}
-	return &upstreamState{Upstream: u, hash: xxhash.Sum64String(string(u.Upstream)), slowness: 1, successRate: 1}
+	state := &upstreamState{Upstream: u, hash: xxhash.Sum64String(string(u.Upstream)), slowness: 1, successRate: 1, pacer: &pacer.Pacer{}}
+	if ok && known.Address == u.Address {
+		state.pacer = known.pacer
+	}
+	return state
 }
 
 // candidates returns the upstreams that a request may be sent to now, in its object's
@@ -173,11 +178,18 @@
 	if slices.Contains(r.Tried, u.Upstream.Upstream) {
 		return false
 	}
-	if !u.isCold(now) || u.coldRate <= 0 {
-		return true
-	}
-	share := pacer.Share(int(float64(u.coldRate)*coldRateFraction), s.vms, s.rank(u.Upstream.Upstream))
-	return u.coldPacer.CanSend(now, share)
+	return !s.isPaced(now, u) || u.pacer.CanSend(now, s.coldShare(u))
+}
+
+// isPaced reports whether the rate of requests to an upstream is limited.
+func (s *Selector) isPaced(now time.Time, u *upstreamState) bool {
+	return u.isCold(now) && u.coldRate > 0
+}
+
+// coldShare returns how many requests this VM may send within the pacer's window to an upstream
+// while it is cold.
+func (s *Selector) coldShare(u *upstreamState) int {
+	return pacer.Share(int(float64(u.coldRate)*coldRateFraction), s.vms, s.rank(u.Upstream.Upstream))
 }
 
 // rendezvousScore returns the score of one zone or upstream by weighted rendezvous
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -24,11 +24,13 @@
 package selector
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/share/pacer"
 	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
@@ -96,6 +98,7 @@
 		// Zone is the upstream's zone.
 		Zone namer.Zone
 
+		id       pacer.ID
 		upstream *upstreamState
 		target   cataloger.Target
 		route    namer.Route
@@ -127,6 +130,7 @@
 		vms         int
 		zoneVMs     int
 		rank        func(namer.Upstream) int
+		lastID      pacer.ID
 	}
 
 	service struct {
@@ -215,6 +219,8 @@
 	best.route = r.Route.Name
 	best.target = best.upstream.target()
 	best.target.RTT = s.rtt(best.upstream)
+	s.lastID++
+	best.id = s.lastID
 	return withAction(now, r, best)
 }
 
@@ -287,13 +293,25 @@
 func (s *Selector) Begin(now time.Time, d Decision) {
 	d.upstream.inFlight++
 	s.crossRegion.record(now, d.crossRegion)
-	if d.upstream.isCold(now) {
-		d.upstream.coldPacer.RecordSend(now)
+	d.upstream.pacer.Reserve(now, d.id)
+}
+
+// Admit reports whether a request for which Begin was called may be sent now, on a connection
+// to the upstream of its decision. The upstream may have been found to be cold meanwhile.
+func (s *Selector) Admit(now time.Time, d Decision) bool {
+	if !s.Usable(now, d) {
+		return false
+	}
+	u := d.upstream
+	limit := math.MaxInt
+	if s.isPaced(now, u) {
+		limit = s.coldShare(u)
 	}
+	return u.pacer.Confirm(now, d.id, limit)
 }
 
-// Usable reports whether the upstream of a decision still runs as the same process and
-// may get a request now.
+// Usable reports whether the upstream of a decision still runs as the same process, as far as
+// this VM knows, and takes requests.
 func (s *Selector) Usable(now time.Time, d Decision) bool {
 	return s.upstreams[d.target.Upstream] == d.upstream && !s.isDraining(d.upstream) && d.upstream.notice.pauseLeft(now) == 0
 }
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -75,8 +75,8 @@
 	// retryAt is the end of the backoff after a failure to connect.
 	retryAt time.Time
 	// warmedAt is reset after a failure to connect, and is not read.
-	warmedAt  time.Time
-	coldPacer pacer.Pacer
+	warmedAt time.Time
+	pacer    *pacer.Pacer
 }
 
 // loadReport is the load that an upstream reported, and this VM's requests in flight
@@ -89,6 +89,8 @@
 
 // Report describes the outcome of a request for which Begin was called.
 type Report struct {
+	// Unsent means that nothing was sent.
+	Unsent bool
 	// Inconclusive means that the outcome says nothing about the upstream: nothing was
 	// sent, or the caller went away.
 	Inconclusive bool
@@ -121,6 +123,9 @@
 	if r.Load >= 0 {
 		u.reported = loadReport{requests: float64(r.Load), inFlight: u.inFlight, at: now}
 	}
+	if r.Unsent {
+		u.pacer.Cancel(d.id)
+	}
 	s.recordNotice(now, u, r)
 	switch {
 	case r.Inconclusive:
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -111,7 +111,7 @@
 		d := s.acquireUpstream(ctx, a)
 		if ctx.Err() != nil {
 			if d.Action == selector.Send {
-				s.release(d, selector.Report{Load: -1, Inconclusive: true})
+				s.release(d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
 			}
 			return failure(http.StatusServiceUnavailable, CodeCallerGone, "the caller has gone", 0)
 		}
@@ -228,9 +228,13 @@
 	target := d.Target()
 	start := s.clock.Now()
 	timeLeft := a.deadline.Sub(start)
-	sendable := func() bool { return s.usable(d) && !s.isQuarantined(a) }
+	admitted := true
+	admit := func() bool {
+		admitted = !s.isQuarantined(a) && s.admit(d)
+		return admitted
+	}
 	if timeLeft < minSendTime {
-		s.release(d, selector.Report{Load: -1, Inconclusive: true})
+		s.release(d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
 		return failure(http.StatusServiceUnavailable, CodeDeadlineExceeded, "no time is left", s.retryAfter(a)), outcomeUnsent
 	}
 	resp, err := s.upstreams.Exchange(ctx,
@@ -242,7 +246,7 @@
 			AttemptHeader: s.headers.AttemptID,
 			AttemptID:     a.request.AttemptID,
 			Deadline:      a.deadline,
-			Usable:        sendable,
+			Usable:        admit,
 			CallerGone:    func() bool { return a.callerGone(ctx) },
 			// A once-only request that was sent goes on when its caller disconnects.
 			Detached: a.route.Once,
@@ -250,10 +254,11 @@
 	a.tried = append(a.tried, target.Upstream)
 	took := s.clock.Since(start)
 	if errors.Is(err, exchanger.ErrNotSent) {
-		// If the caller disconnected, the request was quarantined, or the upstream was removed
-		// or drained meanwhile, the error does not show that the upstream is unreachable.
-		inconclusive := a.callerGone(ctx) || !sendable()
-		s.release(d, selector.Report{ConnectFailed: !inconclusive, Inconclusive: inconclusive, Load: -1})
+		// If the caller disconnected, the request was quarantined, or the upstream was removed,
+		// drained or found to be cold meanwhile, the error does not show that the upstream is
+		// unreachable.
+		inconclusive := a.callerGone(ctx) || !admitted || s.isQuarantined(a) || !s.usable(d)
+		s.release(d, selector.Report{Unsent: true, ConnectFailed: !inconclusive, Inconclusive: inconclusive, Load: -1})
 		s.logAttempt(a, d, 0, "unreached", took, err)
 		if a.callerGone(ctx) {
 			return Result{}, outcomeCanceled
@@ -280,6 +285,13 @@
 	return s.selector.Usable(s.clock.Now(), d)
 }
 
+// admit reports whether a request may be sent to the upstream of its decision now.
+func (s *Steerer) admit(d selector.Decision) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.selector.Admit(s.clock.Now(), d)
+}
+
 // handleSendError handles a request that was sent and got no complete response. The
 // upstream may have run it.
 func (s *Steerer) handleSendError(
--- a/internal/share/pacer/pacer.go
+++ b/internal/share/pacer/pacer.go
@@ -3,28 +3,45 @@
 // one request, only some of the VMs send.
 //
 // It handles upstreams of a zone that come back together with empty caches, when all
-// waiting requests would be sent to them at once.
+// waiting requests would be sent to them at once. Requests are counted at all times, so
+// that those that were sent before the upstream was found to be cold count in its limit.
 //
 // # Usage
 //
 //	limit := pacer.Share(total, vms, rank)
 //	if p.CanSend(now, limit) {
-//		p.RecordSend(now)
-//		// Send.
+//		p.Reserve(now, id)
+//		// Open a connection.
+//		if p.Confirm(now, id, limit) {
+//			// Send.
+//		}
 //	}
 package pacer
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // countWindow is the time over which requests are counted. The platform's limit is
 // on any second; the extra 200 ms cover the network delay to the upstream.
 const countWindow = 1200 * time.Millisecond
 
-// Pacer holds the times of the recent requests to one upstream. It does no I/O and
-// is not safe for concurrent use.
-type Pacer struct {
-	sent []time.Time
-}
+type (
+	// ID identifies a request at one upstream.
+	ID uint64
+
+	// Pacer holds the times of the recent requests to one upstream. It does no I/O and
+	// is not safe for concurrent use.
+	Pacer struct {
+		requests []request
+	}
+
+	request struct {
+		id ID
+		at time.Time
+	}
+)
 
 // Share returns one VM's share of a total that is divided among vms VMs. Rank is the
 // VM's position among them, from 0. When the total is less than the number of VMs,
@@ -43,16 +60,33 @@
 // CanSend reports whether another request is within the limit.
 func (p *Pacer) CanSend(now time.Time, limit int) bool {
 	p.expire(now)
-	return len(p.sent) < limit
+	return len(p.requests) < limit
+}
+
+// Reserve counts a request that is about to be sent.
+func (p *Pacer) Reserve(now time.Time, id ID) {
+	p.expire(now)
+	p.requests = append(p.requests, request{id: id, at: now})
+}
+
+// Confirm counts a reserved request as sent now, and reports whether the requests are within
+// the limit. If they are not, the request must not be sent and no longer counts.
+func (p *Pacer) Confirm(now time.Time, id ID, limit int) bool {
+	p.Cancel(id)
+	if !p.CanSend(now, limit) {
+		return false
+	}
+	p.Reserve(now, id)
+	return true
 }
 
-// RecordSend counts a request that was sent.
-func (p *Pacer) RecordSend(now time.Time) {
-	p.sent = append(p.sent, now)
+// Cancel removes a request that was not sent.
+func (p *Pacer) Cancel(id ID) {
+	p.requests = slices.DeleteFunc(p.requests, func(r request) bool { return r.id == id })
 }
 
 func (p *Pacer) expire(now time.Time) {
-	for len(p.sent) > 0 && now.Sub(p.sent[0]) >= countWindow {
-		p.sent = p.sent[1:]
+	for len(p.requests) > 0 && now.Sub(p.requests[0].at) >= countWindow {
+		p.requests = p.requests[1:]
 	}
 }
--- a/internal/share/pacer/pacer_test.go
+++ b/internal/share/pacer/pacer_test.go
@@ -33,10 +33,10 @@
 	var p pacer.Pacer
 	now := time.Unix(1000, 0)
 	var sent []time.Time
-	for range 5000 {
+	for id := range pacer.ID(5000) {
 		now = now.Add(time.Millisecond)
 		if p.CanSend(now, limit) {
-			p.RecordSend(now)
+			p.Reserve(now, id)
 			sent = append(sent, now)
 		}
 	}
