steerer: an upstream whose connections have ended counts as cold

Callers saw an upstream that crashed and started again under its name get the load of a warm one, and crash again. A VM told processes of an upstream apart by the start time in its record alone. From the start of the next process until its record was read, 0.5 to 0.8 s and longer while the store is slow or silent, each VM took it for the one before: warm, with that one's load, success rate and place among the objects' homes. Refused connections and connections that ended together, which every VM saw, only made a backoff, and then the backlog was sent at once.

A connection belongs to one process. The exchanger now says when the last open connection to a process has ended, its host refuses connections, or it does not respond while nothing else was heard from it; idle connections and those in use are asked by poll(2). From then on the upstream counts as cold, within the VM's share of the limit, until the store tells of another process or until it has been reachable for the warm-up time: whatever process runs there started before the first connection to it. Probes find that out also for a VM that has no share.

An upstream whose process went on (its connections were reset, or the link was cut) is limited for that time, too, if this VM has no other connection to it. Deadlines, connections that this VM closed, and announced ends are no reason.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -219,6 +219,7 @@
 		self := selector.Self{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
 		budget := steerer.RetryBudget{Ratio: s.Routing.RetryRatio, Window: s.Routing.RetryWindow, Started: clock.Now()}
 		st := steerer.New(self, platform.Headers(), budget, upstreamClient, clock, log)
+		upstreamClient.OnLost(st.RecordLost)
 		upstreams := f.Find(upstreamsName).(*follower.Follower)
 		st.SetViewAgeFunc(func() time.Duration {
 			age, _ := upstreams.Age()
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -48,6 +48,7 @@
 		state.region = s.self.Regions[u.Zone]
 		state.maxIdleConns = max(1, svc.MaxConns/s.vms)
 		state.coldRate = svc.MaxColdRate
+		state.warmup = svc.Warmup
 		state.notice = s.noticeOf(state)
 		if returned[u.Zone] {
 			state.ColdUntil = now.Add(svc.Warmup)
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -303,6 +303,7 @@
 		return false
 	}
 	u := d.upstream
+	u.recordContact(now)
 	limit := math.MaxInt
 	if s.isPaced(now, u) {
 		limit = s.coldShare(u)
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -74,9 +74,11 @@
 	connectFailures int
 	// retryAt is the end of the backoff after a failure to connect.
 	retryAt time.Time
-	// warmedAt is reset after a failure to connect, and is not read.
-	warmedAt time.Time
-	pacer    *pacer.Pacer
+	// lost says that this VM's connections to the process have ended and none has opened
+	// since, so that the next one may reach another process.
+	lost   bool
+	warmup time.Duration
+	pacer  *pacer.Pacer
 }
 
 // loadReport is the load that an upstream reported, and this VM's requests in flight
@@ -188,8 +190,6 @@
 	pause := initialBackoff << min(u.connectFailures, 10)
 	u.connectFailures++
 	u.retryAt = now.Add(min(pause, maxBackoff))
-	// An upstream that was down comes back cold.
-	u.warmedAt = time.Time{}
 }
 
 // recordOutcome adds one outcome to the upstream's success rate.
@@ -249,7 +249,7 @@
 }
 
 func (u *upstreamState) isCold(now time.Time) bool {
-	return now.Before(u.ColdUntil)
+	return u.lost || now.Before(u.ColdUntil)
 }
 
 // coldLeft returns how much longer the upstream is known to be cold, at least 0.
--- /dev/null
+++ b/internal/route/steerer/lost.go
@@ -0,0 +1,66 @@
+package steerer
+
+import (
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
+)
+
+// The delay between probes of an upstream that is not reachable doubles from initialProbeDelay
+// to maxProbeDelay.
+const (
+	initialProbeDelay = 250 * time.Millisecond
+	maxProbeDelay     = 2 * time.Second
+)
+
+// lostProbe is the next probe of an upstream that is lost.
+type lostProbe struct {
+	delay     time.Duration
+	scheduled bool
+}
+
+// RecordLost records that an upstream's process may have ended, and probes the upstream until
+// it is reachable. Until the store tells of a new process, or the upstream has been reachable
+// for its warm-up time, it counts as cold.
+func (s *Steerer) RecordLost(t cataloger.Target) {
+	s.mu.Lock()
+	isNew := s.selector.RecordLost(t)
+	if isNew {
+		s.counts.Lost++
+		if s.lostProbes[processOf(t)] == nil {
+			s.lostProbes[processOf(t)] = &lostProbe{delay: initialProbeDelay}
+		}
+	}
+	s.mu.Unlock()
+	if isNew {
+		s.log.Info("upstream lost; it counts as cold until its process is known", "upstream", string(t.Upstream), "born", t.StartedMs)
+		s.startProbe(t)
+	}
+}
+
+// recordProbed records the result of a probe, and schedules the next one if the upstream is
+// still not reachable.
+func (s *Steerer) recordProbed(t cataloger.Target, err error) {
+	p := processOf(t)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if err == nil {
+		s.selector.RecordContact(s.clock.Now(), t)
+	}
+	next := s.lostProbes[p]
+	if !s.selector.IsLost(t) {
+		delete(s.lostProbes, p)
+		return
+	}
+	if next == nil || next.scheduled {
+		return
+	}
+	next.scheduled = true
+	s.clock.AfterFunc(next.delay, func() {
+		s.mu.Lock()
+		next.scheduled = false
+		s.mu.Unlock()
+		s.startProbe(t)
+	})
+	next.delay = min(2*next.delay, maxProbeDelay)
+}
--- a/internal/route/steerer/quarantine.go
+++ b/internal/route/steerer/quarantine.go
@@ -96,6 +96,7 @@
 	s.mu.Lock()
 	delete(s.probing, p)
 	s.mu.Unlock()
+	s.recordProbed(t, err)
 	switch {
 	case err == nil:
 		if s.quarantine.RecordAlive(p, broken) {
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -135,8 +135,9 @@
 		checkScheduled bool
 		measuringRTT   map[namer.Zone]bool
 		// probing holds the processes whose connections are being probed.
-		probing map[quarantiner.Process]bool
-		counts  Counts
+		probing    map[quarantiner.Process]bool
+		lostProbes map[quarantiner.Process]*lostProbe
+		counts     Counts
 		// zoneCopies holds the routes for whose objects each zone keeps its own copies.
 		zoneCopies map[namer.Route]namer.Service
 		// shutdownTime is when this process ends, or zero if no shutdown is planned.
@@ -150,13 +151,15 @@
 	}
 
 	// Counts are the results of requests since the process started. Resent counts the
-	// retries out of the retry budget, Waited the requests that were queued.
+	// retries out of the retry budget, Waited the requests that were queued, and Lost the
+	// times at which an upstream's process was found to have ended, or to be unreachable.
 	Counts struct {
 		Answered int64
 		Refused  int64
 		Failed   int64
 		Resent   int64
 		Waited   int64
+		Lost     int64
 	}
 )
 
@@ -176,6 +179,7 @@
 		queues:       make(map[namer.Service]*queue),
 		measuringRTT: make(map[namer.Zone]bool),
 		probing:      make(map[quarantiner.Process]bool),
+		lostProbes:   make(map[quarantiner.Process]*lostProbe),
 		quarantine:   quarantiner.New(),
 		onEvidence:   func() {},
 		viewAge:      func() time.Duration { return 0 },
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -85,7 +85,8 @@
 
 	// Exchanger sends requests to upstreams over pooled connections.
 	Exchanger struct {
-		clock clockwork.Clock
+		clock  clockwork.Clock
+		onLost func(cataloger.Target)
 
 		mu    sync.Mutex
 		pools map[poolKey]*pool
@@ -95,10 +96,17 @@
 // New returns an Exchanger without connections, and a function that closes the idle
 // ones.
 func New(clock clockwork.Clock) (*Exchanger, func()) {
-	x := &Exchanger{clock: clock, pools: make(map[poolKey]*pool)}
+	x := &Exchanger{clock: clock, onLost: func(cataloger.Target) {}, pools: make(map[poolKey]*pool)}
 	return x, func() { x.CloseIdleExcept(nil) }
 }
 
+// OnLost sets the function that is called when an upstream's process may have ended: its host
+// refuses connections or does not respond, or the last connection to it has ended. It must be
+// called before the first exchange.
+func (x *Exchanger) OnLost(f func(cataloger.Target)) {
+	x.onLost = f
+}
+
 // CloseIdleExcept closes the idle connections to all upstreams but the targets.
 func (x *Exchanger) CloseIdleExcept(targets []cataloger.Target) {
 	kept := make(map[poolKey]bool, len(targets))
@@ -135,7 +143,7 @@
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
 	if err := c.conn.SetDeadline(r.Deadline.Add(deadlineGrace)); err != nil {
-		c.close()
+		x.closeBusy(t, c)
 		return Response{}, errors.Mark(errors.Wrap(err, "setting a deadline"), ErrNotSent)
 	}
 	if ctx.Err() != nil || r.CallerGone != nil && r.CallerGone() {
@@ -143,7 +151,7 @@
 		return Response{}, errors.Mark(errCallerGone, ErrNotSent)
 	}
 	if r.Usable != nil && !r.Usable() {
-		c.close()
+		x.closeBusy(t, c)
 		return Response{}, errors.Mark(errNotUsable, ErrNotSent)
 	}
 	stop := func() bool { return true }
@@ -160,12 +168,14 @@
 	written := c.writeRequest(r)
 	response, err := c.readResponse(r)
 	if err != nil {
-		c.close()
+		x.closeBroken(t, c, err)
 		return Response{}, err
 	}
+	x.noteResponse(t)
 	response.ConnectTime = connectTime
 	if response.Rest != nil {
 		streaming = true
+		response.Rest = &bodyRest{exchanger: x, target: t, conn: c, body: response.Rest}
 		return response, nil
 	}
 	select {
@@ -180,7 +190,7 @@
 		// The upstream responded before it had read the whole request. The connection cannot
 		// be reused: it would take the rest of the body for another request.
 	}
-	c.close()
+	x.closeBusy(t, c)
 	return response, nil
 }
 
@@ -230,7 +240,7 @@
 		response := Response{Status: resp.StatusCode, Header: resp.Header, Body: body, ContentLength: resp.ContentLength}
 		c.willClose = resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		if !whole {
-			response.Rest = &bodyRest{conn: c, body: resp.Body}
+			response.Rest = resp.Body
 		}
 		return response, nil
 	}
@@ -256,18 +266,24 @@
 
 // bodyRest reads the rest of a body that is streamed.
 type bodyRest struct {
-	conn *connection
-	body io.ReadCloser
+	exchanger *Exchanger
+	target    cataloger.Target
+	conn      *connection
+	body      io.ReadCloser
 }
 
 // Read implements io.Reader.
 func (r *bodyRest) Read(p []byte) (int, error) {
-	return r.body.Read(p)
+	n, err := r.body.Read(p)
+	if err != nil && !errors.Is(err, io.EOF) {
+		r.exchanger.closeBroken(r.target, r.conn, err)
+	}
+	return n, err
 }
 
 // Close closes the connection, since the body may not have been read to its end.
 func (r *bodyRest) Close() error {
-	r.conn.close()
+	r.exchanger.closeBusy(r.target, r.conn)
 	return nil
 }
 
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -43,10 +43,22 @@
 	maxAnsweredAttempts = 256
 )
 
+// The states of an idle connection.
+const (
+	idleOpen idleState = iota
+	// idleEnded means that the upstream has ended the connection.
+	idleEnded
+	// idleSpoiled means that the connection can't be used, which says nothing about the
+	// upstream's process.
+	idleSpoiled
+)
+
 // errHeadTooLong is returned for a response whose head exceeds maxHeadBytes.
 var errHeadTooLong = errors.Newf("the head has over %d bytes", maxHeadBytes)
 
 type (
+	idleState int
+
 	// poolKey identifies one run of an upstream's process. A restarted upstream may have
 	// the same address, but connections to the earlier process are not used for it.
 	poolKey struct {
@@ -55,9 +67,13 @@
 		name      string
 	}
 
-	// pool holds the idle connections to one upstream, the most recently used last.
+	// pool holds the connections to one upstream, the idle ones with the most recently used
+	// last.
 	pool struct {
 		idle []*connection
+		busy map[*connection]bool
+		// readAt is when the upstream last responded.
+		readAt time.Time
 	}
 
 	// connection is a connection to an upstream. It serves one request at a time. It is
@@ -114,10 +130,14 @@
 		if c == nil {
 			break
 		}
-		if c.stillIdle() {
+		switch c.idleState() {
+		case idleOpen:
 			return c, 0, nil
+		case idleEnded:
+			x.closeEnded(t, c)
+		case idleSpoiled:
+			x.closeBusy(t, c)
 		}
-		c.close()
 	}
 	return x.connect(ctx, t)
 }
@@ -127,10 +147,17 @@
 	start := x.clock.Now()
 	conn, err := dialer.DialTimeout(ctx, t.Address, connectTimeout(t.RTT))
 	if err != nil {
+		if ctx.Err() == nil {
+			x.noteUnreachable(t, start, err)
+		}
 		return nil, 0, err
 	}
 	l := &headLimiter{conn: conn}
-	return &connection{conn: conn, limiter: l, reader: newBufferedReader(l)}, x.clock.Since(start), nil
+	c := &connection{conn: conn, limiter: l, reader: newBufferedReader(l)}
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	x.poolFor(t).busy[c] = true
+	return c, x.clock.Since(start), nil
 }
 
 // connectTimeout returns the time that opening a connection may take, given the
@@ -158,6 +185,7 @@
 	for i, c := range slices.Backward(p.idle) {
 		if !c.hasAnswered(now, attemptID) {
 			p.idle = slices.Delete(p.idle, i, i+1)
+			p.busy[c] = true
 			return c
 		}
 	}
@@ -168,16 +196,13 @@
 // already.
 func (x *Exchanger) putIdle(t cataloger.Target, c *connection) {
 	if err := c.conn.SetDeadline(time.Time{}); err != nil {
-		c.close()
+		x.closeBusy(t, c)
 		return
 	}
 	x.mu.Lock()
 	defer x.mu.Unlock()
-	p := x.pools[keyOf(t)]
-	if p == nil {
-		p = &pool{}
-		x.pools[keyOf(t)] = p
-	}
+	p := x.poolFor(t)
+	delete(p.busy, c)
 	if len(p.idle) >= max(t.MaxIdleConns, 1) {
 		c.close()
 		return
@@ -186,6 +211,26 @@
 	p.closeExpired(x.clock.Now())
 }
 
+// poolFor returns the pool of an upstream. The caller holds x.mu.
+func (x *Exchanger) poolFor(t cataloger.Target) *pool {
+	p := x.pools[keyOf(t)]
+	if p == nil {
+		p = &pool{busy: make(map[*connection]bool)}
+		x.pools[keyOf(t)] = p
+	}
+	return p
+}
+
+// closeBusy closes a connection that is in use.
+func (x *Exchanger) closeBusy(t cataloger.Target, c *connection) {
+	c.close()
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	if p := x.pools[keyOf(t)]; p != nil {
+		delete(p.busy, c)
+	}
+}
+
 // putUnused returns a connection on which nothing was sent since it was acquired.
 func (x *Exchanger) putUnused(t cataloger.Target, c *connection) {
 	if c.idleUntil.IsZero() {
@@ -256,24 +301,31 @@
 	return 0, false
 }
 
-// stillIdle reports whether an idle connection is open and has nothing to read. It
-// makes a non-blocking read: bytes that arrive on an idle connection belong to no
-// request, so the connection must not be used again.
-func (c *connection) stillIdle() bool {
+// idleState makes a non-blocking read on an idle connection. Bytes that arrive on it belong to
+// no request, so that it must not be used again.
+func (c *connection) idleState() idleState {
 	raw, ok := c.conn.(syscall.Conn)
 	if !ok {
-		return true
+		return idleOpen
 	}
 	rc, err := raw.SyscallConn()
 	if err != nil {
-		return false
+		return idleSpoiled
 	}
-	idle := false
+	state := idleSpoiled
 	err = rc.Read(func(fd uintptr) bool {
 		var one [1]byte
-		_, err := syscall.Read(int(fd), one[:])
-		idle = errors.Is(err, syscall.EAGAIN)
+		n, err := syscall.Read(int(fd), one[:])
+		switch {
+		case errors.Is(err, syscall.EAGAIN):
+			state = idleOpen
+		case n <= 0:
+			state = idleEnded
+		}
 		return true
 	})
-	return err == nil && idle
+	if err != nil {
+		return idleSpoiled
+	}
+	return state
 }
