selector: a VM's share of a cold upstream is computed once, not for each decision

Callers of a VM at the limit of its processor got no answer in time, the more the longer upstreams counted as cold: each queued request is decided on again with every event, and for each cold upstream the decision hashed the names of the zone's VMs to find this VM's rank. The share is kept now until the members or the upstreams change.

Before: TestRankComputedForEachDecision 'assertion failed: 100 (int) != 1 (int)'.

--- a/internal/route/selector/cold_test.go
+++ b/internal/route/selector/cold_test.go
@@ -82,3 +82,20 @@
 	}
 	assert.Equal(t, f.admit(f.beginTo(name, 9)), coldShare)
 }
+
+// The rank among hundreds of VMs takes longer to compute than a decision, and while upstreams are
+// cold each queued request is decided on again and again.
+func TestRankComputedForEachDecision(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "a1", startedView())
+	calls := 0
+	f.SetMembers(4, 2, func(namer.Upstream) int { calls++; return 0 })
+	name := f.pick(t, "o")
+	f.Update(f.now, f.restarted(name), f.doc)
+	for range 100 {
+		f.Decide(f.now, f.request("o"))
+	}
+	assert.Equal(t, calls, 1)
+	f.SetMembers(100, 2, func(namer.Upstream) int { return 99 })
+	assert.Equal(t, len(f.beginTo(name, 1)), 0, "the share of the former members is used")
+}
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -48,6 +48,7 @@
 		state.region = s.self.Regions[u.Zone]
 		state.maxIdleConns = max(1, svc.MaxConns/s.vms)
 		state.coldRate = svc.MaxColdRate
+		state.share = nil
 		state.warmup = svc.Warmup
 		state.notice = s.noticeOf(state)
 		if returned[u.Zone] {
@@ -188,9 +189,13 @@
 }
 
 // coldShare returns how many requests this VM may send within the pacer's window to an upstream
-// while it is cold.
+// while it is cold. It is asked for each queued request, and the rank takes long to compute.
 func (s *Selector) coldShare(u *upstreamState) int {
-	return pacer.Share(int(float64(u.coldRate)*coldRateFraction), s.vms, s.rank(u.Upstream.Upstream))
+	if u.share == nil {
+		share := pacer.Share(int(float64(u.coldRate)*coldRateFraction), s.vms, s.rank(u.Upstream.Upstream))
+		u.share = &share
+	}
+	return *u.share
 }
 
 // rendezvousScore returns the score of one zone or upstream by weighted rendezvous
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -177,6 +177,9 @@
 	s.vms = max(vms, 1)
 	s.zoneVMs = max(zoneVMs, 1)
 	s.rank = rank
+	for _, u := range s.upstreams {
+		u.share = nil
+	}
 }
 
 // Decide returns what to do with a request now.
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -59,6 +59,8 @@
 	// coldRate is the limit of requests per second while the upstream is cold, for
 	// all VMs together.
 	coldRate int
+	// share is this VM's share of coldRate, nil until it is needed.
+	share *int
 
 	// notice is nil if the upstream has announced nothing.
 	notice *notice
