forwarder: the head of a response had no limit of ours

An upstream that sends a head without end kept the entry VM reading up to the 10 MB that net/http allows by default, in every request that was sent to it; the routed path has stopped at 64 KB all along. Callers of other upstreams of that VM would have paid with their requests once it ran out of memory. Cause: http.Transport without MaxResponseHeaderBytes. It is set to 64 KB now, the limit of the exchanger. net/http counts the interim responses before a head in the same limit.

--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -37,6 +37,9 @@
 const (
 	dialTimeout = 2 * time.Second
 	idleTimeout = 30 * time.Second
+	// maxHeadBytes is the maximum size of a response's head together with the interim
+	// responses before it. A faulty upstream may send an endless one.
+	maxHeadBytes = 64 << 10
 )
 
 // ErrNotSent marks an error that occurred before anything was written to the upstream.
@@ -129,11 +132,12 @@
 	tr, ok := f.transports[t]
 	if !ok {
 		tr = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxConnsPerHost:     t.MaxConns,
-			MaxIdleConnsPerHost: t.MaxConns,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxConnsPerHost:        t.MaxConns,
+			MaxIdleConnsPerHost:    t.MaxConns,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: maxHeadBytes,
+			DisableCompression:     true,
 		}
 		f.transports[t] = tr
 	}
