forwarder: a response 101 held its request beyond the deadline

An upstream that answers "101 Switching Protocols" kept its connection, the caller's request and the slot of the upstream until it closed by itself: silent, or sending bytes without end (up to 8 MB of them are kept for a once-only request). Cause: after a 101 with an Upgrade header, http.Transport hands the raw connection to the reader of the body, and the context's deadline no longer closes it. No request asks for an upgrade, the header is not forwarded, so any status below 200 that ends an exchange is now an error after which the request may have run.

Evidence, go test -race ./internal/route/forwarder -run TestUpgrade before the fix, with a deadline of 100 ms: --- FAIL: TestUpgradeOutlivesDeadline/endless (20.06s) endless_test.go:125: the connection to the upstream is still open --- FAIL: TestUpgradeOutlivesDeadline/silent (20.06s) endless_test.go:125: the connection to the upstream is still open After it, go test -race -count=20 ./internal/route/forwarder: ok. The nolint directive is gone since the linter sees the body closed.

--- a/internal/route/forwarder/endless_test.go
+++ b/internal/route/forwarder/endless_test.go
@@ -10,6 +10,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
 
 	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
@@ -103,3 +104,27 @@
 		})
 	}
 }
+
+// TestUpgradeOutlivesDeadline guards against a response 101, whose body net/http leaves open
+// after the request's deadline: the request and its slot at the upstream would be held for good.
+func TestUpgradeOutlivesDeadline(t *testing.T) {
+	t.Parallel()
+	const upgrade = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"
+	for _, tc := range []struct{ name, repeated string }{{"silent", ""}, {"endless", "x"}} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			target, closed := serveEndless(t, upgrade, tc.repeated)
+			f, cleanup := forwarder.New()
+			defer cleanup()
+			ctx, cancel := context.WithTimeout(context.Background(), 100*time.Millisecond)
+			defer cancel()
+			resp, err := f.Forward(ctx, target, request(http.MethodGet))
+			if err == nil {
+				defer func() { _ = resp.Body.Close() }()
+			}
+			waitClosed(t, closed)
+			assert.Assert(t, err != nil)
+			assert.Assert(t, !errors.Is(err, forwarder.ErrNotSent), "the request was sent and may have run")
+		})
+	}
+}
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -45,6 +45,9 @@
 // ErrNotSent marks an error that occurred before anything was written to the upstream.
 var ErrNotSent = errors.New("no byte reached the upstream")
 
+// errNoResponse is returned for a status that does not end an exchange.
+var errNoResponse = errors.New("the status is not that of a response")
+
 type (
 	// Request is a caller's request. Home is the zone nearest to the caller; in any other
 	// zone the request counts as shifted traffic.
@@ -100,13 +103,19 @@
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
-	resp, err := f.transport(t).RoundTrip(out) //nolint:bodyclose // The reader of the response closes it.
+	resp, err := f.transport(t).RoundTrip(out)
 	if err != nil {
 		if !connected.Load() {
 			err = errors.Mark(err, ErrNotSent)
 		}
 		return Response{}, errors.Wrapf(err, "forwarding to %s", t.Upstream)
 	}
+	if resp.StatusCode < http.StatusOK {
+		// After a 101, the transport leaves the connection to the reader of the body, beyond
+		// the end of ctx.
+		_ = resp.Body.Close()
+		return Response{}, errors.Wrapf(errNoResponse, "forwarding to %s: status %d", t.Upstream, resp.StatusCode)
+	}
 	return Response{Status: resp.StatusCode, Headers: filterHeaders(resp.Header), Body: resp.Body}, nil
 }
 
