exchanger: an unread body kept its upstream connection past the deadline

An upstream that sends a body without end, for a caller that stops reading it, kept its connection and what the kernel had received on it until the receiver's write timeout of 10 s, whatever the request's deadline. Cause: the connection's deadline ends reads and writes, and nobody reads while the write to the caller waits. The rest of a body now has a timer that closes the connection at the deadline, with the same grace as reads; closing the rest stops the timer.

--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -166,6 +166,7 @@
 	response.ConnectTime = connectTime
 	if response.Rest != nil {
 		streaming = true
+		response.Rest = x.newBodyRest(c, response.Rest, r.Deadline)
 		return response, nil
 	}
 	select {
@@ -230,7 +231,7 @@
 		response := Response{Status: resp.StatusCode, Header: resp.Header, Body: body, ContentLength: resp.ContentLength}
 		c.willClose = resp.Close || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 		if !whole {
-			response.Rest = &bodyRest{conn: c, body: resp.Body}
+			response.Rest = resp.Body
 		}
 		return response, nil
 	}
@@ -256,8 +257,16 @@
 
 // bodyRest reads the rest of a body that is streamed.
 type bodyRest struct {
-	conn *connection
-	body io.ReadCloser
+	conn   *connection
+	body   io.ReadCloser
+	expiry clockwork.Timer
+}
+
+// newBodyRest returns the rest of a body, whose connection is closed at the deadline. The
+// connection's own deadline has no effect while nobody reads the body.
+func (x *Exchanger) newBodyRest(c *connection, body io.ReadCloser, deadline time.Time) *bodyRest {
+	left := deadline.Add(deadlineGrace).Sub(x.clock.Now())
+	return &bodyRest{conn: c, body: body, expiry: x.clock.AfterFunc(left, c.close)}
 }
 
 // Read implements io.Reader.
@@ -267,6 +276,7 @@
 
 // Close closes the connection, since the body may not have been read to its end.
 func (r *bodyRest) Close() error {
+	r.expiry.Stop()
 	r.conn.close()
 	return nil
 }
