exchanger, receiver: response bodies in memory had no limit

Each response of more than 256 KB kept a first part of it, in a buffer of 512 KB, until its caller had read it or for 10 s. The slots of the upstream don't bound how many there are, since they are released with the head; the limit on requests in progress does, 1,024 by default, which allows 512 MB. So an upstream that sends bodies without end could take a VM over its memory, and all its callers' requests would end with it. A body that is read whole counted in no limit either.

The setting "bodies" now limits the bytes of response bodies as well, separately from those of request bodies, so that an upstream's bodies refuse nobody. A body asks for memory as its buffer grows; when there is none it is streamed from there on: a retry after it breaks is lost, not the response. The first 4 KB need no reservation, so short responses are read whole as before. The buffer ends at 256 KB.

TestBodyWithoutMemory checks bodies of sizes around all steps byte by byte, and that what is held was reserved.

Run: go test -race of exchanger, receiver, responder, steerer, settings, config.

--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -61,7 +61,9 @@
 	// Limits are the limits on all callers' requests together.
 	Limits struct {
 		MaxInFlight int64
-		// MaxBufferedBytes limits the total size of the request bodies in memory.
+		// MaxBufferedBytes limits the total size of the request bodies in memory, and
+		// separately that of the response bodies. Requests over it are refused, responses
+		// streamed, so that an upstream's long responses refuse nobody.
 		MaxBufferedBytes int64
 	}
 
@@ -74,6 +76,8 @@
 		log           *slog.Logger
 		inFlight      atomic.Int64
 		bufferedBytes atomic.Int64
+		// bufferedResponseBytes is the total size of the response bodies in memory.
+		bufferedResponseBytes atomic.Int64
 		// shutdownDeadline is when the process exits, nil before shutdown begins.
 		shutdownDeadline atomic.Pointer[time.Time]
 		refusing         atomic.Bool
@@ -87,6 +91,13 @@
 		bodyReads map[*http.ResponseController]time.Time
 	}
 
+	// reservation is the part of a limit in bytes that one request takes.
+	reservation struct {
+		total *atomic.Int64
+		limit int64
+		taken int64
+	}
+
 	// errorBody is the JSON body of every response that doesn't come from an upstream.
 	errorBody struct {
 		Code   steerer.Code `json:"code"`
@@ -102,6 +113,21 @@
 	}
 }
 
+// take adds n bytes to the reservation, and reports whether the limit allows that.
+func (v *reservation) take(n int) bool {
+	if v.total.Add(int64(n)) > v.limit {
+		v.total.Add(-int64(n))
+		return false
+	}
+	v.taken += int64(n)
+	return true
+}
+
+// release gives back all bytes of the reservation.
+func (v *reservation) release() {
+	v.total.Add(-v.taken)
+}
+
 // BeginShutdown makes every response carry "Connection: close", so that callers
 // reconnect to other VMs. Requests are still served. Reads of request bodies time
 // out at deadline, when the process exits.
@@ -195,6 +221,9 @@
 		r.writeError(w, in, failed)
 		return
 	}
+	response := reservation{total: &r.bufferedResponseBytes, limit: r.limits.MaxBufferedBytes}
+	defer response.release()
+	request.ReserveBytes = response.take
 	result := r.router.Steer(in.Context(), request)
 	if r.ShuttingDown() {
 		w.Header().Set("Connection", "close")
--- a/internal/front/receiver/truncated_test.go
+++ b/internal/front/receiver/truncated_test.go
@@ -103,6 +103,11 @@
 // startWithUpstream starts a receiver whose requests go to one upstream, and returns its
 // address.
 func startWithUpstream(t *testing.T, upstream string) string {
+	t.Helper()
+	return startWithLimits(t, upstream, defaultLimits)
+}
+
+func startWithLimits(t *testing.T, upstream string, limits receiver.Limits) string {
 	t.Helper()
 	x, cleanup := exchanger.New(clockwork.NewRealClock())
 	t.Cleanup(cleanup)
@@ -115,7 +120,7 @@
 	s.SetUpstreams(&cataloger.View{Upstreams: []cataloger.Upstream{{Entry: cataloger.Entry{
 		Upstream: "u", Service: "desk", Zone: "z", Address: upstream, Slots: 4,
 	}}}})
-	server := httptest.NewServer(receiver.New(s, namer.WaxwingHeaderNames(), defaultLimits, clockwork.NewRealClock(), log))
+	server := httptest.NewServer(receiver.New(s, namer.WaxwingHeaderNames(), limits, clockwork.NewRealClock(), log))
 	t.Cleanup(server.Close)
 	return strings.TrimPrefix(server.URL, "http://")
 }
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -244,6 +244,7 @@
 			Deadline:      a.deadline,
 			Usable:        sendable,
 			CallerGone:    func() bool { return a.callerGone(ctx) },
+			ReserveBytes:  a.request.ReserveBytes,
 			// A once-only request that was sent goes on when its caller disconnects.
 			Detached: a.route.Once,
 		})
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -77,6 +77,9 @@
 		Remaining time.Duration
 		// CallerGone reports whether the caller has disconnected. It may be nil.
 		CallerGone func() bool
+		// ReserveBytes reports whether n more bytes of memory may be taken for the body of
+		// the response, which is streamed if not. It may be nil.
+		ReserveBytes func(n int) bool
 	}
 
 	// Result is an upstream's response, or a failure if Code is set. Rest is the
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -90,7 +90,7 @@
 		// MaxInFlight is the maximum number of concurrent requests.
 		MaxInFlight int
 		// MaxBufferedBytes limits the request bodies that routes hold in memory
-		// at the same time.
+		// at the same time, and separately the response bodies.
 		MaxBufferedBytes int64
 		// MaxTokens is the maximum number of once-only tokens that the daemon stores
 		// as owner. It stores up to as many others as witness.
--- a/internal/upstream/exchanger/endless_test.go
+++ b/internal/upstream/exchanger/endless_test.go
@@ -1,10 +1,16 @@
 package exchanger_test
 
 import (
+	"fmt"
+	"io"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"gotest.tools/v3/assert"
+
+	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
 )
 
 // hangTimeout only ends a test that hangs.
@@ -36,3 +42,51 @@
 		})
 	}
 }
+
+// TestBodyWithoutMemory guards against a body that is lost, or read whole, when its memory is
+// refused. What was reserved must cover what is held.
+func TestBodyWithoutMemory(t *testing.T) {
+	t.Parallel()
+	// unreserved is the part of a body that needs no reservation.
+	const unreserved = 4 << 10
+	for _, size := range []int{0, 1, 4095, 4096, 4097, 16 << 10, 64<<10 + 1, 256<<10 - 1, 256 << 10, 256<<10 + 1, 300 << 10} {
+		for _, framing := range []string{"Content-Length: %d\r\n\r\n%s", "Transfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", "X-Size: %d\r\n\r\n%s" + thenClose} {
+			if size == 0 && strings.HasPrefix(framing, "Transfer") {
+				continue
+			}
+			body := strings.Repeat("0123456", 1+size/7)[:size]
+			u := startUpstream(t, fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt: ID\r\n"+framing, size, body))
+			for limit := range 4 {
+				reserved, calls := 0, 0
+				r := request("a1")
+				r.Deadline = time.Now().Add(time.Minute)
+				r.ReserveBytes = func(n int) bool {
+					calls++
+					if calls > limit {
+						return false
+					}
+					reserved += n
+					return true
+				}
+				response, err := newExchanger(t).Exchange(t.Context(), u.target(), r)
+				// A busy machine may take too long to connect.
+				for errors.Is(err, exchanger.ErrNotSent) {
+					response, err = newExchanger(t).Exchange(t.Context(), u.target(), r)
+				}
+				assert.NilError(t, err)
+				got := response.Body
+				assert.Assert(t, cap(got) <= unreserved+reserved, "%d bytes are held, %d reserved", cap(got), reserved)
+				if size < unreserved {
+					assert.Assert(t, response.Rest == nil, "a short body is streamed")
+				}
+				if response.Rest != nil {
+					rest, err := io.ReadAll(response.Rest)
+					assert.NilError(t, err)
+					assert.NilError(t, response.Rest.Close())
+					got = append(got, rest...)
+				}
+				assert.Assert(t, string(got) == body, "%d bytes, limit %d, %q", size, limit, framing)
+			}
+		}
+	}
+}
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -16,7 +16,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -33,6 +32,11 @@
 	// maxBufferedBytes is the largest response body that is read whole before Exchange
 	// returns. A longer one is streamed.
 	maxBufferedBytes = 256 << 10
+	// minBufferBytes is the size of the buffer that a body gets without asking ReserveBytes. A
+	// short response is read whole, also when other bodies take all of the memory.
+	minBufferBytes = 4 << 10
+	// bufferGrowthFactor is the factor by which the buffer of a longer body grows.
+	bufferGrowthFactor = 4
 	// maxResponsesRead is the maximum number of responses that are read for one request:
 	// interim responses and late responses to earlier requests are skipped.
 	maxResponsesRead = 3
@@ -67,6 +71,9 @@
 		// CallerGone reports whether the caller has left; it is called as Usable is, and nil
 		// means no.
 		CallerGone func() bool
+		// ReserveBytes reports whether n more bytes of memory may be taken for the response's
+		// body, which is streamed if not. The caller of Exchange gives them back. Nil means yes.
+		ReserveBytes func(n int) bool
 		// Detached makes the exchange go on when its context ends after the first byte.
 		Detached bool
 	}
@@ -218,7 +225,7 @@
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, whole, err := readBody(resp)
+		body, whole, err := readBody(resp, r.ReserveBytes)
 		if err != nil {
 			return Response{}, err
 		}
@@ -238,21 +245,33 @@
 	return Response{}, ErrAttemptMismatch
 }
 
-// readBody reads a response's body, but of a body over maxBufferedBytes only the
-// beginning. It reports whether it read the whole body.
-func readBody(resp *http.Response) ([]byte, bool, error) {
-	var buf bytes.Buffer
-	if n := resp.ContentLength; n > 0 && n <= maxBufferedBytes {
-		buf.Grow(int(n) + bytes.MinRead)
+// readBody reads a response's body, but of a body over maxBufferedBytes, or over the bytes
+// that may be reserved, only the beginning. It reports whether it read the whole body.
+func readBody(resp *http.Response, reserve func(n int) bool) ([]byte, bool, error) {
+	// With room for one byte more than the length, the end is read without another buffer.
+	limit, growth := maxBufferedBytes+1, bufferGrowthFactor
+	if resp.ContentLength >= 0 {
+		limit = int(min(resp.ContentLength, maxBufferedBytes)) + 1
+		growth = limit
 	}
-	n, err := buf.ReadFrom(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil {
-		return nil, false, errors.Wrap(err, "reading an answer's body")
-	}
-	if n <= maxBufferedBytes {
-		return buf.Bytes(), true, nil
+	buf := make([]byte, 0, min(limit, minBufferBytes))
+	for {
+		if len(buf) == cap(buf) {
+			size := min(growth*cap(buf), limit)
+			if size == cap(buf) || reserve != nil && !reserve(size-cap(buf)) {
+				return buf, false, nil
+			}
+			buf = append(make([]byte, 0, size), buf...)
+		}
+		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, true, nil
+		}
+		if err != nil {
+			return nil, false, errors.Wrap(err, "reading an answer's body")
+		}
 	}
-	return buf.Bytes(), false, nil
 }
 
 // bodyRest reads the rest of a body that is streamed.
