exchanger, forwarder: a head of 64 KB could hold 3 MB

The limit on a head counts bytes, but a head of many short fields is kept in maps that take far more, as received, as filtered and as sent to the caller. With endless bodies behind such heads, about a hundred streams would take all the memory of a VM of 284 MB, whatever the limit on bodies. A response of more than 256 header fields is refused now, on both paths; the request may have run.

--- a/internal/route/forwarder/endless_test.go
+++ b/internal/route/forwarder/endless_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -128,3 +129,30 @@
 		})
 	}
 }
+
+// TestHeadOfManyFields guards against heads within their limit in bytes whose fields take many
+// times as much memory.
+func TestHeadOfManyFields(t *testing.T) {
+	t.Parallel()
+	// A response has its length beside these fields.
+	const maxFields = 256 - 1
+	for _, fields := range []int{maxFields, maxFields + 1, 8000} {
+		t.Run(fmt.Sprint(fields), func(t *testing.T) {
+			t.Parallel()
+			target, closed := serveEndless(t, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n"+strings.Repeat("x:\r\n", fields)+"\r\nbody", "")
+			f, cleanup := forwarder.New()
+			defer cleanup()
+			resp, err := f.Forward(context.Background(), target, request(http.MethodGet))
+			if err == nil {
+				defer func() { _ = resp.Body.Close() }()
+			}
+			if fields == maxFields {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, "fields")
+			assert.Assert(t, !errors.Is(err, forwarder.ErrNotSent), "the request was sent and may have run")
+			waitClosed(t, closed)
+		})
+	}
+}
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -40,13 +40,19 @@
 	// maxHeadBytes is the maximum size of a response's head together with the interim
 	// responses before it. A faulty upstream may send an endless one.
 	maxHeadBytes = 64 << 10
+	// maxHeadFields is the maximum number of header fields of a response. Short fields take
+	// many times the memory of their bytes, so maxHeadBytes alone does not limit it.
+	maxHeadFields = 256
 )
 
 // ErrNotSent marks an error that occurred before anything was written to the upstream.
 var ErrNotSent = errors.New("no byte reached the upstream")
 
-// errNoResponse is returned for a status that does not end an exchange.
-var errNoResponse = errors.New("the status is not that of a response")
+var (
+	// errNoResponse is returned for a status that does not end an exchange.
+	errNoResponse    = errors.New("the status is not that of a response")
+	errTooManyFields = errors.Newf("the head has over %d fields", maxHeadFields)
+)
 
 type (
 	// Request is a caller's request. Home is the zone nearest to the caller; in any other
@@ -116,6 +122,10 @@
 		_ = resp.Body.Close()
 		return Response{}, errors.Wrapf(errNoResponse, "forwarding to %s: status %d", t.Upstream, resp.StatusCode)
 	}
+	if fieldCount(resp.Header) > maxHeadFields {
+		_ = resp.Body.Close()
+		return Response{}, errors.Wrapf(errTooManyFields, "forwarding to %s", t.Upstream)
+	}
 	return Response{Status: resp.StatusCode, Headers: filterHeaders(resp.Header), Body: resp.Body}, nil
 }
 
--- a/internal/route/forwarder/header.go
+++ b/internal/route/forwarder/header.go
@@ -18,6 +18,14 @@
 	return filterHeaders(h)
 }
 
+func fieldCount(h http.Header) int {
+	n := 0
+	for _, values := range h {
+		n += len(values)
+	}
+	return n
+}
+
 func filterHeaders(h http.Header) []arbiter.Header {
 	var connectionHeaders []string
 	for _, list := range h["Connection"] {
--- a/internal/upstream/exchanger/endless_test.go
+++ b/internal/upstream/exchanger/endless_test.go
@@ -90,3 +90,38 @@
 		}
 	}
 }
+
+// TestHeadOfManyFields guards against heads within their limit in bytes whose fields take many
+// times as much memory: streams of such responses would hold 3 MB each.
+func TestHeadOfManyFields(t *testing.T) {
+	t.Parallel()
+	// Each response has the attempt's ID and its length beside these fields.
+	const maxFields = 256 - 2
+	for _, tc := range []struct {
+		name   string
+		fields int
+		line   func(i int) string
+		taken  bool
+	}{
+		{"as many as allowed", maxFields, func(i int) string { return fmt.Sprintf("x%d:\r\n", i) }, true},
+		{"one more", maxFields + 1, func(i int) string { return fmt.Sprintf("x%d:\r\n", i) }, false},
+		{"one more of the same name", maxFields + 1, func(int) string { return "x:\r\n" }, false},
+		{"many", 8000, func(i int) string { return fmt.Sprintf("%x:\r\n", i) }, false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			var head strings.Builder
+			for i := range tc.fields {
+				head.WriteString(tc.line(i))
+			}
+			u := startUpstream(t, "HTTP/1.1 200 OK\r\nAttempt: ID\r\nContent-Length: 4\r\n"+head.String()+"\r\nbody")
+			_, err := newExchanger(t).Exchange(t.Context(), u.target(), request("a1"))
+			if tc.taken {
+				assert.NilError(t, err)
+				return
+			}
+			assert.ErrorContains(t, err, "fields")
+			assert.Assert(t, !errors.Is(err, exchanger.ErrNotSent), "the request was sent and may have run")
+		})
+	}
+}
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -37,6 +37,9 @@
 	minBufferBytes = 4 << 10
 	// bufferGrowthFactor is the factor by which the buffer of a longer body grows.
 	bufferGrowthFactor = 4
+	// maxHeadFields is the maximum number of header fields of a response. Short fields take
+	// many times the memory of their bytes, so maxHeadBytes alone does not limit it.
+	maxHeadFields = 256
 	// maxResponsesRead is the maximum number of responses that are read for one request:
 	// interim responses and late responses to earlier requests are skipped.
 	maxResponsesRead = 3
@@ -52,6 +55,8 @@
 	ErrNotSent         = errors.New("nothing was sent to the upstream")
 	ErrAttemptMismatch = errors.New("the answer belongs to another request")
 
+	errTooManyFields = errors.Newf("the head has over %d fields", maxHeadFields)
+
 	errCallerGone = errors.New("the caller left before the request was sent")
 	errNotUsable  = errors.New("the upstream left before the request was sent")
 )
@@ -222,6 +227,9 @@
 			return Response{}, errors.Wrap(err, "reading an answer")
 		}
 		c.limiter.inHead = false
+		if fieldCount(resp.Header) > maxHeadFields {
+			return Response{}, errors.Wrap(errTooManyFields, "reading an answer")
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
@@ -245,6 +253,14 @@
 	return Response{}, ErrAttemptMismatch
 }
 
+func fieldCount(header http.Header) int {
+	n := 0
+	for _, values := range header {
+		n += len(values)
+	}
+	return n
+}
+
 // readBody reads a response's body, but of a body over maxBufferedBytes, or over the bytes
 // that may be reserved, only the beginning. It reports whether it read the whole body.
 func readBody(resp *http.Response, reserve func(n int) bool) ([]byte, bool, error) {
