exchanger, forwarder: garbage of an upstream was kept in errors and logs

An upstream that sends a long line that is no response had up to four times that line in the error, 245 KB for 60 KB, since net/http quotes what it could not parse. The steerer logs it with each attempt, the logger keeps up to 16 MB of such lines, and the caller got it as the reason of a 502; with the limit of net/http of 10 MB, up to 40 MB on the other path until now. A description of over 256 bytes is cut. Errors that decide anything, such as the end of a connection, have short ones and stay what they are.

Evidence, go test -race -run TestLongError before: ./internal/upstream/exchanger, six cases of 245805 to 245828 bytes; ./internal/route/forwarder, 245851 bytes; 512 are allowed. After: ok, with all tests of exchanger, forwarder and dispatcher.

--- a/internal/route/forwarder/endless_test.go
+++ b/internal/route/forwarder/endless_test.go
@@ -156,3 +156,23 @@
 		})
 	}
 }
+
+// TestLongError guards against the bytes of an endless head that are kept in an error, and so in
+// the log and in the response to the caller.
+func TestLongError(t *testing.T) {
+	t.Parallel()
+	const maxErrorBytes = 512
+	long := strings.Repeat("\x01", 60<<10)
+	for _, response := range []string{long + "\r\n\r\n", "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n"} {
+		target, closed := serveEndless(t, response, "")
+		f, cleanup := forwarder.New()
+		defer cleanup()
+		resp, err := f.Forward(context.Background(), target, request(http.MethodGet))
+		if err == nil {
+			defer func() { _ = resp.Body.Close() }()
+		}
+		assert.ErrorContains(t, err, "forwarding to u")
+		assert.Assert(t, len(err.Error()) <= maxErrorBytes, "%d bytes", len(err.Error()))
+		waitClosed(t, closed)
+	}
+}
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -43,6 +43,9 @@
 	// maxHeadFields is the maximum number of header fields of a response. Short fields take
 	// many times the memory of their bytes, so maxHeadBytes alone does not limit it.
 	maxHeadFields = 256
+	// maxErrorBytes is the maximum length of the description of a malformed response. The
+	// descriptions of net/http quote what was received.
+	maxErrorBytes = 256
 )
 
 // ErrNotSent marks an error that occurred before anything was written to the upstream.
@@ -111,6 +114,7 @@
 	}
 	resp, err := f.transport(t).RoundTrip(out)
 	if err != nil {
+		err = shortError(err)
 		if !connected.Load() {
 			err = errors.Mark(err, ErrNotSent)
 		}
@@ -129,6 +133,15 @@
 	return Response{Status: resp.StatusCode, Headers: filterHeaders(resp.Header), Body: resp.Body}, nil
 }
 
+// shortError returns err, or an error with the beginning of its description if that is longer
+// than maxErrorBytes.
+func shortError(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(text[:maxErrorBytes] + "...")
+	}
+	return err
+}
+
 // CloseIdleExcept closes the idle connections to all upstreams but the targets.
 func (f *Forwarder) CloseIdleExcept(targets []Target) {
 	f.mu.Lock()
--- a/internal/upstream/exchanger/endless_test.go
+++ b/internal/upstream/exchanger/endless_test.go
@@ -125,3 +125,27 @@
 		})
 	}
 }
+
+// TestLongError guards against the bytes of an endless head that are kept in an error, and so in
+// the log and in the response to the caller.
+func TestLongError(t *testing.T) {
+	t.Parallel()
+	const maxErrorBytes = 512
+	long := strings.Repeat("\x01", 60<<10)
+	for _, tc := range []struct{ name, response string }{
+		{"status line", long + "\r\n\r\n"},
+		{"version", "HTTP/" + long + " 200 OK\r\n\r\n"},
+		{"status", "HTTP/1.1 " + long + " OK\r\n\r\n"},
+		{"header line", "HTTP/1.1 200 OK\r\n" + long + "\r\n\r\n"},
+		{"length", "HTTP/1.1 200 OK\r\nContent-Length: " + long + "\r\n\r\n"},
+		{"encoding", "HTTP/1.1 200 OK\r\nTransfer-Encoding: " + long + "\r\n\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			u := startUpstream(t, tc.response+stayQuiet)
+			_, err := newExchanger(t).Exchange(t.Context(), u.target(), request("a1"))
+			assert.ErrorContains(t, err, "reading an answer")
+			assert.Assert(t, len(err.Error()) <= maxErrorBytes, "%d bytes", len(err.Error()))
+		})
+	}
+}
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -40,6 +40,9 @@
 	// maxHeadFields is the maximum number of header fields of a response. Short fields take
 	// many times the memory of their bytes, so maxHeadBytes alone does not limit it.
 	maxHeadFields = 256
+	// maxErrorBytes is the maximum length of the description of a malformed response. The
+	// descriptions of net/http quote what was received.
+	maxErrorBytes = 256
 	// maxResponsesRead is the maximum number of responses that are read for one request:
 	// interim responses and late responses to earlier requests are skipped.
 	maxResponsesRead = 3
@@ -224,7 +227,7 @@
 		c.limiter.inHead, c.limiter.headLeft = true, maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // the connection is closed or kept as a whole
 		if err != nil {
-			return Response{}, errors.Wrap(err, "reading an answer")
+			return Response{}, errors.Wrap(shortError(err), "reading an answer")
 		}
 		c.limiter.inHead = false
 		if fieldCount(resp.Header) > maxHeadFields {
@@ -253,6 +256,15 @@
 	return Response{}, ErrAttemptMismatch
 }
 
+// shortError returns err, or an error with the beginning of its description if that is longer
+// than maxErrorBytes.
+func shortError(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(text[:maxErrorBytes] + "...")
+	}
+	return err
+}
+
 func fieldCount(header http.Header) int {
 	n := 0
 	for _, values := range header {
@@ -285,7 +297,7 @@
 			return buf, true, nil
 		}
 		if err != nil {
-			return nil, false, errors.Wrap(err, "reading an answer's body")
+			return nil, false, errors.Wrap(shortError(err), "reading an answer's body")
 		}
 	}
 }
