messenger: a connection without the key could take 6 MB

Found in the search for endless bytes, on the connections of peers. A message is allocated by its length before it arrives, and greetings and proofs could be as long as the longest message of an authenticated peer, 6 MB, for the 2 s of a handshake. Anything that connects to the peers' port, or answers where a peer was, and sends five bytes could take that; fifty of them all the memory of a VM of 284 MB. Messages before authentication are limited to 4 KB now, of which a greeting and a proof use about 100 bytes.

Evidence, go test -race ./internal/peer/messenger -run TestLongGreeting, where the greeting has 1 MiB, before: "expected an error, got nil". After: ok, go test -race ./internal/peer/...

--- a/internal/peer/encoder/encoder.go
+++ b/internal/peer/encoder/encoder.go
@@ -40,7 +40,13 @@
 // Read reads one message. It returns io.EOF itself if the stream ended before the message
 // began.
 func Read(r *bufio.Reader, m proto.Message) error {
-	err := protodelim.UnmarshalOptions{MaxSize: MaxMessageBytes}.UnmarshalFrom(r, m)
+	return ReadMax(r, m, MaxMessageBytes)
+}
+
+// ReadMax is Read with another maximum size than MaxMessageBytes. A message of that size is
+// allocated before its bytes arrive.
+func ReadMax(r *bufio.Reader, m proto.Message, maxBytes int64) error {
+	err := protodelim.UnmarshalOptions{MaxSize: maxBytes}.UnmarshalFrom(r, m)
 	if errors.Is(err, io.EOF) {
 		return io.EOF
 	}
--- a/internal/peer/messenger/handshake.go
+++ b/internal/peer/messenger/handshake.go
@@ -15,7 +15,11 @@
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
 )
 
-const nonceSize = 32
+const (
+	nonceSize = 32
+	// maxHandshakeBytes is the maximum size of a message before the peer is authenticated.
+	maxHandshakeBytes = 4 << 10
+)
 
 // The proofs of the two sides have different labels, so that a side's own proof
 // can't be reflected to it as the peer's.
@@ -54,7 +58,7 @@
 		return nil, Identity{}, err
 	}
 	other := &encoder.Hello{}
-	if err := encoder.Read(buffered.reader, other); err != nil {
+	if err := encoder.ReadMax(buffered.reader, other, maxHandshakeBytes); err != nil {
 		return nil, Identity{}, err
 	}
 	incarnation, ok := namer.IncarnationFromBytes(other.GetIncarnation())
@@ -80,7 +84,7 @@
 		return err
 	}
 	got := &encoder.Proof{}
-	if err := encoder.Read(conn.reader, got); err != nil {
+	if err := encoder.ReadMax(conn.reader, got, maxHandshakeBytes); err != nil {
 		return errors.Mark(err, errNotAuthenticated)
 	}
 	if !hmac.Equal(got.GetMac(), proofMAC(m.keys[0], acceptorLabel, own, other)) {
@@ -94,7 +98,7 @@
 // while keys are rotated.
 func (m *Messenger) authenticateAsAcceptor(conn *bufferedConn, own, other *encoder.Hello) error {
 	got := &encoder.Proof{}
-	if err := encoder.Read(conn.reader, got); err != nil {
+	if err := encoder.ReadMax(conn.reader, got, maxHandshakeBytes); err != nil {
 		return err
 	}
 	for _, key := range m.keys {
--- a/internal/peer/messenger/messenger_test.go
+++ b/internal/peer/messenger/messenger_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"os"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
@@ -263,3 +264,23 @@
 	_, err = b.Call(ctx, a.address, a.inc, pullRequest())
 	assert.NilError(t, err)
 }
+
+// TestLongGreeting guards against a connection without the key that makes a VM allocate as much
+// as the longest message takes: a greeting was read like any other message.
+func TestLongGreeting(t *testing.T) {
+	t.Parallel()
+	b := newNode(t, 2, echoVM, "key")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	self := messenger.Identity{VM: namer.VM(strings.Repeat("x", 1<<20)), Incarnation: namer.Incarnation{1}}
+	a, cleanup, err := messenger.New(ln, self, [][]byte{[]byte("key")})
+	assert.NilError(t, err)
+	t.Cleanup(cleanup)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	_, err = a.Call(ctx, b.address, b.inc, pullRequest())
+	assert.ErrorContains(t, err, "greeting")
+	c := newNode(t, 3, echoVM, "key")
+	_, err = c.Call(ctx, b.address, b.inc, pullRequest())
+	assert.NilError(t, err)
+}
