--- a/internal/peer/messenger/messenger_test.go
+++ b/internal/peer/messenger/messenger_test.go
@@ -1,7 +1,9 @@
 package messenger_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"os"
 	"strings"
@@ -10,6 +12,7 @@
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
@@ -284,3 +287,41 @@
 	_, err = c.Call(ctx, b.address, b.inc, pullRequest())
 	assert.NilError(t, err)
 }
+
+// TestEndlessGreeting guards against bytes without end in place of a greeting, which are read
+// until the time limit of the handshake or for good.
+func TestEndlessGreeting(t *testing.T) {
+	t.Parallel()
+	sendEndless := func(conn net.Conn, b byte) {
+		_ = conn.SetDeadline(time.Now().Add(testTimeout))
+		block := bytes.Repeat([]byte{b}, 4<<10)
+		var err error
+		for err == nil {
+			_, err = conn.Write(block)
+		}
+		assert.Check(t, !errors.Is(err, os.ErrDeadlineExceeded), "the connection is still open")
+		_ = conn.Close()
+	}
+	for _, b := range []byte{'x', 0xff, 0} {
+		t.Run(fmt.Sprintf("%#x", b), func(t *testing.T) {
+			t.Parallel()
+			a := newNode(t, 1, echoVM, "key")
+			conn, err := net.Dial("tcp", a.address)
+			assert.NilError(t, err)
+			sendEndless(conn, b)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = ln.Close() })
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				if conn, err := ln.Accept(); err == nil {
+					sendEndless(conn, b)
+				}
+			}()
+			_, err = a.Call(t.Context(), ln.Addr().String(), namer.Incarnation{}, pullRequest())
+			assert.ErrorContains(t, err, "greeting")
+			<-done
+		})
+	}
+}
--- a/internal/route/forwarder/endless_test.go
+++ b/internal/route/forwarder/endless_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -64,9 +65,9 @@
 		_, _ = r.ReadByte()
 		return
 	}
-	block := strings.Repeat(repeated, 1+4096/len(repeated))
+	block := []byte(strings.Repeat(repeated, 1+4096/len(repeated)))
 	for err == nil {
-		_, err = io.WriteString(conn, block)
+		_, err = conn.Write(block)
 	}
 }
 
@@ -176,3 +177,129 @@
 		waitClosed(t, closed)
 	}
 }
+
+// TestEndlessLine guards against chunk sizes, chunk extensions and trailers without end, which
+// are no part of a body. They end it long before the deadline.
+func TestEndlessLine(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct{ name, begin, repeated string }{
+		{"chunk size", "", "0"},
+		{"chunk extension", "1;x=", "y"},
+		{"chunk extensions", "", "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n"},
+		{"trailer line", "0\r\nX-Long: ", "x"},
+		{"trailers", "0\r\n", "X-More: x\r\n"},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			target, closed := serveEndless(t, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"+tc.begin, tc.repeated)
+			f, cleanup := forwarder.New()
+			defer cleanup()
+			ctx, cancel := context.WithTimeout(context.Background(), time.Hour)
+			defer cancel()
+			resp, err := f.Forward(ctx, target, request(http.MethodGet))
+			assert.NilError(t, err)
+			_, err = io.Copy(io.Discard, resp.Body)
+			assert.Assert(t, err != nil)
+			assert.NilError(t, resp.Body.Close())
+			waitClosed(t, closed)
+		})
+	}
+}
+
+// TestEndlessBytesAfterResponse guards against an idle connection that takes bytes without end.
+func TestEndlessBytesAfterResponse(t *testing.T) {
+	t.Parallel()
+	target, closed := serveEndless(t, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", "x")
+	f, cleanup := forwarder.New()
+	defer cleanup()
+	resp, err := f.Forward(context.Background(), target, request(http.MethodGet))
+	assert.NilError(t, err)
+	assert.Equal(t, readBody(t, resp), "ok")
+	waitClosed(t, closed)
+}
+
+// TestUnreadBodyOutlivesDeadline guards against a connection to an upstream that stays open
+// beyond the request's deadline while the caller does not read the body.
+func TestUnreadBodyOutlivesDeadline(t *testing.T) {
+	t.Parallel()
+	target, closed := serveEndless(t, "HTTP/1.1 200 OK\r\n\r\n", "x")
+	f, cleanup := forwarder.New()
+	defer cleanup()
+	// The head must be read before the deadline.
+	ctx, cancel := context.WithTimeout(context.Background(), 2*time.Second)
+	defer cancel()
+	resp, err := f.Forward(ctx, target, request(http.MethodGet))
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	waitClosed(t, closed)
+	_, err = io.Copy(io.Discard, resp.Body)
+	assert.Assert(t, err != nil, "a body that is cut off looks whole")
+}
+
+// TestEndlessBodies guards against endless bodies that are kept in memory, that go on for a
+// caller that has gone, or that are decompressed. It runs alone, since it measures the heap.
+func TestEndlessBodies(t *testing.T) {
+	const (
+		streams = 50
+		// maxStreamBytes is a head of the largest size and the buffers of the reader and the
+		// writer of a connection and of those of the test.
+		maxStreamBytes = 64<<10 + 4*4<<10
+	)
+	for _, tc := range []struct {
+		name, framing, repeated string
+		// leaves is whether the callers leave, without closing the bodies.
+		leaves bool
+	}{
+		{"no length, caller gone", "", "x", true},
+		{"chunked, closed", "Transfer-Encoding: chunked\r\n", "1\r\nx\r\n", false},
+		{"1 TB, caller gone", "Content-Length: 1099511627776\r\n", "x", true},
+		{"compressed, closed", "Content-Encoding: gzip\r\n", "x", false},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			target, closed := serveEndless(t, "HTTP/1.1 200 OK\r\n"+tc.framing+"\r\n", tc.repeated)
+			f, cleanup := forwarder.New()
+			defer cleanup()
+			before := heapBytes()
+			ctx, cancel := context.WithCancel(context.Background())
+			defer cancel()
+			var bodies []io.ReadCloser
+			for range streams {
+				resp, err := f.Forward(ctx, target, request(http.MethodGet))
+				assert.NilError(t, err)
+				defer func() { _ = resp.Body.Close() }()
+				bodies = append(bodies, resp.Body)
+				first := make([]byte, 1)
+				_, err = io.ReadFull(resp.Body, first)
+				assert.NilError(t, err)
+				assert.Equal(t, string(first), "x")
+			}
+			held := heapBytes() - before
+			assert.Assert(t, held <= streams*maxStreamBytes, "%d streams hold %d bytes", streams, held)
+			if tc.leaves {
+				cancel()
+			}
+			for _, b := range bodies {
+				if !tc.leaves {
+					assert.NilError(t, b.Close())
+				}
+			}
+			for range streams {
+				waitClosed(t, closed)
+			}
+			for _, b := range bodies {
+				_, err := io.Copy(io.Discard, b)
+				assert.Assert(t, err != nil, "a body that is cut off looks whole")
+			}
+		})
+	}
+}
+
+// heapBytes returns the size of the objects in use.
+func heapBytes() int64 {
+	// What a sync.Pool holds is freed by the second collection.
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return int64(m.HeapAlloc)
+}
--- a/internal/upstream/exchanger/endless_test.go
+++ b/internal/upstream/exchanger/endless_test.go
@@ -149,3 +149,26 @@
 		})
 	}
 }
+
+// TestEndlessBytesAfterResponse guards against an idle connection that takes bytes without end,
+// and against a next request that is answered with them.
+func TestEndlessBytesAfterResponse(t *testing.T) {
+	t.Parallel()
+	// maxSocketBytes is the maximum that the kernel buffers for a connection on both sides.
+	const maxSocketBytes = 16 << 20
+	target, sent := serveEndless(t, "HTTP/1.1 200 OK\r\nAttempt: a1\r\nContent-Length: 4\r\n\r\nbody", "HTTP/1.1 200 OK\r\nAttempt: a2\r\nContent-Length: 3\r\n\r\nnot")
+	x := newExchanger(t)
+	response, err := x.Exchange(t.Context(), target, request("a1"))
+	assert.NilError(t, err)
+	assert.Equal(t, string(response.Body), "body")
+	r := request("a2")
+	r.Deadline = time.Now().Add(100 * time.Millisecond)
+	response, err = x.Exchange(t.Context(), target, r)
+	assert.Assert(t, err != nil, "%+v", response)
+	select {
+	case n := <-sent:
+		assert.Assert(t, n < maxSocketBytes, "the upstream could send %d bytes", n)
+	case <-time.After(hangTimeout):
+		t.Fatal("the connection to the upstream is still open")
+	}
+}
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -254,6 +254,19 @@
 		{"another request's responses", "", "HTTP/1.1 200 OK\r\nAttempt: old\r\nContent-Length: 0\r\n\r\n"},
 		{"trailer", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-More: x\r\n"},
 		{"chunk size", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n", "0"},
+		{"status line", "HTTP/1.1 200 ", "x"},
+		{"header without end of line", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nX", "x"},
+		{"empty header lines", "HTTP/1.1 200 OK\r\nAttempt: a1\r\n", ":\r\n"},
+		{"folded header line", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nX: y\r\n", " z\r\n"},
+		{"line feeds", "", "\n"},
+		{"protocol switches", "", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n"},
+		{"bytes after a protocol switch", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", "x"},
+		{"chunk extension", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n1;x=", "y"},
+		{"chunk extensions", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n", "1;" + strings.Repeat("x", 1000) + "\r\nx\r\n"},
+		{"trailer line", "HTTP/1.1 200 OK\r\nAttempt: a1\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nX-Long: ", "x"},
+		{"another request's body without length", "HTTP/1.1 200 OK\r\nAttempt: old\r\n\r\n", "x"},
+		{"another request's body in chunks", "HTTP/1.1 200 OK\r\nAttempt: old\r\nTransfer-Encoding: chunked\r\n\r\n", "1\r\nx\r\n"},
+		{"another request's body of 1 TB", "HTTP/1.1 200 OK\r\nAttempt: old\r\nContent-Length: 1099511627776\r\n\r\n", "x"},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
