--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -37,11 +37,26 @@
 const (
 	dialTimeout = 2 * time.Second
 	idleTimeout = 30 * time.Second
+	// maxHeadBytes is the maximum size of a response's head together with the interim
+	// responses before it. A faulty upstream may send an endless one.
+	maxHeadBytes = 64 << 10
+	// maxHeadFields is the maximum number of header fields of a response. Short fields take
+	// many times the memory of their bytes, so maxHeadBytes alone does not limit it.
+	maxHeadFields = 256
+	// maxErrorBytes is the maximum length of the description of a malformed response. The
+	// descriptions of net/http quote what was received.
+	maxErrorBytes = 256
 )
 
 // ErrNotSent marks an error that occurred before anything was written to the upstream.
 var ErrNotSent = errors.New("no byte reached the upstream")
 
+var (
+	// errNoResponse is returned for a status that does not end an exchange.
+	errNoResponse    = errors.New("the status is not that of a response")
+	errTooManyFields = errors.Newf("the head has over %d fields", maxHeadFields)
+)
+
 type (
 	// Request is a caller's request. Home is the zone nearest to the caller; in any other
 	// zone the request counts as shifted traffic.
@@ -97,16 +112,36 @@
 	if err != nil {
 		return Response{}, errors.Mark(err, ErrNotSent)
 	}
-	resp, err := f.transport(t).RoundTrip(out) //nolint:bodyclose // The reader of the response closes it.
+	resp, err := f.transport(t).RoundTrip(out)
 	if err != nil {
+		err = shortError(err)
 		if !connected.Load() {
 			err = errors.Mark(err, ErrNotSent)
 		}
 		return Response{}, errors.Wrapf(err, "forwarding to %s", t.Upstream)
 	}
+	if resp.StatusCode < http.StatusOK {
+		// After a 101, the transport leaves the connection to the reader of the body, beyond
+		// the end of ctx.
+		_ = resp.Body.Close()
+		return Response{}, errors.Wrapf(errNoResponse, "forwarding to %s: status %d", t.Upstream, resp.StatusCode)
+	}
+	if fieldCount(resp.Header) > maxHeadFields {
+		_ = resp.Body.Close()
+		return Response{}, errors.Wrapf(errTooManyFields, "forwarding to %s", t.Upstream)
+	}
 	return Response{Status: resp.StatusCode, Headers: filterHeaders(resp.Header), Body: resp.Body}, nil
 }
 
+// shortError returns err, or an error with the beginning of its description if that is longer
+// than maxErrorBytes.
+func shortError(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(text[:maxErrorBytes] + "...")
+	}
+	return err
+}
+
 // CloseIdleExcept closes the idle connections to all upstreams but the targets.
 func (f *Forwarder) CloseIdleExcept(targets []Target) {
 	f.mu.Lock()
@@ -129,11 +164,12 @@
 	tr, ok := f.transports[t]
 	if !ok {
 		tr = &http.Transport{
-			DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
-			MaxConnsPerHost:     t.MaxConns,
-			MaxIdleConnsPerHost: t.MaxConns,
-			IdleConnTimeout:     idleTimeout,
-			DisableCompression:  true,
+			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			MaxConnsPerHost:        t.MaxConns,
+			MaxIdleConnsPerHost:    t.MaxConns,
+			IdleConnTimeout:        idleTimeout,
+			MaxResponseHeaderBytes: maxHeadBytes,
+			DisableCompression:     true,
 		}
 		f.transports[t] = tr
 	}
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -248,6 +248,7 @@
 			Deadline:      a.deadline,
 			Usable:        admit,
 			CallerGone:    func() bool { return a.callerGone(ctx) },
+			ReserveBytes:  a.request.ReserveBytes,
 			// A once-only request that was sent goes on when its caller disconnects.
 			Detached: a.route.Once,
 		})
