cataloger: test that a late write brings back an earlier process

Callers saw FAILBACK also where all VMs had learned of the new process. An upstream that ends leaves writes behind that got no response, and the store carries them out seconds later, after the first report of the next process. The catalog then takes the earlier process for the present one: it compares start times and sequences only after a restoration of the store, otherwise the later revision wins. The upstream counts as warm until its next report. A report of the same process that is carried out late ends its draining in the same way.

--- a/internal/upstream/cataloger/cataloger_test.go
+++ b/internal/upstream/cataloger/cataloger_test.go
@@ -95,3 +95,37 @@
 	c.Put(startTime.Add(4*time.Second), version(3), e)
 	assert.Equal(t, c.View().Upstreams[0].ColdUntil, startTime.Add(7*time.Second))
 }
+
+// TestLateWriteOfEarlierReport guards against an upstream that counts as warm or as ready again
+// because the store carries out a write of an earlier process, or of an earlier report, late.
+func TestLateWriteOfEarlierReport(t *testing.T) {
+	t.Parallel()
+	const coldLeft = 3 * time.Second
+	cold := report("a", 2, 1, false)
+	cold.ColdLeft = coldLeft
+	for _, tc := range []struct {
+		name        string
+		known, late cataloger.Entry
+	}{
+		{"earlier process", cold, report("a", 1, 9, false)},
+		{"earlier process that drained", cold, report("a", 1, 9, true)},
+		{"earlier report", report("a", 2, 9, true), report("a", 2, 8, false)},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			c := cataloger.New()
+			c.Put(startTime, version(80), tc.known)
+			c.Put(startTime.Add(time.Second), version(90), tc.late)
+			got := c.View().Upstreams[0]
+			assert.Equal(t, got.StartedMs, tc.known.StartedMs)
+			assert.Equal(t, got.Draining, tc.known.Draining)
+			assert.Assert(t, !got.ColdUntil.Before(startTime.Add(tc.known.ColdLeft)), "%v", got.ColdUntil)
+
+			later := tc.known
+			later.Sequence++
+			later.Slots++
+			assert.Assert(t, c.Put(startTime.Add(2*time.Second), version(91), later))
+			assert.Equal(t, c.View().Upstreams[0].Slots, later.Slots)
+		})
+	}
+}
