cataloger: test that an upstream is cold again for the same time

The catalog keeps the end of a cold period while the same process reports the same time left, so that a list that repeats a record does not make it cold again. It does not look at the sequence: a VM that missed the reports between, as after the store dropped its history, takes an upstream that is cold again for a warm one if both reports name the same milliseconds, and callers see FAILBACK. The test fails: ColdUntil is a minute too early.

--- a/internal/upstream/cataloger/cataloger_test.go
+++ b/internal/upstream/cataloger/cataloger_test.go
@@ -129,3 +129,18 @@
 		})
 	}
 }
+
+// TestColdAgainForTheSameTime guards against an upstream that counts as warm since it reports
+// the same time left as in its first cold period, while the reports between were missed.
+func TestColdAgainForTheSameTime(t *testing.T) {
+	t.Parallel()
+	c := cataloger.New()
+	first := report("a", 1, 1, false)
+	first.ColdLeft = 3 * time.Second
+	c.Put(startTime, version(80), first)
+	again := first
+	again.Sequence = 30
+	now := startTime.Add(time.Minute)
+	c.Put(now, version(90), again)
+	assert.Equal(t, c.View().Upstreams[0].ColdUntil, now.Add(again.ColdLeft))
+}
