steerer: test that crashes of unreported processes count

Evidence against a request is a set of processes, each known by the start time in its record. A process that starts again under its name and crashes before its record is read counts as the one before it, whose crash is in the set already: the request is sent again and again until records arrive, and while the store is silent without end. Callers see their service go down again and again. The VM could tell: the probe was refused before, so the process that accepts the next connection is another one.

--- a/internal/route/steerer/quarantine_test.go
+++ b/internal/route/steerer/quarantine_test.go
@@ -88,6 +88,13 @@
 	return u.sent[target]
 }
 
+// restart starts the upstreams that have crashed again, under their names.
+func (u *crashingUpstreams) restart() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	clear(u.down)
+}
+
 // newQuarantineFixture returns a steerer with its upstreams and evidence.
 func newQuarantineFixture(t *testing.T) (*crashingUpstreams, *steerer.Steerer, *quarantiner.Quarantiner) {
 	t.Helper()
@@ -205,6 +212,22 @@
 	}
 }
 
+// TestCulpritAtUnreportedProcesses guards against a request that is never blamed, since each process
+// that it crashes ends before its record is read, and counts as the one before it.
+func TestCulpritAtUnreportedProcesses(t *testing.T) {
+	t.Parallel()
+	up, s, q := newQuarantineFixture(t)
+	up.culprit = "/order/culprit"
+	s.SetUpstreams(viewOf(1, 4))
+	for range 10 {
+		s.Steer(t.Context(), request("/order/culprit"))
+		waitProbed(t, q)
+		time.Sleep(betweenAttempts)
+		up.restart()
+	}
+	assert.Equal(t, up.sentCount("/order/culprit"), 3)
+}
+
 // TestRequestQuarantinedWhileConnecting guards against a request that is sent although its
 // quarantine was learned before its first byte.
 func TestRequestQuarantinedWhileConnecting(t *testing.T) {
