admitter: test that an ejected upstream comes back with a warm-up

The product's own path knows no processes, only names and addresses. An upstream that joins, or whose drain ends, starts with a fifth of its share; one that crashed and started again keeps its state and gets the full share as soon as its ejection ends, queued requests first. The same fault as on the users' path: what was known of a process outlives it.

--- a/internal/route/admitter/admitter_test.go
+++ b/internal/route/admitter/admitter_test.go
@@ -176,3 +176,23 @@
 	assert.Assert(t, c.available(now, c.upstreams[1]), "half of the upstreams must remain available although all fail")
 	assert.Assert(t, c.available(now.Add(maxEjection), c.upstreams[0]), "an ejection must end")
 }
+
+// TestFullShareAfterEjection guards against an upstream that crashed and started again, and
+// gets this VM's full share as soon as its ejection ends.
+func TestFullShareAfterEjection(t *testing.T) {
+	t.Parallel()
+	c := &controller{randIntN: func(int) int { return 0 }}
+	now := time.Unix(100, 0)
+	c.configure(now, Limits{MaxEjectedPercent: 50}, []UpstreamShare{
+		{Upstream: "a", Address: "a", Share: 20}, {Upstream: "b", Address: "b", Share: 20},
+	})
+	restarted := c.upstreams[0]
+	for range consecutiveFailuresToEject {
+		restarted.inFlight++
+		c.release(now, restarted, 1, time.Millisecond, true)
+	}
+	back := now.Add(initialEjection)
+	assert.Assert(t, c.available(back, restarted))
+	assert.Equal(t, restarted.currentShare(back), namer.Weight(5), "the share at the start of a warm-up")
+	assert.Equal(t, restarted.currentShare(back.Add(warmupDuration)), namer.Weight(20))
+}
