selector: test that sends to a cold upstream are not forgotten

What was sent is kept with the state of the upstream and only while it counts as cold. The count starts anew when the record disappears and comes back, so that a cold upstream gets each VM's share again at once, and when the record says only now that it is cold or that it is another process. The test fails: 24 requests at the same moment, where 12 per second are the limit.

--- a/internal/route/selector/selector_test.go
+++ b/internal/route/selector/selector_test.go
@@ -203,6 +203,52 @@
 	assert.Equal(t, used, 100, "warm upstreams must get their objects back")
 }
 
+// A cold upstream must not get more than its limit in a second because what was sent to it is no
+// longer counted: its record was gone for a moment, or says only now that it is cold.
+func TestSendsToColdUpstreamForgotten(t *testing.T) {
+	t.Parallel()
+	const limit = 12
+	coldView := func() *cataloger.View {
+		v := view()
+		v.Upstreams = v.Upstreams[:1]
+		v.Upstreams[0].ColdUntil = noon.Add(3 * time.Second)
+		return v
+	}
+	warmView := coldView()
+	warmView.Upstreams[0].ColdUntil = time.Time{}
+	newProcess := coldView()
+	newProcess.Upstreams[0].StartedMs++
+	for _, tc := range []struct {
+		name   string
+		before *cataloger.View
+		news   []*cataloger.View
+	}{
+		{"record removed and back", coldView(), []*cataloger.View{{}, coldView()}},
+		{"known to be cold only now", warmView, []*cataloger.View{coldView()}},
+		{"new process known only now", warmView, []*cataloger.View{newProcess}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			f := newFixture(t, "a1", tc.before)
+			sent := 0
+			sendUpTo := func(most int) {
+				for d := f.Decide(f.now, f.request("o")); d.Action == selector.Send && sent < most; d = f.Decide(f.now, f.request("o")) {
+					f.Begin(f.now, d)
+					f.End(f.now, d, answered(100*time.Millisecond, 0))
+					sent++
+				}
+			}
+			sendUpTo(limit)
+			assert.Equal(t, sent, limit)
+			for _, v := range tc.news {
+				f.Update(f.now, v, f.doc)
+			}
+			sendUpTo(2 * limit)
+			assert.Equal(t, sent, limit)
+		})
+	}
+}
+
 // A request goes to the secondary upstream when the primary has a queue. When both have
 // one, it waits instead of going to an upstream where the object is cold.
 func TestFullPrimaryUsesSecondaryThenWaits(t *testing.T) {
