selector: test that a late notice does not stop the next process

A response that says that the upstream is leaving is remembered by name with the start of the process. If the next process has sent a notice of its own, such as a pause, a response of the earlier one that is handled later, as by a VM that stood still, is added to that notice: the upstream gets no request from this VM for as long as the process runs. The test fails: after the pause another upstream is picked.

--- a/internal/route/selector/leaving_test.go
+++ b/internal/route/selector/leaving_test.go
@@ -130,3 +130,21 @@
 	assert.Equal(t, d.Action, selector.Refuse)
 	assert.Equal(t, d.Reason, selector.ReasonNoUpstream)
 }
+
+// A notice that an earlier process sent before it ended must not keep requests from the next
+// one, also if that has already asked for a pause.
+func TestLateNoticeOfEarlierProcess(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t, "a1", startedView())
+	late := f.Decide(f.now, f.request("o"))
+	f.Begin(f.now, late)
+	name := late.Target().Upstream
+	f.Update(f.now, with(startedView(), name, func(e *cataloger.Entry) { e.StartedMs++ }), f.doc)
+	d := f.Decide(f.now, f.request("o"))
+	assert.Equal(t, d.Target().Upstream, name)
+	f.Begin(f.now, d)
+	f.End(f.now, d, refused(1, time.Second))
+	f.End(f.now, late, selector.Report{Leaving: true, Load: -1})
+	f.now = f.now.Add(time.Second)
+	assert.Equal(t, f.pick(t, "o"), name)
+}
