selector: test that a process with an earlier start is not leaving

A notice holds for all records of its name with the same or an earlier start, since a store that was restored may bring back those of an earlier process. If the clock of an upstream was set back, its next process has an earlier start too, and the leaving of the one before it holds for it: it gets no request for as long as it runs. Its record has a later version in the same era, which a record that was brought back has not. The test fails: the request is refused.

--- a/internal/route/selector/leaving_test.go
+++ b/internal/route/selector/leaving_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
@@ -148,3 +149,32 @@
 	f.now = f.now.Add(time.Second)
 	assert.Equal(t, f.pick(t, "o"), name)
 }
+
+// A process whose clock is behind that of the process before it must get requests, although that
+// one said that it was leaving. Its record has a later version in the same era of the store.
+func TestNoticeOfProcessWithLaterStart(t *testing.T) {
+	t.Parallel()
+	record := func(r storer.Revision, startedMs int64) *cataloger.View {
+		v := startedView()
+		for i := range v.Upstreams {
+			v.Upstreams[i].Version = storer.Version{Era: 1, Revision: r}
+		}
+		v.Upstreams[0].StartedMs = startedMs
+		return v
+	}
+	f := newFixture(t, "a1", record(80, startedMs))
+	all := f.request("o")
+	leaver := record(80, startedMs).Upstreams[0].Upstream
+	for _, u := range startedView().Upstreams {
+		if u.Upstream != leaver {
+			all.Tried = append(all.Tried, u.Upstream)
+		}
+	}
+	d := f.Decide(f.now, all)
+	assert.Equal(t, d.Target().Upstream, leaver)
+	f.Begin(f.now, d)
+	f.End(f.now, d, selector.Report{Leaving: true, Load: -1})
+	f.Update(f.now, without(record(80, startedMs), leaver), f.doc)
+	f.Update(f.now, record(90, startedMs-1), f.doc)
+	assert.Equal(t, f.Decide(f.now, all).Action, selector.Send)
+}
