cataloger: a write that the store carries out late replaces no later report

Callers saw a cold upstream flooded although all VMs had read the record of its new process. A process that ends leaves writes behind that got no response, and the store carries them out seconds later, after the first report of the next process; the later revision won, and the upstream counted as warm, or as ready again, until it reported once more. In one era of the store, a report of the known process with a lower sequence, and one of a process with an earlier start, are ignored now. A process whose clock is behind that of the one before it also has an earlier start; it is believed once it still reports after 10 s, longer than the store may take.

--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -49,6 +49,9 @@
 	// store removes the entry of an upstream that is gone after three missing reports, so
 	// an entry that stays longer belongs to one that runs.
 	heldTimeout = 30 * time.Second
+	// lateWriteTimeout is how long after the first report of an earlier start others of it are
+	// taken for writes that the store carries out late. It does so within seconds.
+	lateWriteTimeout = 10 * time.Second
 )
 
 type (
@@ -102,6 +105,8 @@
 		// upstreams, or of earlier processes, that a restoration of the store brought back.
 		gone    map[namer.Upstream]goneItem
 		held    map[namer.Upstream]heldItem
+		// late has the first ignored reports of processes that started before the known ones.
+		late    map[namer.Upstream]lateItem
 		drained map[namer.Zone]drainedZone
 		// reachableSince is the start of the period in which the store has answered
 		// without an outage and without a restoration.
@@ -134,6 +139,11 @@
 		missing bool
 	}
 
+	lateItem struct {
+		startedMs int64
+		since     time.Time
+	}
+
 	heldItem struct {
 		upstream Upstream
 		since    time.Time
@@ -177,6 +187,7 @@
 		entries: make(map[namer.Upstream]item),
 		gone:    make(map[namer.Upstream]goneItem),
 		held:    make(map[namer.Upstream]heldItem),
+		late:    make(map[namer.Upstream]lateItem),
 		drained: make(map[namer.Zone]drainedZone),
 	}
 }
@@ -224,9 +235,10 @@
 
 // update replaces a known entry as Put describes.
 func (c *Cataloger) update(now time.Time, known item, u Upstream) bool {
-	if u.Version.Before(known.upstream.Version) {
+	if u.Version.Before(known.upstream.Version) || c.isLateWrite(now, known, u) {
 		return false
 	}
+	delete(c.late, u.Upstream)
 	later := u.laterThan(known.upstream.Entry)
 	restored := !later && (known.restored || u.Version.Era > known.upstream.Version.Era)
 	if restored && u.StartedMs < known.upstream.StartedMs {
@@ -250,6 +262,24 @@
 	return true
 }
 
+// isLateWrite reports whether the store has carried out a write late: that of an earlier report
+// of the known process, or of a process before it. A process whose clock is behind that of the
+// one before it seems to be earlier, too, but goes on to report.
+func (c *Cataloger) isLateWrite(now time.Time, known item, u Upstream) bool {
+	if u.Version.Era != known.upstream.Version.Era || u.StartedMs > known.upstream.StartedMs {
+		return false
+	}
+	if u.StartedMs == known.upstream.StartedMs {
+		return u.Sequence != 0 && u.Sequence < known.upstream.Sequence
+	}
+	first, ok := c.late[u.Upstream]
+	if !ok || first.startedMs != u.StartedMs {
+		first = lateItem{startedMs: u.StartedMs, since: now}
+		c.late[u.Upstream] = first
+	}
+	return now.Sub(first.since) < lateWriteTimeout
+}
+
 // laterThan reports whether an entry is a later report of an upstream than another one: that
 // of a later process, or a later one of the same process.
 func (e Entry) laterThan(other Entry) bool {
@@ -280,6 +310,7 @@
 // forget removes an entry and remembers its last report.
 func (c *Cataloger) forget(now time.Time, it item) {
 	delete(c.entries, it.upstream.Upstream)
+	delete(c.late, it.upstream.Upstream)
 	c.gone[it.upstream.Upstream] = goneItem{last: it.upstream.Entry, era: c.era, removedAt: now}
 	if len(c.gone) <= maxGone {
 		return
--- a/internal/upstream/cataloger/cataloger_test.go
+++ b/internal/upstream/cataloger/cataloger_test.go
@@ -144,3 +144,14 @@
 	c.Put(now, version(90), again)
 	assert.Equal(t, c.View().Upstreams[0].ColdUntil, now.Add(again.ColdLeft))
 }
+
+// A process whose clock is behind that of the process before it must not be taken for a late
+// write for good.
+func TestProcessWithClockBehindIgnored(t *testing.T) {
+	t.Parallel()
+	c := cataloger.New()
+	c.Put(startTime, version(80), report("a", 2, 9, false))
+	assert.Assert(t, !c.Put(startTime.Add(time.Second), version(90), report("a", 1, 1, false)))
+	assert.Assert(t, c.Put(startTime.Add(12*time.Second), version(91), report("a", 1, 8, true)))
+	assert.Assert(t, c.View().Upstreams[0].Draining)
+}
