cataloger: an upstream that is cold again for the same time counts as cold

A VM that missed the reports between two cold periods of a process, as after the store dropped its history, took the second for the first if both reports named the same time left. A report with a later sequence is another one now.

Before: TestColdAgainForTheSameTime, ColdUntil a minute too early. Found by reading, not seen in a play.

--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -103,8 +103,8 @@
 		entries map[namer.Upstream]item
 		// gone has the last reports of removed upstreams. held has the entries of such
 		// upstreams, or of earlier processes, that a restoration of the store brought back.
-		gone    map[namer.Upstream]goneItem
-		held    map[namer.Upstream]heldItem
+		gone map[namer.Upstream]goneItem
+		held map[namer.Upstream]heldItem
 		// late has the first ignored reports of processes that started before the known ones.
 		late    map[namer.Upstream]lateItem
 		drained map[namer.Zone]drainedZone
@@ -195,7 +195,7 @@
 // Put stores an entry and returns true, unless a later version of it is stored. After a
 // restoration of the store, an entry that is no later report of its upstream is not stored if
 // the upstream is known to be gone or to have started again since, and does not end its
-// draining. The cold period keeps its end while the same process reports the same time left.
+// draining. The cold period keeps its end if the report is known already.
 func (c *Cataloger) Put(now time.Time, version storer.Version, e Entry) bool {
 	c.era = max(c.era, version.Era)
 	u := Upstream{Entry: e, Version: version, ColdUntil: now.Add(e.ColdLeft)}
@@ -254,7 +254,7 @@
 		u.Sequence = known.upstream.Sequence
 		u.ColdLeft = known.upstream.ColdLeft
 	}
-	if sameProcess && known.upstream.ColdLeft == u.ColdLeft {
+	if sameProcess && known.upstream.ColdLeft == u.ColdLeft && known.upstream.Sequence == u.Sequence {
 		u.ColdUntil = known.upstream.ColdUntil
 	}
 	delete(c.held, u.Upstream)
