selector: a late notice of an ended process does not stop the next one

A response that says that the upstream is leaving, or wants a pause, was added to the notice of the next process under its name, if that had sent one itself; the upstream then got no request from this VM for as long as it ran.

Before: TestLateNoticeOfEarlierProcess, 'a1-2 != a1-1' after the pause.

--- a/internal/route/selector/notice.go
+++ b/internal/route/selector/notice.go
@@ -29,9 +29,13 @@
 	}
 	name := u.Upstream.Upstream
 	n := s.notices[name]
-	if n == nil || u.StartedMs > n.startedMs {
+	switch {
+	case n == nil || u.StartedMs > n.startedMs:
 		n = &notice{startedMs: u.StartedMs}
 		s.notices[name] = n
+	case u.StartedMs < n.startedMs:
+		// The process has ended, and the next one has announced something itself.
+		return
 	}
 	n.leaving = n.leaving || r.Leaving
 	if until := now.Add(r.RetryAfter); until.After(n.pausedUntil) {
