selector: what was sent to a cold upstream counts while its record is away

The count of what was sent went with the state of the upstream, and each VM sent its share of the limit again at once. It belongs to the name and address now, and is dropped when nothing counts any more.

Before: TestSendsToColdUpstreamForgotten/record removed and back, 'assertion failed: 24 (sent int) != 12 (limit int)'.

--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -58,6 +58,7 @@
 		svc.upstreams = append(svc.upstreams, state)
 	}
 	s.upstreams = upstreams
+	s.forgetPacers(now)
 	for _, svc := range s.services {
 		s.countSlots(svc)
 	}
@@ -85,11 +86,24 @@
 		}
 		return known
 	}
-	state := &upstreamState{Upstream: u, hash: xxhash.Sum64String(string(u.Upstream)), slowness: 1, successRate: 1, pacer: &pacer.Pacer{}}
-	if ok && known.Address == u.Address {
-		state.pacer = known.pacer
+	e := endpoint{name: u.Upstream, address: u.Address}
+	if s.pacers[e] == nil {
+		s.pacers[e] = &pacer.Pacer{}
+	}
+	return &upstreamState{
+		Upstream: u, hash: xxhash.Sum64String(string(u.Upstream)), slowness: 1, successRate: 1, pacer: s.pacers[e],
+	}
+}
+
+// forgetPacers drops the pacers of endpoints that are not in the view and to which nothing was
+// sent lately.
+func (s *Selector) forgetPacers(now time.Time) {
+	for e, p := range s.pacers {
+		u := s.upstreams[e.name]
+		if (u == nil || u.Address != e.address) && p.Empty(now) {
+			delete(s.pacers, e)
+		}
 	}
-	return state
 }
 
 // candidates returns the upstreams that a request may be sent to now, in its object's
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -125,6 +125,8 @@
 		stats       map[statsKey]*routeStats
 		drained     map[namer.Zone]bool
 		notices     map[namer.Upstream]*notice
+		// pacers holds the requests that were sent to each endpoint lately.
+		pacers      map[endpoint]*pacer.Pacer
 		spreaders   map[namer.Service]*spreader.Spreader
 		crossRegion crossRegionLimiter
 		vms         int
@@ -133,6 +135,12 @@
 		lastID      pacer.ID
 	}
 
+	// endpoint is where the successive processes of an upstream run.
+	endpoint struct {
+		name    namer.Upstream
+		address string
+	}
+
 	service struct {
 		parser.Service
 		upstreams []*upstreamState
@@ -152,6 +160,7 @@
 		regionZones:     zonesOfRegion(self),
 		stats:           make(map[statsKey]*routeStats),
 		notices:         make(map[namer.Upstream]*notice),
+		pacers:          make(map[endpoint]*pacer.Pacer),
 		spreaders:       make(map[namer.Service]*spreader.Spreader),
 		vms:             1,
 		zoneVMs:         1,
