admitter: an upstream starts with a warm-up when its ejection ends

On the product's own path an upstream that crashed and started again got its full share as soon as its ejection ended, with the queued requests first: only one that joins, or whose drain ends, had a warm-up. The same fault as on the users' path: what was known of a process outlives it. The process that answers after an ejection may be another one, so the warm-up starts again.

Before: TestFullShareAfterEjection 'assertion failed: 20 (namer.Weight) != 5 (namer.Weight): the share at the start of a warm-up'.

--- a/internal/route/admitter/controller.go
+++ b/internal/route/admitter/controller.go
@@ -313,6 +313,8 @@
 		return
 	}
 	u.ejectedUntil = now.Add(min(initialEjection<<u.ejections, maxEjection))
+	// The process may be another one by then.
+	u.warmupStart = u.ejectedUntil
 	u.ejections = min(u.ejections+1, 5)
 	u.consecutiveFailures = 0
 }
@@ -333,7 +335,7 @@
 // currentShare returns the part of this VM's share of the upstream that may be used now.
 // It grows linearly during the warm-up. At least one unit of weight can always be used.
 func (u *upstreamState) currentShare(now time.Time) namer.Weight {
-	age := now.Sub(u.warmupStart)
+	age := max(0, now.Sub(u.warmupStart))
 	if age >= warmupDuration {
 		return u.Share
 	}
