tests: upstreams that start again while nobody looks are flooded

A VM without a connection to the process that ends has no evidence of its end: VMs that start meanwhile, and VMs that are quiet for as long as connections stay open.

--- a/internal/upstream/cataloger/cataloger_test.go
+++ b/internal/upstream/cataloger/cataloger_test.go
@@ -95,3 +95,16 @@
 	c.Put(startTime.Add(4*time.Second), version(3), e)
 	assert.Equal(t, c.View().Upstreams[0].ColdUntil, startTime.Add(7*time.Second))
 }
+
+// A running process may become cold again. When the reports between are missed, it tells the same
+// time left as the last time.
+func TestColdAgainWithSameTimeLeft(t *testing.T) {
+	t.Parallel()
+	c := cataloger.New()
+	e := entry("a")
+	e.ColdLeft, e.Sequence = 3*time.Second, 5
+	c.Put(startTime, version(1), e)
+	e.Sequence = 30
+	c.Put(startTime.Add(10*time.Second), version(2), e)
+	assert.Equal(t, c.View().Upstreams[0].ColdUntil, startTime.Add(13*time.Second))
+}
