exchanger: an idle connection that ends in order shows a crash only before the timeout stated

An upstream that states no idle timeout, or closes a connection that a probe opened and no request used, ends idle connections in order at any time. It counted as lost each time that it ended the last one, and its callers were limited to the rate of a cold upstream for the warm-up time, over and over. And connections that had expired were closed without a look, so that a VM that was quiet for some seconds missed the end of a process.

An orderly end is evidence now only before the end of the timeout that the upstream stated in Keep-Alive, a reset is at any time, also on connections that have expired.

--- a/internal/upstream/exchanger/lost.go
+++ b/internal/upstream/exchanger/lost.go
@@ -44,6 +44,12 @@
 	x.poolFor(t).readAt = x.clock.Now()
 }
 
+// endedEarly reports whether the upstream has ended an idle connection before the idle timeout
+// that it stated. Without one, it may close the connection in order at any time.
+func (c *connection) endedEarly(now time.Time, state idleState) bool {
+	return state == idleReset || state == idleClosed && now.Before(c.openUntil)
+}
+
 // closeBroken closes a connection after an error.
 func (x *Exchanger) closeBroken(t cataloger.Target, c *connection, err error) {
 	if errors.IsAny(err, endErrors...) {
@@ -53,7 +59,7 @@
 	x.closeBusy(t, c)
 }
 
-// closeEnded closes a connection that the upstream has ended, and calls onLost if no other one
+// closeEnded closes a connection that the upstream has ended without notice, and calls onLost if no other one
 // is open: a process that ends takes all its connections with it.
 func (x *Exchanger) closeEnded(t cataloger.Target, c *connection) {
 	x.closeBusy(t, c)
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -46,10 +46,11 @@
 // The states of an idle connection.
 const (
 	idleOpen idleState = iota
-	// idleEnded means that the upstream has ended the connection.
-	idleEnded
-	// idleSpoiled means that the connection can't be used, which says nothing about the
-	// upstream's process.
+	// idleClosed means that the upstream has closed the connection in order, and idleReset that
+	// it has reset it.
+	idleClosed
+	idleReset
+	// idleSpoiled means that the connection can't be used for another reason.
 	idleSpoiled
 )
 
@@ -84,6 +85,8 @@
 		limiter   *headLimiter
 		reader    *bufio.Reader
 		idleUntil time.Time
+		// openUntil is the end of the idle timeout that the upstream stated, zero if it did not.
+		openUntil time.Time
 		willClose bool
 		// answered lists the attempts that were answered on this connection and may still be
 		// sent again. A second response to one of them could not be told from a new one.
@@ -130,12 +133,13 @@
 		if c == nil {
 			break
 		}
-		switch c.idleState() {
-		case idleOpen:
+		state := c.idleState()
+		switch {
+		case state == idleOpen:
 			return c, 0, nil
-		case idleEnded:
+		case c.endedEarly(x.clock.Now(), state):
 			x.closeEnded(t, c)
-		case idleSpoiled:
+		default:
 			x.closeBusy(t, c)
 		}
 	}
@@ -175,13 +179,22 @@
 // and on which the attempt was not answered before, or nil if there is none.
 func (x *Exchanger) takeIdle(t cataloger.Target, attemptID string) *connection {
 	x.mu.Lock()
-	defer x.mu.Unlock()
 	p := x.pools[keyOf(t)]
 	if p == nil {
+		x.mu.Unlock()
 		return nil
 	}
 	now := x.clock.Now()
-	p.closeExpired(now)
+	lost := p.closeExpired(now) && !p.hasOpen()
+	c := p.takeIdle(now, attemptID)
+	x.mu.Unlock()
+	if lost {
+		x.onLost(t)
+	}
+	return c
+}
+
+func (p *pool) takeIdle(now time.Time, attemptID string) *connection {
 	for i, c := range slices.Backward(p.idle) {
 		if !c.hasAnswered(now, attemptID) {
 			p.idle = slices.Delete(p.idle, i, i+1)
@@ -239,15 +252,19 @@
 	x.putIdle(t, c)
 }
 
-// closeExpired closes the connections whose idle timeout has passed.
-func (p *pool) closeExpired(now time.Time) {
+// closeExpired closes the connections whose idle timeout has passed, and reports whether the
+// upstream had ended one of them before that.
+func (p *pool) closeExpired(now time.Time) bool {
+	ended := false
 	p.idle = slices.DeleteFunc(p.idle, func(c *connection) bool {
 		expired := !now.Before(c.idleUntil)
 		if expired {
+			ended = c.endedEarly(now, c.idleState()) || ended
 			c.close()
 		}
 		return expired
 	})
+	return ended
 }
 
 func (p *pool) close() {
@@ -281,8 +298,10 @@
 		return false
 	}
 	idle := defaultIdleTimeout
+	c.openUntil = time.Time{}
 	if timeout, ok := keepAliveTimeout(r.Header.Get("Keep-Alive")); ok {
 		idle = timeout - idleTimeoutMargin
+		c.openUntil = now.Add(timeout)
 	}
 	c.idleUntil = now.Add(idle)
 	return idle > 0
@@ -319,8 +338,10 @@
 		switch {
 		case errors.Is(err, syscall.EAGAIN):
 			state = idleOpen
-		case n <= 0:
-			state = idleEnded
+		case err != nil:
+			state = idleReset
+		case n == 0:
+			state = idleClosed
 		}
 		return true
 	})
