selector: an upstream whose record is missing for a moment stays cold

A record that is missing or unreadable for a moment, or a document that lacks the service, took with it that the upstream was lost, or cold until later; it came back as warm. The state is kept for 10 s now, and what was sent with it.

--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"math"
 	"slices"
 	"time"
@@ -22,6 +23,9 @@
 	// A value below 1 leaves a margin for VMs whose views of the members differ, which
 	// could exceed the limit together.
 	coldRateFraction = 1.0
+	// missingRetention is how long the state of an upstream is kept while its record, or its
+	// service, is missing.
+	missingRetention = 10 * time.Second
 )
 
 // Update replaces the upstreams and services. When the drain of a zone has ended, its
@@ -57,8 +61,7 @@
 		upstreams[u.Upstream] = state
 		svc.upstreams = append(svc.upstreams, state)
 	}
-	s.upstreams = upstreams
-	s.forgetPacers(now)
+	s.setUpstreams(now, upstreams)
 	for _, svc := range s.services {
 		s.countSlots(svc)
 	}
@@ -77,8 +80,11 @@
 // stateOf returns the state of an upstream. A new process starts with fresh state, but what
 // was sent to its address lately may have reached it.
 func (s *Selector) stateOf(u cataloger.Upstream) *upstreamState {
-	known, ok := s.upstreams[u.Upstream]
-	if ok && known.StartedMs == u.StartedMs && known.Address == u.Address {
+	known := s.upstreams[u.Upstream]
+	if known == nil {
+		known = s.missing[u.Upstream].state
+	}
+	if known != nil && known.StartedMs == u.StartedMs && known.Address == u.Address {
 		cold := known.ColdUntil
 		known.Upstream = u
 		if cold.After(u.ColdUntil) {
@@ -86,24 +92,25 @@
 		}
 		return known
 	}
-	e := endpoint{name: u.Upstream, address: u.Address}
-	if s.pacers[e] == nil {
-		s.pacers[e] = &pacer.Pacer{}
-	}
-	return &upstreamState{
-		Upstream: u, hash: xxhash.Sum64String(string(u.Upstream)), slowness: 1, successRate: 1, pacer: s.pacers[e],
+	state := &upstreamState{Upstream: u, hash: xxhash.Sum64String(string(u.Upstream)), slowness: 1, successRate: 1, pacer: &pacer.Pacer{}}
+	if known != nil && known.Address == u.Address {
+		state.pacer = known.pacer
 	}
+	return state
 }
 
-// forgetPacers drops the pacers of endpoints that are not in the view and to which nothing was
-// sent lately.
-func (s *Selector) forgetPacers(now time.Time) {
-	for e, p := range s.pacers {
-		u := s.upstreams[e.name]
-		if (u == nil || u.Address != e.address) && p.Empty(now) {
-			delete(s.pacers, e)
+// setUpstreams replaces the upstreams, and keeps the state of those that are missing now for a
+// time: a record may be missing or unreadable for a moment, and a document may lack a service.
+func (s *Selector) setUpstreams(now time.Time, upstreams map[namer.Upstream]*upstreamState) {
+	for name, state := range s.upstreams {
+		if upstreams[name] == nil {
+			s.missing[name] = missingUpstream{state: state, since: now}
 		}
 	}
+	maps.DeleteFunc(s.missing, func(name namer.Upstream, m missingUpstream) bool {
+		return upstreams[name] != nil || now.Sub(m.since) >= missingRetention
+	})
+	s.upstreams = upstreams
 }
 
 // candidates returns the upstreams that a request may be sent to now, in its object's
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -125,8 +125,7 @@
 		stats       map[statsKey]*routeStats
 		drained     map[namer.Zone]bool
 		notices     map[namer.Upstream]*notice
-		// pacers holds the requests that were sent to each endpoint lately.
-		pacers      map[endpoint]*pacer.Pacer
+		missing     map[namer.Upstream]missingUpstream
 		spreaders   map[namer.Service]*spreader.Spreader
 		crossRegion crossRegionLimiter
 		vms         int
@@ -135,10 +134,10 @@
 		lastID      pacer.ID
 	}
 
-	// endpoint is where the successive processes of an upstream run.
-	endpoint struct {
-		name    namer.Upstream
-		address string
+	// missingUpstream is an upstream that has left the view.
+	missingUpstream struct {
+		state *upstreamState
+		since time.Time
 	}
 
 	service struct {
@@ -160,7 +159,7 @@
 		regionZones:     zonesOfRegion(self),
 		stats:           make(map[statsKey]*routeStats),
 		notices:         make(map[namer.Upstream]*notice),
-		pacers:          make(map[endpoint]*pacer.Pacer),
+		missing:         make(map[namer.Upstream]missingUpstream),
 		spreaders:       make(map[namer.Service]*spreader.Spreader),
 		vms:             1,
 		zoneVMs:         1,
--- a/internal/share/pacer/pacer.go
+++ b/internal/share/pacer/pacer.go
@@ -63,12 +63,6 @@
 	return len(p.requests) < limit
 }
 
-// Empty reports whether no request counts.
-func (p *Pacer) Empty(now time.Time) bool {
-	p.expire(now)
-	return len(p.requests) == 0
-}
-
 // Reserve counts a request that is about to be sent.
 func (p *Pacer) Reserve(now time.Time, id ID) {
 	p.expire(now)
