steerer: a probe that reaches the next process clears no request

A lost upstream is probed until it is reachable, and the probe that succeeds may reach the next process before its record is read. It cleared the request under which the process before had ended. After a probe that failed, one that succeeds proves nothing now; the request stays in doubt until a record tells.

--- a/internal/route/steerer/lost.go
+++ b/internal/route/steerer/lost.go
@@ -17,6 +17,8 @@
 type lostProbe struct {
 	delay     time.Duration
 	scheduled bool
+	// unreachable says that a probe has failed since the upstream was lost.
+	unreachable bool
 }
 
 // RecordLost records that an upstream's process may have ended, and probes the upstream until
@@ -39,8 +41,9 @@
 }
 
 // recordProbed records the result of a probe, and schedules the next one if the upstream is
-// still not reachable.
-func (s *Steerer) recordProbed(t cataloger.Target, err error) {
+// still not reachable. It reports whether an earlier probe has failed since the upstream was
+// lost, so that the process that is reachable now may be another one.
+func (s *Steerer) recordProbed(t cataloger.Target, err error) bool {
 	p := processOf(t)
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -48,12 +51,17 @@
 		s.selector.RecordContact(s.clock.Now(), t)
 	}
 	next := s.lostProbes[p]
+	unreachable := next != nil && next.unreachable
 	if !s.selector.IsLost(t) {
 		delete(s.lostProbes, p)
-		return
+		return unreachable
 	}
-	if next == nil || next.scheduled {
-		return
+	if next == nil {
+		return false
+	}
+	next.unreachable = true
+	if next.scheduled {
+		return unreachable
 	}
 	next.scheduled = true
 	s.clock.AfterFunc(next.delay, func() {
@@ -63,4 +71,5 @@
 		s.startProbe(t)
 	})
 	next.delay = min(2*next.delay, maxProbeDelay)
+	return unreachable
 }
--- a/internal/route/steerer/quarantine.go
+++ b/internal/route/steerer/quarantine.go
@@ -96,8 +96,10 @@
 	s.mu.Lock()
 	delete(s.probing, p)
 	s.mu.Unlock()
-	s.recordProbed(t, err)
+	unreachable := s.recordProbed(t, err)
 	switch {
+	case err == nil && unreachable:
+		s.log.Debug("not known whether an upstream has crashed", "upstream", string(t.Upstream), "reason", "it was not reachable for a time")
 	case err == nil:
 		if s.quarantine.RecordAlive(p, broken) {
 			s.startProbe(t)
