--- a/internal/upstream/exchanger/lost.go
+++ b/internal/upstream/exchanger/lost.go
@@ -103,6 +103,9 @@
 	err = rc.Control(func(fd uintptr) {
 		fds := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
 		n, err := unix.Poll(fds, 0)
+		for errors.Is(err, syscall.EINTR) {
+			n, err = unix.Poll(fds, 0)
+		}
 		open = err == nil && n == 0
 	})
 	return err == nil && open
--- a/internal/upstream/exchanger/lost_test.go
+++ b/internal/upstream/exchanger/lost_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"strings"
 	"sync/atomic"
@@ -94,6 +95,54 @@
 	assert.Assert(t, lost.Load() >= 1)
 }
 
+// An upstream to which this VM has no connection is lost when its host refuses one.
+func TestRefusedConnectionUnnoticed(t *testing.T) {
+	t.Parallel()
+	u := startUpstream(t, completeResponse)
+	u.crash(true)
+	x, lost, _ := newLossCounter(t)
+	_, err := x.Exchange(t.Context(), u.target(), request("a1"))
+	assert.Assert(t, errors.Is(err, exchanger.ErrNotSent), "%v", err)
+	assert.Equal(t, lost.Load(), int32(1))
+}
+
+// A process that ends while a long body is streamed is noticed by its reader.
+func TestRestartUnnoticedWhileStreaming(t *testing.T) {
+	t.Parallel()
+	u := startUpstream(t, "HTTP/1.1 200 OK\r\nAttempt: ID\r\nContent-Length: 1000000\r\n\r\n"+strings.Repeat("x", 300<<10)+stayQuiet)
+	x, lost, _ := newLossCounter(t)
+	response, err := x.Exchange(t.Context(), u.target(), request("a1"))
+	assert.NilError(t, err)
+	u.crash(false)
+	_, err = io.Copy(io.Discard, response.Rest)
+	assert.Assert(t, err != nil)
+	assert.NilError(t, response.Rest.Close())
+	assert.Equal(t, lost.Load(), int32(1))
+}
+
+// While another connection is in use, one that breaks shows nothing.
+func TestBusyUpstreamLost(t *testing.T) {
+	t.Parallel()
+	u := startUpstream(t, stayQuiet)
+	x, lost, _ := newLossCounter(t)
+	done := make(chan error, 2)
+	for _, id := range []string{"a1", "a2"} {
+		go func() {
+			_, err := x.Exchange(t.Context(), u.target(), request(id))
+			done <- err
+		}()
+	}
+	waitSeen(t, u, 2)
+	u.mu.Lock()
+	assert.NilError(t, u.openConns[0].Close())
+	u.mu.Unlock()
+	assert.ErrorContains(t, <-done, "reading an answer")
+	assert.Equal(t, lost.Load(), int32(0))
+	u.crash(false)
+	assert.ErrorContains(t, <-done, "reading an answer")
+	assert.Equal(t, lost.Load(), int32(1))
+}
+
 // An upstream whose process goes on must not be taken for one that may have started again.
 func TestRunningUpstreamLost(t *testing.T) {
 	t.Parallel()
