--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -48,6 +48,8 @@
 		state.region = s.self.Regions[u.Zone]
 		state.maxIdleConns = max(1, svc.MaxConns/s.vms)
 		state.coldRate = svc.MaxColdRate
+		state.share = nil
+		state.warmup = svc.Warmup
 		state.notice = s.noticeOf(state)
 		if returned[u.Zone] {
 			state.ColdUntil = now.Add(svc.Warmup)
@@ -71,7 +73,8 @@
 	}
 }
 
-// stateOf returns the state of an upstream. A new process starts with fresh state.
+// stateOf returns the state of an upstream. A new process starts with fresh state, but what
+// was sent to its address lately may have reached it.
 func (s *Selector) stateOf(u cataloger.Upstream) *upstreamState {
 	known, ok := s.upstreams[u.Upstream]
 	if ok && known.StartedMs == u.StartedMs && known.Address == u.Address {
@@ -82,7 +85,11 @@
 		}
 		return known
 	}
-	return &upstreamState{Upstream: u, hash: xxhash.Sum64String(string(u.Upstream)), slowness: 1, successRate: 1}
+	state := &upstreamState{Upstream: u, hash: xxhash.Sum64String(string(u.Upstream)), slowness: 1, successRate: 1, pacer: &pacer.Pacer{}}
+	if ok && known.Address == u.Address {
+		state.pacer = known.pacer
+	}
+	return state
 }
 
 // candidates returns the upstreams that a request may be sent to now, in its object's
@@ -173,11 +180,22 @@
 	if slices.Contains(r.Tried, u.Upstream.Upstream) {
 		return false
 	}
-	if !u.isCold(now) || u.coldRate <= 0 {
-		return true
+	return !s.isPaced(now, u) || u.pacer.CanSend(now, s.coldShare(u))
+}
+
+// isPaced reports whether the rate of requests to an upstream is limited.
+func (s *Selector) isPaced(now time.Time, u *upstreamState) bool {
+	return u.isCold(now) && u.coldRate > 0
+}
+
+// coldShare returns how many requests this VM may send within the pacer's window to an upstream
+// while it is cold. It is asked for each queued request, and the rank takes long to compute.
+func (s *Selector) coldShare(u *upstreamState) int {
+	if u.share == nil {
+		share := pacer.Share(int(float64(u.coldRate)*coldRateFraction), s.vms, s.rank(u.Upstream.Upstream))
+		u.share = &share
 	}
-	share := pacer.Share(int(float64(u.coldRate)*coldRateFraction), s.vms, s.rank(u.Upstream.Upstream))
-	return u.coldPacer.CanSend(now, share)
+	return *u.share
 }
 
 // rendezvousScore returns the score of one zone or upstream by weighted rendezvous
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -24,11 +24,13 @@
 package selector
 
 import (
+	"math"
 	"slices"
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/share/pacer"
 	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
@@ -91,9 +93,12 @@
 		// age of the load that the upstream last reported.
 		Load    float64
 		LoadAge time.Duration
+		// ColdLeft is how much longer the upstream is known to be cold, 0 when it is not.
+		ColdLeft time.Duration
 		// Zone is the upstream's zone.
 		Zone namer.Zone
 
+		id       pacer.ID
 		upstream *upstreamState
 		target   cataloger.Target
 		route    namer.Route
@@ -125,6 +130,7 @@
 		vms         int
 		zoneVMs     int
 		rank        func(namer.Upstream) int
+		lastID      pacer.ID
 	}
 
 	service struct {
@@ -171,6 +177,9 @@
 	s.vms = max(vms, 1)
 	s.zoneVMs = max(zoneVMs, 1)
 	s.rank = rank
+	for _, u := range s.upstreams {
+		u.share = nil
+	}
 }
 
 // Decide returns what to do with a request now.
@@ -213,6 +222,8 @@
 	best.route = r.Route.Name
 	best.target = best.upstream.target()
 	best.target.RTT = s.rtt(best.upstream)
+	s.lastID++
+	best.id = s.lastID
 	return withAction(now, r, best)
 }
 
@@ -239,7 +250,7 @@
 // candidate's position in the object's order, usual the route's usual processing time.
 func (s *Selector) evaluate(now time.Time, u *upstreamState, position int, usual time.Duration) Decision {
 	load := u.estimatedLoad(now)
-	d := Decision{upstream: u, Zone: u.Zone, Load: load, LoadAge: u.loadAge(now), Reason: ReasonPrimary, warm: position < warmCopies}
+	d := Decision{upstream: u, Zone: u.Zone, Load: load, LoadAge: u.loadAge(now), ColdLeft: u.coldLeft(now), Reason: ReasonPrimary, warm: position < warmCopies}
 	processing := u.expectedProcessingTime(now, usual)
 	switch {
 	case position == 1:
@@ -285,13 +296,26 @@
 func (s *Selector) Begin(now time.Time, d Decision) {
 	d.upstream.inFlight++
 	s.crossRegion.record(now, d.crossRegion)
-	if d.upstream.isCold(now) {
-		d.upstream.coldPacer.RecordSend(now)
+	d.upstream.pacer.Reserve(now, d.id)
+}
+
+// Admit reports whether a request for which Begin was called may be sent now, on a connection
+// to the upstream of its decision. The upstream may have been found to be cold meanwhile.
+func (s *Selector) Admit(now time.Time, d Decision) bool {
+	if !s.Usable(now, d) {
+		return false
+	}
+	u := d.upstream
+	u.recordContact(now)
+	limit := math.MaxInt
+	if s.isPaced(now, u) {
+		limit = s.coldShare(u)
 	}
+	return u.pacer.Confirm(now, d.id, limit)
 }
 
-// Usable reports whether the upstream of a decision still runs as the same process and
-// may get a request now.
+// Usable reports whether the upstream of a decision still runs as the same process, as far as
+// this VM knows, and takes requests.
 func (s *Selector) Usable(now time.Time, d Decision) bool {
 	return s.upstreams[d.target.Upstream] == d.upstream && !s.isDraining(d.upstream) && d.upstream.notice.pauseLeft(now) == 0
 }
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -59,6 +59,8 @@
 	// coldRate is the limit of requests per second while the upstream is cold, for
 	// all VMs together.
 	coldRate int
+	// share is this VM's share of coldRate, nil until it is needed.
+	share *int
 
 	// notice is nil if the upstream has announced nothing.
 	notice *notice
@@ -74,9 +76,11 @@
 	connectFailures int
 	// retryAt is the end of the backoff after a failure to connect.
 	retryAt time.Time
-	// warmedAt is reset after a failure to connect, and is not read.
-	warmedAt  time.Time
-	coldPacer pacer.Pacer
+	// lost says that this VM's connections to the process have ended and none has opened
+	// since, so that the next one may reach another process.
+	lost   bool
+	warmup time.Duration
+	pacer  *pacer.Pacer
 }
 
 // loadReport is the load that an upstream reported, and this VM's requests in flight
@@ -89,6 +93,8 @@
 
 // Report describes the outcome of a request for which Begin was called.
 type Report struct {
+	// Unsent means that nothing was sent.
+	Unsent bool
 	// Inconclusive means that the outcome says nothing about the upstream: nothing was
 	// sent, or the caller went away.
 	Inconclusive bool
@@ -121,6 +127,9 @@
 	if r.Load >= 0 {
 		u.reported = loadReport{requests: float64(r.Load), inFlight: u.inFlight, at: now}
 	}
+	if r.Unsent {
+		u.pacer.Cancel(d.id)
+	}
 	s.recordNotice(now, u, r)
 	switch {
 	case r.Inconclusive:
@@ -183,8 +192,6 @@
 	pause := initialBackoff << min(u.connectFailures, 10)
 	u.connectFailures++
 	u.retryAt = now.Add(min(pause, maxBackoff))
-	// An upstream that was down comes back cold.
-	u.warmedAt = time.Time{}
 }
 
 // recordOutcome adds one outcome to the upstream's success rate.
@@ -244,7 +251,12 @@
 }
 
 func (u *upstreamState) isCold(now time.Time) bool {
-	return now.Before(u.ColdUntil)
+	return u.lost || now.Before(u.ColdUntil)
+}
+
+// coldLeft returns how much longer the upstream is known to be cold, at least 0.
+func (u *upstreamState) coldLeft(now time.Time) time.Duration {
+	return max(0, u.ColdUntil.Sub(now))
 }
 
 // decayFactor returns the factor by which a value decays exponentially within a time.
