selector: test that a lost upstream is not forgotten

An upstream whose process is not known to run counts as cold until the store tells of another one. That is kept with the state of the upstream, which is dropped when its record disappears: if the record of the same process comes back, as after the store removed it for want of reports and then carried out a late write, the upstream counts as warm, whichever process runs. The test fails on: 5 requests at once, where 3 are this VM's share.

TestSendsToColdUpstreamForgotten now admits its requests too; with the limit kept by address, its row of a record that was removed is the one still red.

--- a/internal/route/selector/lost_test.go
+++ b/internal/route/selector/lost_test.go
@@ -95,6 +95,16 @@
 	}
 }
 
+// An upstream must not count as warm since its record disappeared and came back while its
+// process was not known to run.
+func TestLostUpstreamForgotten(t *testing.T) {
+	t.Parallel()
+	f, target := lostFixture(t)
+	f.Update(f.now, without(startedView(), target.Upstream), f.doc)
+	f.Update(f.now, startedView(), f.doc)
+	assert.Equal(t, len(f.beginTo(target.Upstream, 5)), coldShare)
+}
+
 // A VM without a share must find out by itself that the upstream has become warm.
 func TestLostUpstreamWithoutShareStaysCold(t *testing.T) {
 	t.Parallel()
--- a/internal/route/selector/selector_test.go
+++ b/internal/route/selector/selector_test.go
@@ -234,6 +234,7 @@
 			sendUpTo := func(most int) {
 				for d := f.Decide(f.now, f.request("o")); d.Action == selector.Send && sent < most; d = f.Decide(f.now, f.request("o")) {
 					f.Begin(f.now, d)
+					assert.Assert(t, f.Admit(f.now, d))
 					f.End(f.now, d, answered(100*time.Millisecond, 0))
 					sent++
 				}
