selector: test that a late record does not end the cold period

An upstream that crashes twice within seconds has three processes, and the store may carry out the write of the second after the third has started. The record tells of a new process, so it ends what the VM concluded from its own connections: the upstream counts as cold only for as long as the record of the process that has ended says.

The test fails: 5 requests where 3 are this VM's share.

--- a/internal/route/selector/lost_test.go
+++ b/internal/route/selector/lost_test.go
@@ -1,6 +1,7 @@
 package selector_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -105,6 +106,28 @@
 	assert.Equal(t, len(f.beginTo(target.Upstream, 5)), coldShare)
 }
 
+// A record that was written late may be that of a process between the one that was lost and the
+// one that runs. Its cold period must not end that of the running process.
+func TestRecordOfProcessThatHasEnded(t *testing.T) {
+	t.Parallel()
+	for _, contact := range []bool{true, false} {
+		t.Run(fmt.Sprint(contact), func(t *testing.T) {
+			t.Parallel()
+			f, target := lostFixture(t)
+			if contact {
+				f.RecordContact(f.now, target)
+			}
+			v := f.restarted(target.Upstream)
+			for i := range v.Upstreams {
+				v.Upstreams[i].ColdUntil = f.now.Add(time.Second)
+			}
+			f.Update(f.now, v, f.doc)
+			f.now = f.now.Add(warmup - time.Millisecond)
+			assert.Equal(t, len(f.beginTo(target.Upstream, 5)), coldShare)
+		})
+	}
+}
+
 // A VM without a share must find out by itself that the upstream has become warm.
 func TestLostUpstreamWithoutShareStaysCold(t *testing.T) {
 	t.Parallel()
