--- a/internal/peer/messenger/messenger_test.go
+++ b/internal/peer/messenger/messenger_test.go
@@ -1,14 +1,18 @@
 package messenger_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"net"
 	"os"
+	"strings"
 	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"go.uber.org/goleak"
 	"gotest.tools/v3/assert"
 
@@ -263,3 +267,61 @@
 	_, err = b.Call(ctx, a.address, a.inc, pullRequest())
 	assert.NilError(t, err)
 }
+
+// TestLongGreeting guards against a connection without the key that makes a VM allocate as much
+// as the longest message takes: a greeting was read like any other message.
+func TestLongGreeting(t *testing.T) {
+	t.Parallel()
+	b := newNode(t, 2, echoVM, "key")
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	self := messenger.Identity{VM: namer.VM(strings.Repeat("x", 1<<20)), Incarnation: namer.Incarnation{1}}
+	a, cleanup, err := messenger.New(ln, self, [][]byte{[]byte("key")})
+	assert.NilError(t, err)
+	t.Cleanup(cleanup)
+	ctx, cancel := context.WithTimeout(context.Background(), testTimeout)
+	defer cancel()
+	_, err = a.Call(ctx, b.address, b.inc, pullRequest())
+	assert.ErrorContains(t, err, "greeting")
+	c := newNode(t, 3, echoVM, "key")
+	_, err = c.Call(ctx, b.address, b.inc, pullRequest())
+	assert.NilError(t, err)
+}
+
+// TestEndlessGreeting guards against bytes without end in place of a greeting, which are read
+// until the time limit of the handshake or for good.
+func TestEndlessGreeting(t *testing.T) {
+	t.Parallel()
+	sendEndless := func(conn net.Conn, b byte) {
+		_ = conn.SetDeadline(time.Now().Add(testTimeout))
+		block := bytes.Repeat([]byte{b}, 4<<10)
+		var err error
+		for err == nil {
+			_, err = conn.Write(block)
+		}
+		assert.Check(t, !errors.Is(err, os.ErrDeadlineExceeded), "the connection is still open")
+		_ = conn.Close()
+	}
+	for _, b := range []byte{'x', 0xff, 0} {
+		t.Run(fmt.Sprintf("%#x", b), func(t *testing.T) {
+			t.Parallel()
+			a := newNode(t, 1, echoVM, "key")
+			conn, err := net.Dial("tcp", a.address)
+			assert.NilError(t, err)
+			sendEndless(conn, b)
+			ln, err := net.Listen("tcp", "127.0.0.1:0")
+			assert.NilError(t, err)
+			t.Cleanup(func() { _ = ln.Close() })
+			done := make(chan struct{})
+			go func() {
+				defer close(done)
+				if conn, err := ln.Accept(); err == nil {
+					sendEndless(conn, b)
+				}
+			}()
+			_, err = a.Call(t.Context(), ln.Addr().String(), namer.Incarnation{}, pullRequest())
+			assert.ErrorContains(t, err, "greeting")
+			<-done
+		})
+	}
+}
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -16,7 +16,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"context"
 	"io"
 	"net/http"
@@ -33,6 +32,17 @@
 	// maxBufferedBytes is the largest response body that is read whole before Exchange
 	// returns. A longer one is streamed.
 	maxBufferedBytes = 256 << 10
+	// minBufferBytes is the size of the buffer that a body gets without asking ReserveBytes. A
+	// short response is read whole, also when other bodies take all of the memory.
+	minBufferBytes = 4 << 10
+	// bufferGrowthFactor is the factor by which the buffer of a longer body grows.
+	bufferGrowthFactor = 4
+	// maxHeadFields is the maximum number of header fields of a response. Short fields take
+	// many times the memory of their bytes, so maxHeadBytes alone does not limit it.
+	maxHeadFields = 256
+	// maxErrorBytes is the maximum length of the description of a malformed response. The
+	// descriptions of net/http quote what was received.
+	maxErrorBytes = 256
 	// maxResponsesRead is the maximum number of responses that are read for one request:
 	// interim responses and late responses to earlier requests are skipped.
 	maxResponsesRead = 3
@@ -48,6 +58,8 @@
 	ErrNotSent         = errors.New("nothing was sent to the upstream")
 	ErrAttemptMismatch = errors.New("the answer belongs to another request")
 
+	errTooManyFields = errors.Newf("the head has over %d fields", maxHeadFields)
+
 	errCallerGone = errors.New("the caller left before the request was sent")
 	errNotUsable  = errors.New("the upstream left before the request was sent")
 )
@@ -67,6 +79,9 @@
 		// CallerGone reports whether the caller has left; it is called as Usable is, and nil
 		// means no.
 		CallerGone func() bool
+		// ReserveBytes reports whether n more bytes of memory may be taken for the response's
+		// body, which is streamed if not. The caller of Exchange gives them back. Nil means yes.
+		ReserveBytes func(n int) bool
 		// Detached makes the exchange go on when its context ends after the first byte.
 		Detached bool
 	}
@@ -175,7 +190,7 @@
 	response.ConnectTime = connectTime
 	if response.Rest != nil {
 		streaming = true
-		response.Rest = &bodyRest{exchanger: x, target: t, conn: c, body: response.Rest}
+		response.Rest = x.newBodyRest(t, c, response.Rest, r.Deadline)
 		return response, nil
 	}
 	select {
@@ -221,13 +236,16 @@
 		c.limiter.inHead, c.limiter.headLeft = true, maxHeadBytes
 		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // the connection is closed or kept as a whole
 		if err != nil {
-			return Response{}, errors.Wrap(err, "reading an answer")
+			return Response{}, errors.Wrap(shortError(err), "reading an answer")
 		}
 		c.limiter.inHead = false
+		if fieldCount(resp.Header) > maxHeadFields {
+			return Response{}, errors.Wrap(errTooManyFields, "reading an answer")
+		}
 		if resp.StatusCode < http.StatusOK {
 			continue
 		}
-		body, whole, err := readBody(resp)
+		body, whole, err := readBody(resp, r.ReserveBytes)
 		if err != nil {
 			return Response{}, err
 		}
@@ -247,21 +265,50 @@
 	return Response{}, ErrAttemptMismatch
 }
 
-// readBody reads a response's body, but of a body over maxBufferedBytes only the
-// beginning. It reports whether it read the whole body.
-func readBody(resp *http.Response) ([]byte, bool, error) {
-	var buf bytes.Buffer
-	if n := resp.ContentLength; n > 0 && n <= maxBufferedBytes {
-		buf.Grow(int(n) + bytes.MinRead)
+// shortError returns err, or an error with the beginning of its description if that is longer
+// than maxErrorBytes.
+func shortError(err error) error {
+	if text := err.Error(); len(text) > maxErrorBytes {
+		return errors.New(text[:maxErrorBytes] + "...")
 	}
-	n, err := buf.ReadFrom(io.LimitReader(resp.Body, maxBufferedBytes+1))
-	if err != nil {
-		return nil, false, errors.Wrap(err, "reading an answer's body")
+	return err
+}
+
+func fieldCount(header http.Header) int {
+	n := 0
+	for _, values := range header {
+		n += len(values)
 	}
-	if n <= maxBufferedBytes {
-		return buf.Bytes(), true, nil
+	return n
+}
+
+// readBody reads a response's body, but of a body over maxBufferedBytes, or over the bytes
+// that may be reserved, only the beginning. It reports whether it read the whole body.
+func readBody(resp *http.Response, reserve func(n int) bool) ([]byte, bool, error) {
+	// With room for one byte more than the length, the end is read without another buffer.
+	limit, growth := maxBufferedBytes+1, bufferGrowthFactor
+	if resp.ContentLength >= 0 {
+		limit = int(min(resp.ContentLength, maxBufferedBytes)) + 1
+		growth = limit
+	}
+	buf := make([]byte, 0, min(limit, minBufferBytes))
+	for {
+		if len(buf) == cap(buf) {
+			size := min(growth*cap(buf), limit)
+			if size == cap(buf) || reserve != nil && !reserve(size-cap(buf)) {
+				return buf, false, nil
+			}
+			buf = append(make([]byte, 0, size), buf...)
+		}
+		n, err := resp.Body.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, true, nil
+		}
+		if err != nil {
+			return nil, false, errors.Wrap(shortError(err), "reading an answer's body")
+		}
 	}
-	return buf.Bytes(), false, nil
 }
 
 // bodyRest reads the rest of a body that is streamed.
@@ -270,6 +317,14 @@
 	target    cataloger.Target
 	conn      *connection
 	body      io.ReadCloser
+	expiry    clockwork.Timer
+}
+
+// newBodyRest returns the rest of a body, whose connection is closed at the deadline. The
+// connection's own deadline has no effect while nobody reads the body.
+func (x *Exchanger) newBodyRest(t cataloger.Target, c *connection, body io.ReadCloser, deadline time.Time) *bodyRest {
+	left := deadline.Add(deadlineGrace).Sub(x.clock.Now())
+	return &bodyRest{exchanger: x, target: t, conn: c, body: body, expiry: x.clock.AfterFunc(left, c.close)}
 }
 
 // Read implements io.Reader.
@@ -283,6 +338,7 @@
 
 // Close closes the connection, since the body may not have been read to its end.
 func (r *bodyRest) Close() error {
+	r.expiry.Stop()
 	r.exchanger.closeBusy(r.target, r.conn)
 	return nil
 }
