selector: a late record does not end the cold period of the process that runs

Callers saw a cold upstream flooded beside writes that the store carried out late: an upstream that crashes twice within seconds has three processes, and the record of the second may be read when the third runs. It ended what the VM had concluded from its own connections, so that the upstream counted as cold only for what the second had left. A lost upstream stays lost now, and a cold period stays at least as long, with the record of a later process; it is probed as that process.

The row 'record of the next process, which is warm' of TestLostUpstreamStaysCold took the record for proof; two stricter rows replace it: not reachable, and reachable for the warm-up time.

--- a/internal/route/selector/lost.go
+++ b/internal/route/selector/lost.go
@@ -8,8 +8,8 @@
 
 // RecordLost records that all connections to an upstream's process have ended, or that its
 // host refuses connections: the process may have ended. Since the store tells of the next
-// process late, the upstream counts as cold until it has been reachable for its warm-up time
-// or the store tells of a new process. It reports whether that is new.
+// process late, the upstream counts as cold until it has been reachable for its warm-up time.
+// It reports whether that is new.
 func (s *Selector) RecordLost(t cataloger.Target) bool {
 	u := s.processOf(t)
 	if u == nil || u.lost {
@@ -26,6 +26,17 @@
 	}
 }
 
+// Lost returns the upstreams that are lost.
+func (s *Selector) Lost() []cataloger.Target {
+	var out []cataloger.Target
+	for _, u := range s.upstreams {
+		if u.lost {
+			out = append(out, u.target())
+		}
+	}
+	return out
+}
+
 // IsLost reports whether no connection to an upstream's process has opened since it was lost.
 func (s *Selector) IsLost(t cataloger.Target) bool {
 	u := s.processOf(t)
--- a/internal/route/selector/lost_test.go
+++ b/internal/route/selector/lost_test.go
@@ -82,9 +82,14 @@
 		{"record of the same process", func(f *fixture, target cataloger.Target) {
 			f.Update(f.now, with(startedView(), target.Upstream, func(e *cataloger.Entry) { e.Sequence++ }), f.doc)
 		}, warmup, false},
-		{"record of the next process, which is warm", func(f *fixture, target cataloger.Target) {
+		{"record of the next process, which is not reachable", func(f *fixture, target cataloger.Target) {
 			f.Update(f.now, with(startedView(), target.Upstream, func(e *cataloger.Entry) { e.StartedMs++ }), f.doc)
-		}, 0, true},
+		}, time.Minute, false},
+		{"record of the next process, which is reachable for the warm-up time", func(f *fixture, target cataloger.Target) {
+			f.Update(f.now, with(startedView(), target.Upstream, func(e *cataloger.Entry) { e.StartedMs++ }), f.doc)
+			target.StartedMs++
+			f.RecordContact(f.now, target)
+		}, warmup, true},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -78,7 +78,8 @@
 }
 
 // stateOf returns the state of an upstream. A new process starts with fresh state, but what
-// was sent to its address lately may have reached it.
+// was sent to its address lately may have reached it, and a record that is read late may be of a
+// process that has ended, too.
 func (s *Selector) stateOf(u cataloger.Upstream) *upstreamState {
 	known := s.upstreams[u.Upstream]
 	if known == nil {
@@ -95,6 +96,10 @@
 	state := &upstreamState{Upstream: u, hash: xxhash.Sum64String(string(u.Upstream)), slowness: 1, successRate: 1, pacer: &pacer.Pacer{}}
 	if known != nil && known.Address == u.Address {
 		state.pacer = known.pacer
+		state.lost = known.lost
+		if known.ColdUntil.After(u.ColdUntil) {
+			state.ColdUntil = known.ColdUntil
+		}
 	}
 	return state
 }
--- a/internal/route/steerer/lost.go
+++ b/internal/route/steerer/lost.go
@@ -22,20 +22,30 @@
 }
 
 // RecordLost records that an upstream's process may have ended, and probes the upstream until
-// it is reachable. Until the store tells of a new process, or the upstream has been reachable
-// for its warm-up time, it counts as cold.
+// it is reachable. Until it has been reachable for its warm-up time, it counts as cold.
 func (s *Steerer) RecordLost(t cataloger.Target) {
 	s.mu.Lock()
 	isNew := s.selector.RecordLost(t)
 	if isNew {
 		s.counts.Lost++
-		if s.lostProbes[processOf(t)] == nil {
-			s.lostProbes[processOf(t)] = &lostProbe{delay: initialProbeDelay}
-		}
 	}
 	s.mu.Unlock()
 	if isNew {
 		s.log.Info("upstream lost; it counts as cold until its process is known", "upstream", string(t.Upstream), "born", t.StartedMs)
+		s.probeLost(t)
+	}
+}
+
+// probeLost starts to probe a lost upstream, unless that has begun.
+func (s *Steerer) probeLost(t cataloger.Target) {
+	p := processOf(t)
+	s.mu.Lock()
+	begun := s.lostProbes[p] != nil
+	if !begun {
+		s.lostProbes[p] = &lostProbe{delay: initialProbeDelay}
+	}
+	s.mu.Unlock()
+	if !begun {
 		s.startProbe(t)
 	}
 }
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -212,7 +212,11 @@
 	s.view = v
 	s.updateSelector()
 	s.measureRTTs()
+	lost := s.selector.Lost()
 	s.mu.Unlock()
+	for _, t := range lost {
+		s.probeLost(t)
+	}
 	s.recordReplaced(v)
 	targets := make([]cataloger.Target, 0, len(v.Upstreams))
 	for _, u := range v.Upstreams {
