dispatcher: bodies of once-only requests that are read had no limit over all

Up to 8 MB of a response to a once-only request are kept while it is read, and the limits on requests and slots allow hundreds of these at a time. An upstream that sends bodies without end, slowly, could take all memory of a VM. Bodies that are being read now share the limit of the setting "bodies"; over it, the body is left out of the outcome, as that of one over 8 MB always was. The first 64 KB need none of the limit, so that short responses keep their bodies beside a faulty upstream.

--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -160,7 +160,7 @@
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		self := dispatcher.Self{VM: s.VM, Zone: s.Zone, Region: s.Region}
 		d, cleanup := dispatcher.New(self, f.Find(peersName).(*messenger.Messenger), members,
-			f.Find(clockName).(clockwork.Clock), log)
+			f.Find(clockName).(clockwork.Clock), log, dispatcher.WithMaxBufferedBytes(s.Limits.MaxBufferedBytes))
 		f.Find(documentsName).(*keeper.Keeper).Subscribe(d.SetDocument)
 		f.Find(tokensName).(*conductor.Conductor).SetDispatcher(d)
 		members.SetFreeCapacity(d.FreeCapacity)
--- a/internal/route/dispatcher/dispatcher.go
+++ b/internal/route/dispatcher/dispatcher.go
@@ -19,6 +19,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 
 	"github.com/jonboulle/clockwork"
 
@@ -43,8 +44,12 @@
 	CodeUpstreamFailed arbiter.Code = "upstream-failed"
 )
 
-// maxLocalAttempts bounds the attempts of one request at upstreams of this zone.
-const maxLocalAttempts = 3
+const (
+	// maxLocalAttempts bounds the attempts of one request at upstreams of this zone.
+	maxLocalAttempts = 3
+	// defaultMaxBufferedBytes is the default of WithMaxBufferedBytes.
+	defaultMaxBufferedBytes = 64 << 20
+)
 
 type (
 	// StreamOpener opens streams to other entry VMs.
@@ -86,6 +91,10 @@
 		clock     clockwork.Clock
 		log       *slog.Logger
 
+		maxBufferedBytes int64
+		// bufferedBytes is the size of the bodies of once-only requests that are being read.
+		bufferedBytes atomic.Int64
+
 		mu         sync.Mutex
 		current    *keeper.Snapshot
 		assignment claimer.Assignment
@@ -93,6 +102,9 @@
 		shiftCap   *capper.Capper
 	}
 
+	// Option configures a dispatcher.
+	Option func(*Dispatcher)
+
 	// requestRules are the service, the class and the document that apply to a request.
 	requestRules struct {
 		state    *serviceState
@@ -108,8 +120,16 @@
 	}
 )
 
+// WithMaxBufferedBytes limits the size of the response bodies of once-only requests that are
+// being read. Over it, the bodies of long responses are left out.
+func WithMaxBufferedBytes(bytes int64) Option {
+	return func(d *Dispatcher) { d.maxBufferedBytes = bytes }
+}
+
 // New returns a dispatcher without a document, which refuses every request.
-func New(self Self, peers StreamOpener, members MemberLister, clock clockwork.Clock, log *slog.Logger) (*Dispatcher, func()) {
+func New(
+	self Self, peers StreamOpener, members MemberLister, clock clockwork.Clock, log *slog.Logger, opts ...Option,
+) (*Dispatcher, func()) {
 	forward, cleanup := forwarder.New()
 	d := &Dispatcher{
 		self:      self,
@@ -119,6 +139,11 @@
 		clock:     clock,
 		log:       log,
 		shiftCap:  capper.New(clock.Now()),
+
+		maxBufferedBytes: defaultMaxBufferedBytes,
+	}
+	for _, opt := range opts {
+		opt(d)
 	}
 	return d, cleanup
 }
--- a/internal/route/dispatcher/once.go
+++ b/internal/route/dispatcher/once.go
@@ -13,6 +13,16 @@
 	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
 )
 
+const (
+	// minBufferBytes is the size of the first buffer of a response's body.
+	minBufferBytes = 4 << 10
+	// bufferGrowthFactor is the factor by which the buffer of a longer body grows.
+	bufferGrowthFactor = 4
+	// maxUnreservedBytes is the largest buffer that a body gets also when other bodies take all
+	// of the memory.
+	maxUnreservedBytes = 64 << 10
+)
+
 // unconditionalGate allows every attempt. It is for requests that another VM spilled:
 // that VM's gate has allowed the request already, and the stream that carries it can't
 // repeat it.
@@ -96,20 +106,47 @@
 		grant.Done(false)
 		return notRun(CodeUpstreamFailed, "the upstream refused")
 	}
-	body, err := io.ReadAll(io.LimitReader(resp.Body, conductor.MaxResponseBytes+1))
+	body, whole, err := d.readBody(resp.Body)
 	grant.Done(err != nil || isFailure(resp.Status))
 	if err != nil {
 		return d.unknownOutcome(grant, err)
 	}
 	out := d.ranOutcome(resp, grant)
 	out.Response.Body = body
-	if len(body) > conductor.MaxResponseBytes {
-		out.Response.Body = nil
-		out.Response.BodyOmitted = true
-	}
+	out.Response.BodyOmitted = !whole
 	return out
 }
 
+// readBody reads a body and reports true. Of a body over conductor.MaxResponseBytes, or over
+// the memory that is left for bodies, it returns nothing.
+func (d *Dispatcher) readBody(r io.Reader) ([]byte, bool, error) {
+	buf := make([]byte, 0, minBufferBytes)
+	reserved := int64(0)
+	defer func() { d.bufferedBytes.Add(-reserved) }()
+	for {
+		if len(buf) == cap(buf) {
+			size := min(bufferGrowthFactor*cap(buf), conductor.MaxResponseBytes+1)
+			more := int64(size - cap(buf))
+			if size > maxUnreservedBytes {
+				if d.bufferedBytes.Add(more) > d.maxBufferedBytes || more == 0 {
+					d.bufferedBytes.Add(-more)
+					return nil, false, nil
+				}
+				reserved += more
+			}
+			buf = append(make([]byte, 0, size), buf...)
+		}
+		n, err := r.Read(buf[len(buf):cap(buf)])
+		buf = buf[:len(buf)+n]
+		if errors.Is(err, io.EOF) {
+			return buf, true, nil
+		}
+		if err != nil {
+			return nil, false, err
+		}
+	}
+}
+
 // unknownOutcome returns the outcome of a request that may have run, since it was sent
 // and no complete response came back.
 func (d *Dispatcher) unknownOutcome(grant *admitter.Grant, err error) arbiter.Outcome {
--- a/internal/settings/loader/schema.go
+++ b/internal/settings/loader/schema.go
@@ -57,7 +57,7 @@
 		{Name: "body", Kind: checker.Number, Default: "262144", Min: 1024, Max: 64 << 20, Unit: "bytes", Doc: "the largest request body; above it 413"},
 		{Name: "answer", Kind: checker.Number, Default: "65536", Min: 0, Max: 1 << 20, Unit: "bytes", Doc: "the largest answer to a once-only request that is kept for a retry"},
 		{Name: "read", Kind: checker.Duration, Default: "5s", Min: int64(10 * time.Millisecond), Max: int64(time.Minute), Doc: "the time within which a request must have been read; above it 408"},
-		{Name: "bodies", Kind: checker.Number, Default: "67108864", Min: 1024, Max: 1 << 40, Unit: "bytes", Doc: "the request bodies held at once for routes, above it 503, and as many of response bodies, above it streamed"},
+		{Name: "bodies", Kind: checker.Number, Default: "67108864", Min: 1024, Max: 1 << 40, Unit: "bytes", Doc: "the request bodies held at once for routes, above it 503, and as many of response bodies, above it streamed, or left out of answers to once-only requests"},
 		{Name: "requests", Kind: checker.Number, Default: "1024", Min: 1, Max: 1 << 20, Unit: "requests", Doc: "the requests in progress; above it 503"},
 		{Name: "tokens", Kind: checker.Number, Default: "100000", Min: 1, Max: 1 << 24, Unit: "tokens", Doc: "the once-only tokens remembered as owner, and as many as witness"},
 	}}
