runner: the upstreams of the flood test state their idle timeout

Traced in its log: vm-1 had only idle connections when the process ended, between its requests of 24.33 and 25.38 s, and saw them closed in order. The bound stays.

--- a/internal/kernel/runner/restarted_test.go
+++ b/internal/kernel/runner/restarted_test.go
@@ -196,6 +196,8 @@
 	time.Sleep(processingTime)
 	w.Header().Set(h.AttemptID, attempt)
 	w.Header().Set(h.Signature, "s")
+	// As the protocol has it: net/http itself does not state its idle timeout.
+	w.Header().Set("Keep-Alive", "timeout=60")
 }
 
 func (u *restartingUpstream) noteArrival(attempt string) {
