heartbeater: report a zone's new number of VMs without a change of members

A VM divides the rate limit of a cold upstream by the number of VMs that it knows. The hook that makes it count them again ran only when a known member changed. The number of VMs of another zone comes in summaries, every six heartbeats or later than the members, so a VM that had just started went on with one VM for such a zone until some member changed.

TestZoneSizeChangesAlone: "the change to 14 VMs was not reported" on the code before, passes in 3 of 3 runs with -race after it. The hook now runs also when the number of VMs of a zone has changed.

--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -21,6 +21,7 @@
 import (
 	"context"
 	"log/slog"
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -159,12 +160,14 @@
 		changedAt map[namer.VM]time.Time
 		// refusedHashes has the hash of the requests that each peer refuses. evidenceSentAt
 		// is when SendEvidence last sent heartbeats, evidenceDue whether it will again.
-		refusedHashes    map[namer.VM]uint64
-		evidenceSentAt   time.Time
-		evidenceDue      bool
-		sent             map[namer.VM]sentState
-		states           map[namer.VM]string
-		summaries        map[namer.Zone]tracker.ZoneSummary
+		refusedHashes  map[namer.VM]uint64
+		evidenceSentAt time.Time
+		evidenceDue    bool
+		sent           map[namer.VM]sentState
+		states         map[namer.VM]string
+		summaries      map[namer.Zone]tracker.ZoneSummary
+		// zoneSizes has the number of VMs of each zone at the last look for changes.
+		zoneSizes        map[namer.Zone]int
 		intervals        uint64
 		onChange         func()
 		freeCapacity     func() []tracker.FreeCapacity
@@ -206,8 +209,8 @@
 	}
 }
 
-// OnChange sets the function that is called when the set of members or a member's
-// state has changed.
+// OnChange sets the function that is called when the set of members, a member's state or
+// the number of VMs of a zone has changed.
 func (h *Heartbeater) OnChange(f func()) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
@@ -414,17 +417,31 @@
 		}
 	}
 	h.states = states
+	sizes := zoneSizes(h.summarize(h.selfNow(), members, now))
+	resized := !maps.Equal(sizes, h.zoneSizes)
+	h.zoneSizes = sizes
 	hook := h.onChange
 	h.mu.Unlock()
+	if len(changed) > 0 || resized {
+		hook()
+	}
 	if len(changed) == 0 {
 		return
 	}
-	hook()
 	slices.Sort(changed)
 	listed := changed[:min(len(changed), maxChangesPerHeartbeat)]
 	h.log.Info("members changed", "known", len(members), "count", len(changed), "changes", strings.Join(listed, " "))
 }
 
+// zoneSizes returns the number of VMs of each zone.
+func zoneSizes(summaries []tracker.ZoneSummary) map[namer.Zone]int {
+	sizes := make(map[namer.Zone]int, len(summaries))
+	for _, s := range summaries {
+		sizes[s.Zone] = s.VMs
+	}
+	return sizes
+}
+
 // sendHeartbeats sends one heartbeat to every target that has none in flight. In each
 // pair of VMs the one with the lower name sends. The other sends only when it has not
 // heard the first for a while, or when the heartbeats are urgent because of a change.
--- a/internal/member/heartbeater/heartbeater_test.go
+++ b/internal/member/heartbeater/heartbeater_test.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
 	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+	"github.com/waxwingloom/waxwingloom/internal/peer/converter"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 )
@@ -204,3 +205,52 @@
 	clock.Advance(time.Second)
 	<-silent
 }
+
+// TestZoneSizeChangesAlone guards against a VM that goes on with too few VMs of another zone, since
+// their number came after its members.
+func TestZoneSizeChangesAlone(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	var members [2]tracker.Member
+	for i, name := range []string{"a", "b"} {
+		inc, err := namer.RandomIncarnation()
+		assert.NilError(t, err)
+		members[i] = tracker.Member{VM: namer.VM(name), Zone: namer.Zone("zone-" + name), Region: "r", PeerAddress: name, Incarnation: inc, Started: clock.Now(), ZoneSize: 1, LastHeard: clock.Now()}
+	}
+	p := &pair{members: make(map[string]*heartbeater.Heartbeater), sent: make(map[string]int), down: make(map[string]bool)}
+	log := slog.New(slog.DiscardHandler)
+	deps := heartbeater.Dependencies{Peers: pairClient{p, "a"}, Lister: emptyList{}, Documents: keeper.New(log)}
+	timing := heartbeater.Timing{
+		HeartbeatInterval: heartbeatInterval, ListInterval: time.Hour,
+		Tracker: tracker.Timing{SuspectTimeout: time.Hour, DeadTimeout: time.Hour},
+	}
+	h := heartbeater.New(members[0], deps, []string{"a"}, timing, clock, log)
+	sizes := make(chan int, 16)
+	h.OnChange(func() {
+		for _, s := range h.Summaries() {
+			if s.Zone == members[1].Zone {
+				sizes <- s.VMs
+			}
+		}
+	})
+	ctx, cancel := context.WithCancel(t.Context())
+	var running sync.WaitGroup
+	running.Go(func() { assert.Check(t, h.Serve(ctx)) })
+	defer running.Wait()
+	defer cancel()
+	for _, size := range []int{1, 14} {
+		assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
+		summary := tracker.ZoneSummary{Zone: members[1].Zone, VMs: size, At: clock.Now()}
+		h.HandleHeartbeat(t.Context(), &encoder.Heartbeat{
+			Sender:    converter.Member(members[1], clock.Now()),
+			Summaries: []*encoder.Summary{converter.Summary(summary, clock.Now())},
+		})
+		clock.Advance(heartbeatInterval)
+		select {
+		case got := <-sizes:
+			assert.Equal(t, got, size)
+		case <-time.After(10 * time.Second):
+			t.Fatalf("the change to %d VMs was not reported", size)
+		}
+	}
+}
