ranker: a VM that has just started takes no share of a cold upstream's limit

Callers' requests flooded cold upstreams when a lost region came back (FAILBACK): its VMs and upstreams start together.

A VM now has a rank only after it has run for the dead timeout, and a zone counts with its highest number of VMs within that time, so views may count too many VMs but not too few. The target stays the cold rate.

Not covered: VMs that are cut off for longer than the dead timeout count the others as gone and divide the whole limit among themselves.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -3,12 +3,13 @@
 import (
 	"expvar"
 	"log/slog"
+	"maps"
 	"net"
 	"net/http"
 	"slices"
+	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
@@ -32,6 +33,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
 	"github.com/waxwingloom/waxwingloom/internal/settings/reloader"
+	"github.com/waxwingloom/waxwingloom/internal/share/ranker"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/discoverer"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
 	"github.com/waxwingloom/waxwingloom/platform"
@@ -226,8 +228,9 @@
 		})
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		st.SetQuarantine(f.Find(quarantineName).(*quarantiner.Quarantiner), members.SendEvidence)
-		members.OnChange(func() { updateMemberCounts(st, members, s) })
-		updateMemberCounts(st, members, s)
+		counter := newMemberCounter(st, members, clock, s)
+		members.OnChange(counter.update)
+		counter.update()
 		f.Find(documentsName).(*keeper.Keeper).Subscribe(func(snapshot *keeper.Snapshot) {
 			st.SetDocument(snapshot.Head.Generation, snapshot.Document)
 			members.SendNow()
@@ -249,47 +252,49 @@
 	})
 }
 
-// updateMemberCounts passes to the steerer the number of VMs, in all and in this VM's zone,
-// and the function that returns this VM's rank among them for an upstream. A zone without a
-// known summary counts as one VM.
-func updateMemberCounts(st *steerer.Steerer, members *heartbeater.Heartbeater, s loader.Settings) {
-	zones := make(map[namer.Zone]int, len(s.Regions))
-	for zone := range s.Regions {
+// memberCounter passes the numbers of VMs, and this VM's rank among them, to the steerer.
+type memberCounter struct {
+	steerer *steerer.Steerer
+	members *heartbeater.Heartbeater
+	clock   clockwork.Clock
+	zone    namer.Zone
+	zones   []namer.Zone
+
+	mu     sync.Mutex
+	ranker *ranker.Ranker
+}
+
+func newMemberCounter(st *steerer.Steerer, members *heartbeater.Heartbeater, clock clockwork.Clock, s loader.Settings) *memberCounter {
+	return &memberCounter{
+		steerer: st,
+		members: members,
+		clock:   clock,
+		zone:    s.Zone,
+		zones:   slices.Collect(maps.Keys(s.Regions)),
+		ranker:  ranker.New(s.VM, s.Zone, clock.Now(), s.Timing.DeadTimeout),
+	}
+}
+
+// update passes the current members to the steerer. A zone without a known summary counts as
+// one VM.
+func (c *memberCounter) update() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	zones := make(map[namer.Zone]int, len(c.zones))
+	for _, zone := range c.zones {
 		zones[zone] = 1
 	}
-	for _, summary := range members.Summaries() {
+	for _, summary := range c.members.Summaries() {
 		zones[summary.Zone] = max(summary.VMs, 1)
 	}
 	var zoneVMs []namer.VM
-	for _, m := range members.Members() {
-		if m.Zone == s.Zone && m.State != tracker.Dead {
+	for _, m := range c.members.Members() {
+		if m.Zone == c.zone && m.State != tracker.Dead {
 			zoneVMs = append(zoneVMs, m.VM)
 		}
 	}
-	total := 0
-	for _, vms := range zones {
-		total += vms
-	}
-	st.SetMembers(total, len(zoneVMs)+1, func(u namer.Upstream) int { return rankFor(u, s.VM, s.Zone, zoneVMs, zones) })
-}
-
-// rankFor returns a VM's rank among all VMs in an order that is specific to the upstream.
-// It orders by the hash of the zone, then of the VM, since a VM knows the names of the VMs
-// in its own zone but only the number of VMs in other zones.
-func rankFor(u namer.Upstream, self namer.VM, ownZone namer.Zone, zoneVMs []namer.VM, zones map[namer.Zone]int) int {
-	hash := func(name string) uint64 { return xxhash.Sum64String(name + "/" + string(u)) }
-	rank := 0
-	for _, vm := range zoneVMs {
-		if hash(string(vm)) < hash(string(self)) {
-			rank++
-		}
-	}
-	for zone, vms := range zones {
-		if hash(string(zone)) < hash(string(ownZone)) {
-			rank += vms
-		}
-	}
-	return rank
+	view := c.ranker.Update(c.clock.Now(), zones, zoneVMs)
+	c.steerer.SetMembers(view.VMs(), len(zoneVMs)+1, func(u namer.Upstream) int { return view.Rank(c.clock.Now(), u) })
 }
 
 func registerRoutedFront(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
--- a/internal/share/pacer/pacer.go
+++ b/internal/share/pacer/pacer.go
@@ -28,9 +28,9 @@
 
 // Share returns one VM's share of a total that is divided among vms VMs. Rank is the
 // VM's position among them, from 0. When the total is less than the number of VMs,
-// only the first ones have a share.
+// only the first ones have a share. A rank that is not below vms has none.
 func Share(total, vms, rank int) int {
-	if vms <= 0 {
+	if vms <= 0 || rank >= vms {
 		return 0
 	}
 	share := total / vms
--- a/internal/share/pacer/pacer_test.go
+++ b/internal/share/pacer/pacer_test.go
@@ -1,6 +1,7 @@
 package pacer_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -25,6 +26,15 @@
 	}
 }
 
+// TestShareWithoutRank checks that a VM that does not know its rank yet gets no share of a
+// total that is more than the number of VMs it knows.
+func TestShareWithoutRank(t *testing.T) {
+	t.Parallel()
+	assert.Equal(t, pacer.Share(100, 6, math.MaxInt), 0)
+	assert.Equal(t, pacer.Share(100, 6, 6), 0)
+	assert.Equal(t, pacer.Share(100, 6, 5), 16)
+}
+
 // TestLimitUnderBacklog checks that no second exceeds the limit while a backlog of
 // requests waits for a cold upstream.
 func TestLimitUnderBacklog(t *testing.T) {
