--- a/internal/kernel/runner/restarted_test.go
+++ b/internal/kernel/runner/restarted_test.go
@@ -65,7 +65,10 @@
 		record       string
 		// reportDelay is the time from the start of a process until its record is in the store.
 		reportDelay time.Duration
-		upstreams   []*restartingUpstream
+		// keepAlive states the idle timeout of connections, if it is not empty. The protocol has
+		// upstreams state it, net/http itself does not.
+		keepAlive string
+		upstreams []*restartingUpstream
 	}
 
 	restartingUpstream struct {
@@ -196,8 +199,9 @@
 	time.Sleep(processingTime)
 	w.Header().Set(h.AttemptID, attempt)
 	w.Header().Set(h.Signature, "s")
-	// As the protocol has it: net/http itself does not state its idle timeout.
-	w.Header().Set("Keep-Alive", "timeout=60")
+	if u.service.keepAlive != "" {
+		w.Header().Set("Keep-Alive", u.service.keepAlive)
+	}
 }
 
 func (u *restartingUpstream) noteArrival(attempt string) {
@@ -332,6 +336,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
 			s := newRestartingService(t, tt.reportDelay)
+			s.keepAlive = "timeout=60"
 			s.disturbAll(t, startVMs(t, s.storeAddress), (*restartingUpstream).restart, downTime+coldPeriod+disturbInterval, 0)
 			for _, u := range s.upstreams {
 				u.checkColdRequests(t)
