--- a/internal/route/selector/lost_test.go
+++ b/internal/route/selector/lost_test.go
@@ -13,7 +13,7 @@
 
 const warmup = 3 * time.Second
 
-// lost returns a selector that has lost the process of an object's first upstream, and a target
+// lostFixture returns a selector that has lost the process of an object's first upstream, and a target
 // of it.
 func lostFixture(t *testing.T) (*fixture, cataloger.Target) {
 	t.Helper()
--- a/internal/upstream/exchanger/lost.go
+++ b/internal/upstream/exchanger/lost.go
@@ -59,8 +59,8 @@
 	x.closeBusy(t, c)
 }
 
-// closeEnded closes a connection that the upstream has ended without notice, and calls onLost if no other one
-// is open: a process that ends takes all its connections with it.
+// closeEnded closes a connection that the upstream has ended without notice, and calls onLost
+// if no other one is open: a process that ends takes all its connections with it.
 func (x *Exchanger) closeEnded(t cataloger.Target, c *connection) {
 	x.closeBusy(t, c)
 	x.mu.Lock()
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -194,6 +194,8 @@
 	return c
 }
 
+// takeIdle returns the most recently used idle connection on which the attempt was not answered
+// before, or nil if there is none.
 func (p *pool) takeIdle(now time.Time, attemptID string) *connection {
 	for i, c := range slices.Backward(p.idle) {
 		if !c.hasAnswered(now, attemptID) {
