cataloger: an upstream that starts again without a start time is believed

Callers of an upstream whose records state no start, and that starts again under its name, would be sent to its former address for good, and its draining would go unnoticed. Cause: took every report with a lower sequence and the same start for an earlier one of the same process, without an end. A report without a start proves no order now, and one with a lower sequence is believed, like one with an earlier start, once such reports still come after 10 s, longer than the store may take.

Before: TestRestartWithoutStartTimeIgnored, both rows '10.0.0.1:80 != 10.0.0.2:80'. After: ok, with all tests of the package, also TestLateWriteOfEarlierReport.

--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -49,8 +49,8 @@
 	// store removes the entry of an upstream that is gone after three missing reports, so
 	// an entry that stays longer belongs to one that runs.
 	heldTimeout = 30 * time.Second
-	// lateWriteTimeout is how long after the first report of an earlier start others of it are
-	// taken for writes that the store carries out late. It does so within seconds.
+	// lateWriteTimeout is how long after the first report that seems to be earlier others like it
+	// are taken for writes that the store carries out late. It does so within seconds.
 	lateWriteTimeout = 10 * time.Second
 )
 
@@ -105,7 +105,7 @@
 		// upstreams, or of earlier processes, that a restoration of the store brought back.
 		gone map[namer.Upstream]goneItem
 		held map[namer.Upstream]heldItem
-		// late has the first ignored reports of processes that started before the known ones.
+		// late has the first ignored reports of processes that seem to be earlier.
 		late    map[namer.Upstream]lateItem
 		drained map[namer.Zone]drainedZone
 		// reachableSince is the start of the period in which the store has answered
@@ -264,13 +264,14 @@
 
 // isLateWrite reports whether the store has carried out a write late: that of an earlier report
 // of the known process, or of a process before it. A process whose clock is behind that of the
-// one before it seems to be earlier, too, but goes on to report.
+// one before it, or that does not state its start, seems to be earlier, too, but goes on to
+// report.
 func (c *Cataloger) isLateWrite(now time.Time, known item, u Upstream) bool {
 	if u.Version.Era != known.upstream.Version.Era || u.StartedMs > known.upstream.StartedMs {
 		return false
 	}
-	if u.StartedMs == known.upstream.StartedMs {
-		return u.Sequence != 0 && u.Sequence < known.upstream.Sequence
+	if u.StartedMs == known.upstream.StartedMs && (u.StartedMs == 0 || u.Sequence == 0 || u.Sequence >= known.upstream.Sequence) {
+		return false
 	}
 	first, ok := c.late[u.Upstream]
 	if !ok || first.startedMs != u.StartedMs {
--- a/internal/upstream/cataloger/cataloger_test.go
+++ b/internal/upstream/cataloger/cataloger_test.go
@@ -155,3 +155,22 @@
 	assert.Assert(t, c.Put(startTime.Add(12*time.Second), version(91), report("a", 1, 8, true)))
 	assert.Assert(t, c.View().Upstreams[0].Draining)
 }
+
+// An upstream that starts again and does not state its start begins a new sequence, and may be
+// at another address. It must not be taken for a late write for good.
+func TestRestartWithoutStartTimeIgnored(t *testing.T) {
+	t.Parallel()
+	for name, startedMs := range map[string]int64{"no start time": 0, "same start time": 7} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := cataloger.New()
+			c.Put(startTime, version(80), report("a", startedMs, 90, false))
+			restarted := report("a", startedMs, 1, false)
+			restarted.Address = "10.0.0.2:80"
+			c.Put(startTime.Add(time.Second), version(90), restarted)
+			restarted.Sequence = 8
+			c.Put(startTime.Add(12*time.Second), version(91), restarted)
+			assert.Equal(t, c.View().Upstreams[0].Address, restarted.Address)
+		})
+	}
+}
