--- a/internal/kernel/runner/restarted_test.go
+++ b/internal/kernel/runner/restarted_test.go
@@ -335,12 +335,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			t.Parallel()
-			s := newRestartingService(t, tt.reportDelay)
-			s.keepAlive = "timeout=60"
-			s.disturbAll(t, startVMs(t, s.storeAddress), (*restartingUpstream).restart, downTime+coldPeriod+disturbInterval, 0)
-			for _, u := range s.upstreams {
-				u.checkColdRequests(t)
-			}
+			checkRestarts(t, tt.reportDelay, "timeout=60")
 		})
 	}
 	t.Run("connections reset", func(t *testing.T) {
@@ -357,6 +352,30 @@
 	})
 }
 
+// TestRestartedUpstreamWithoutIdleTimeoutFlooded is the same for upstreams that do not state their
+// idle timeout, so that the end of an idle connection may be theirs.
+func TestRestartedUpstreamWithoutIdleTimeoutFlooded(t *testing.T) {
+	for name, reportDelay := range map[string]time.Duration{
+		"reported at once": 0, "reported soon": 300 * time.Millisecond, "reported late": time.Second, "store silent": unreported,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			checkRestarts(t, reportDelay, "")
+		})
+	}
+}
+
+// checkRestarts restarts one upstream after the other, and checks the requests to each.
+func checkRestarts(t *testing.T, reportDelay time.Duration, keepAlive string) {
+	t.Helper()
+	s := newRestartingService(t, reportDelay)
+	s.keepAlive = keepAlive
+	s.disturbAll(t, startVMs(t, s.storeAddress), (*restartingUpstream).restart, downTime+coldPeriod+disturbInterval, 0)
+	for _, u := range s.upstreams {
+		u.checkColdRequests(t)
+	}
+}
+
 // checkRecovered checks that an upstream has its share of the requests again after a reset.
 func (s *restartingService) checkRecovered(t *testing.T, u *restartingUpstream) {
 	t.Helper()
