--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -3,11 +3,9 @@
 import (
 	"expvar"
 	"log/slog"
-	"maps"
 	"net"
 	"net/http"
 	"slices"
-	"sync"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,7 +17,6 @@
 	"github.com/waxwingloom/waxwingloom/internal/front/locator"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
-	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
 	"github.com/waxwingloom/waxwingloom/internal/member/enroller"
 	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
@@ -33,7 +30,6 @@
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
 	"github.com/waxwingloom/waxwingloom/internal/settings/reloader"
-	"github.com/waxwingloom/waxwingloom/internal/share/ranker"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/discoverer"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
 	"github.com/waxwingloom/waxwingloom/platform"
@@ -253,61 +249,6 @@
 	})
 }
 
-// memberCounter passes the numbers of VMs, and this VM's rank among them, to the steerer.
-type memberCounter struct {
-	steerer *steerer.Steerer
-	members *heartbeater.Heartbeater
-	clock   clockwork.Clock
-	zone    namer.Zone
-	zones   []namer.Zone
-	// settleTime is that of the ranker.
-	settleTime time.Duration
-
-	mu     sync.Mutex
-	ranker *ranker.Ranker
-}
-
-func newMemberCounter(st *steerer.Steerer, members *heartbeater.Heartbeater, clock clockwork.Clock, s loader.Settings) *memberCounter {
-	return &memberCounter{
-		steerer:    st,
-		members:    members,
-		clock:      clock,
-		zone:       s.Zone,
-		zones:      slices.Collect(maps.Keys(s.Regions)),
-		settleTime: s.Timing.DeadTimeout,
-		ranker:     ranker.New(s.VM, s.Zone, clock.Now(), s.Timing.DeadTimeout),
-	}
-}
-
-// update passes the current members to the steerer, and again after the settle time, when a zone
-// may count with fewer VMs and this VM may have a rank.
-func (c *memberCounter) update() {
-	c.refresh()
-	c.clock.AfterFunc(c.settleTime, c.refresh)
-}
-
-// refresh passes the current members to the steerer. A zone without a known summary counts as
-// one VM.
-func (c *memberCounter) refresh() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	zones := make(map[namer.Zone]int, len(c.zones))
-	for _, zone := range c.zones {
-		zones[zone] = 1
-	}
-	for _, summary := range c.members.Summaries() {
-		zones[summary.Zone] = max(summary.VMs, 1)
-	}
-	var zoneVMs []namer.VM
-	for _, m := range c.members.Members() {
-		if m.Zone == c.zone && m.State != tracker.Dead {
-			zoneVMs = append(zoneVMs, m.VM)
-		}
-	}
-	view := c.ranker.Update(c.clock.Now(), zones, zoneVMs)
-	c.steerer.SetMembers(view.VMs(), len(zoneVMs)+1, func(u namer.Upstream) int { return view.Rank(c.clock.Now(), u) })
-}
-
 func registerRoutedFront(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
 	r.Register(callersName, []registrar.Name{clockName, steerName}, func(f registrar.Finder) (any, func(), error) {
 		limits := receiver.Limits{MaxInFlight: int64(s.Limits.MaxInFlight), MaxBufferedBytes: s.Limits.MaxBufferedBytes}
