cataloger: with a start time, a lower sequence is an earlier report however late it comes

By the protocol each start has its own time, so that such a report can only be a late write, and the store may carry out several in a row: the state of the process before would be in force until its next report.

--- a/internal/upstream/cataloger/cataloger.go
+++ b/internal/upstream/cataloger/cataloger.go
@@ -105,7 +105,7 @@
 		// upstreams, or of earlier processes, that a restoration of the store brought back.
 		gone map[namer.Upstream]goneItem
 		held map[namer.Upstream]heldItem
-		// late has the first ignored reports of processes that seem to be earlier.
+		// late has the first ignored reports of processes that started before the known ones.
 		late    map[namer.Upstream]lateItem
 		drained map[namer.Zone]drainedZone
 		// reachableSince is the start of the period in which the store has answered
@@ -263,15 +263,15 @@
 }
 
 // isLateWrite reports whether the store has carried out a write late: that of an earlier report
-// of the known process, or of a process before it. A process whose clock is behind that of the
-// one before it, or that does not state its start, seems to be earlier, too, but goes on to
-// report.
+// of the known process, or of a process before it. Without a start time, the order of two
+// reports is not known. A process whose clock is behind that of the one before it seems to be
+// earlier, too, but goes on to report.
 func (c *Cataloger) isLateWrite(now time.Time, known item, u Upstream) bool {
 	if u.Version.Era != known.upstream.Version.Era || u.StartedMs > known.upstream.StartedMs {
 		return false
 	}
-	if u.StartedMs == known.upstream.StartedMs && (u.StartedMs == 0 || u.Sequence == 0 || u.Sequence >= known.upstream.Sequence) {
-		return false
+	if u.StartedMs == known.upstream.StartedMs {
+		return u.StartedMs != 0 && u.Sequence != 0 && u.Sequence < known.upstream.Sequence
 	}
 	first, ok := c.late[u.Upstream]
 	if !ok || first.startedMs != u.StartedMs {
