follower: log and count the bytes of records, and why a transfer was canceled

A stream that this VM canceled itself ended in "i/o deadline reached", whatever the reason: a poll, a silent relay parent or another parent. The line `learned` lacked the size and how long the records took to be applied.

--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -76,6 +76,7 @@
 		u, next, updated, ok := f.feed.updateAfter(p)
 		if ok {
 			u.Age = max(0, f.clock.Since(next.ConfirmedAt))
+			f.sentBytes.Add(int64(sizeOf(u.Changes)))
 			return u, next, nil
 		}
 		select {
@@ -127,6 +128,15 @@
 	return changes, true
 }
 
+// changesTo returns the changes that write records.
+func changesTo(records []storer.Record) []storer.Change {
+	changes := make([]storer.Change, len(records))
+	for i, r := range records {
+		changes[i] = storer.Change{Record: r}
+	}
+	return changes
+}
+
 // replace sets all records. Their difference from the previous ones is added to the
 // history as a delta, so that peers need not be sent all records. The history does not
 // reach back to an earlier era: peers must learn that the store was restored.
@@ -286,8 +296,13 @@
 }
 
 func (d delta) size() int {
-	size := deltaOverheadBytes
-	for _, c := range d.changes {
+	return deltaOverheadBytes + sizeOf(d.changes)
+}
+
+// sizeOf returns the size of the records of changes.
+func sizeOf(changes []storer.Change) int {
+	size := 0
+	for _, c := range changes {
 		size += len(c.Record.Name) + len(c.Record.Spec) + len(c.Record.Status)
 	}
 	return size
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -23,6 +23,7 @@
 	"log/slog"
 	"math/rand/v2"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -98,6 +99,7 @@
 	errRestored = errors.New("the store was restored from an older copy")
 	// errEarlierEra is returned for an answer that the store gave before it was restored.
 	errEarlierEra = errors.New("the answer is from before the store was restored")
+	errNoAnswer   = errors.New("no whole answer in time")
 )
 
 type (
@@ -147,6 +149,10 @@
 		// parent is the relay parent whose updates are applied, or empty.
 		parent namer.VM
 
+		storeBytes atomic.Int64
+		peerBytes  atomic.Int64
+		sentBytes  atomic.Int64
+
 		mu               sync.Mutex
 		unreachableSince time.Time
 		seen             storer.Version
@@ -155,7 +161,15 @@
 		// pollDue requests a poll of the store; polling is whether one is under way.
 		pollDue bool
 		polling bool
-		cancel  context.CancelFunc
+		cancel  context.CancelCauseFunc
+	}
+
+	// Counts is the number of bytes of records, as the store writes them, that were learned
+	// from the store and from peers and that were sent to peers.
+	Counts struct {
+		StoreBytes int64
+		PeerBytes  int64
+		SentBytes  int64
 	}
 
 	// Option configures a follower.
@@ -261,7 +275,7 @@
 	}
 	f.pollDue = true
 	if f.cancel != nil {
-		f.cancel()
+		f.cancel(errInterrupted)
 	}
 }
 
@@ -331,9 +345,9 @@
 func (f *Follower) watch(parent context.Context) error {
 	ctx, wait, polls := f.beginWatch(parent)
 	defer f.end()
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	limit := f.clock.AfterFunc(wait+f.answerTimeout(), cancel)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := f.clock.AfterFunc(wait+f.answerTimeout(), func() { cancel(errNoAnswer) })
 	defer limit.Stop()
 	begun := f.clock.Now()
 	changes, err := f.source.Changes(ctx, f.kind, f.since, wait)
@@ -345,7 +359,7 @@
 		if f.interrupted() {
 			return errInterrupted
 		}
-		return err
+		return causeOf(ctx, err)
 	}
 	if err := f.checkEra(changes.StoreVersion); err != nil {
 		return err
@@ -353,8 +367,9 @@
 	f.noteStoreAnswered()
 	f.markReachable(f.era, begun, begun)
 	if len(changes.Items) > 0 {
-		f.logLearned(len(changes.Items), changes.StoreVersion, f.clock.Since(begun))
+		answered := f.clock.Now()
 		f.handler.Apply(changes.Items)
+		f.logLearned(changes.Items, changes.StoreVersion, answered.Sub(begun), answered)
 		// Only an answer with changes advances the version from which the next watch
 		// begins: a watch without changes may have missed some.
 		f.since = f.since.Later(changes.StoreVersion)
@@ -386,7 +401,7 @@
 	if polls {
 		wait = pollWait
 	}
-	ctx, f.cancel = context.WithCancel(ctx)
+	ctx, f.cancel = context.WithCancelCause(ctx)
 	return ctx, wait, polls
 }
 
@@ -399,7 +414,7 @@
 func (f *Follower) end() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.cancel()
+	f.cancel(nil)
 	f.cancel = nil
 	f.polling = false
 }
@@ -473,22 +488,32 @@
 	f.markReachable(f.era, begun, begun)
 	f.since = first
 	f.listed = true
-	f.logLearned(len(records), first, f.clock.Since(begun))
+	answered := f.clock.Now()
 	f.handler.Reset(records)
+	f.logLearned(changesTo(records), first, answered.Sub(begun), answered)
 	f.setSeen(first)
 	f.feed.replace(f.clock.Now(), records, first, begun)
 	f.notifyPeers()
 	return nil
 }
 
-// logLearned logs the origin, number and version of records or changes, and how long
-// ago the store confirmed them.
-func (f *Follower) logLearned(count int, at storer.Version, age time.Duration) {
-	from := "store"
+// logLearned counts and logs changes that were applied from begun on: their origin, number,
+// size and version, how old the store's confirmation was when they arrived, and how long the
+// handler took.
+func (f *Follower) logLearned(changes []storer.Change, at storer.Version, age time.Duration, begun time.Time) {
+	from, count := "store", &f.storeBytes
 	if f.parent != "" {
-		from = string(f.parent)
+		from, count = string(f.parent), &f.peerBytes
 	}
-	f.log.Info("learned", "from", from, "count", count, "since", f.since, "at", at, "age", age)
+	size := sizeOf(changes)
+	count.Add(int64(size))
+	f.log.Info("learned", "from", from, "count", len(changes), "bytes", size, "since", f.since, "at", at,
+		"age", age, "took", f.clock.Since(begun))
+}
+
+// Counts returns the number of bytes of records that were learned and sent to peers so far.
+func (f *Follower) Counts() Counts {
+	return Counts{StoreBytes: f.storeBytes.Load(), PeerBytes: f.peerBytes.Load(), SentBytes: f.sentBytes.Load()}
 }
 
 // noteStoreLost records that a call of this VM failed, and logs the first failure.
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -31,6 +30,8 @@
 	errParentBehind           = errors.New("the peer's records are older than this VM's")
 	errParentStale            = errors.New("the last confirmation by the store that the peer reports is too old")
 	errParentStoreUnreachable = errors.New("the store does not answer the peer")
+	errParentSilent           = errors.New("no update in time")
+	errParentChanged          = errors.New("this VM has another relay parent")
 )
 
 type (
@@ -66,34 +67,36 @@
 	if !f.listed {
 		f.relay.WaitForPeer(parent)
 	}
-	ctx, cancel := context.WithCancel(parent)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(parent)
+	defer cancel(nil)
 	if !f.beginFollow(cancel) {
 		return askStoreOnce
 	}
 	defer f.end()
+	giveUp := func() { cancel(errParentSilent) }
 	since := f.since
 	if !f.listed {
 		since = storer.Absent
 	}
-	timeout := f.clock.AfterFunc(f.parentTimeout(), cancel)
+	timeout := f.clock.AfterFunc(f.parentTimeout(), giveUp)
 	defer func() { timeout.Stop() }()
 	updates, err := f.relay.Open(ctx, f.kind, since)
 	if err != nil {
-		return f.unfollow(err)
+		return f.unfollow(causeOf(ctx, err))
 	}
 	defer updates.Close()
 	if !f.listed {
 		timeout.Stop()
-		timeout = f.clock.AfterFunc(initialRecordsTimeout, cancel)
+		timeout = f.clock.AfterFunc(initialRecordsTimeout, giveUp)
 	}
-	parentChanged := f.watchParentChange(ctx, updates, cancel)
+	f.watchParentChange(ctx, updates, cancel)
 	for {
 		u, err := updates.Next()
-		if err != nil && parentChanged.Load() {
-			return switchParent
-		}
 		if err != nil {
+			err = causeOf(ctx, err)
+			if errors.Is(err, errParentChanged) {
+				return switchParent
+			}
 			return f.unfollow(err)
 		}
 		peer, current := updates.Peer()
@@ -105,7 +108,7 @@
 		}
 		if left > 0 && !u.StoreUnreachable {
 			timeout.Stop()
-			timeout = f.clock.AfterFunc(left, cancel)
+			timeout = f.clock.AfterFunc(left, giveUp)
 		}
 		f.applyUpdate(u)
 		// During the backoff, stale updates, or those of a relay parent that the store does
@@ -122,11 +125,17 @@
 	}
 }
 
-// watchParentChange cancels the updates when this VM has another relay parent, and sets the
-// returned flag. It does not wait for an update, since a silent relay parent may in turn
-// be following this VM.
-func (f *Follower) watchParentChange(ctx context.Context, updates Updates, cancel context.CancelFunc) *atomic.Bool {
-	changed := new(atomic.Bool)
+// causeOf returns why a call was canceled, or its error if it was not.
+func causeOf(ctx context.Context, err error) error {
+	if cause := context.Cause(ctx); cause != nil {
+		return cause
+	}
+	return err
+}
+
+// watchParentChange cancels the updates when this VM has another relay parent. It does not
+// wait for an update, since a silent relay parent may in turn be following this VM.
+func (f *Follower) watchParentChange(ctx context.Context, updates Updates, cancel context.CancelCauseFunc) {
 	ticker := f.clock.NewTicker(parentCheckInterval)
 	go func() {
 		defer ticker.Stop()
@@ -137,13 +146,11 @@
 			case <-ticker.Chan():
 			}
 			if _, current := updates.Peer(); !current {
-				changed.Store(true)
-				cancel()
+				cancel(errParentChanged)
 				return
 			}
 		}
 	}()
-	return changed
 }
 
 // completeUpdate adds the era to the versions in an update of a peer of an earlier build.
@@ -189,9 +196,6 @@
 	confirmedAt := now.Add(-u.Age)
 	f.noteEra(u.Version)
 	f.markReachable(u.Version.Era, confirmedAt.Add(-u.StoreReachableFor), confirmedAt)
-	if u.Full || len(u.Changes) > 0 {
-		f.logLearned(len(u.Changes), u.Version, u.Age)
-	}
 	f.since = f.since.Later(u.Version)
 	if u.Full {
 		records := make([]storer.Record, len(u.Changes))
@@ -200,12 +204,14 @@
 		}
 		f.listed = true
 		f.handler.Reset(records)
+		f.logLearned(u.Changes, u.Version, u.Age, now)
 		f.setSeen(u.SeenVersion)
 		f.feed.replace(now, records, f.since, confirmedAt)
 		return
 	}
 	if len(u.Changes) > 0 {
 		f.handler.Apply(u.Changes)
+		f.logLearned(u.Changes, u.Version, u.Age, now)
 	}
 	f.setSeen(u.SeenVersion)
 	f.feed.add(now, u.Changes, f.since, confirmedAt)
@@ -229,7 +235,7 @@
 
 // beginFollow lets a poll cancel the updates. It reports false when a poll is due
 // already.
-func (f *Follower) beginFollow(cancel context.CancelFunc) bool {
+func (f *Follower) beginFollow(cancel context.CancelCauseFunc) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if f.pollDue {
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -347,11 +347,12 @@
 	})
 }
 
-// viewAge is the age of this VM's view of the records of a kind, and the highest age since
-// the start. The metrics print it under its field names.
+// viewAge is the age of this VM's view of the records of a kind, the highest age since the
+// start, and the bytes learned and sent. The metrics print it under its field names.
 type viewAge struct {
 	Age    time.Duration
 	Oldest time.Duration
+	follower.Counts
 }
 
 func viewAges(f registrar.Finder) map[storer.Kind]viewAge {
@@ -359,7 +360,7 @@
 	for _, name := range followerNames {
 		records := f.Find(name).(*follower.Follower)
 		age, oldest := records.Age()
-		ages[records.Kind()] = viewAge{Age: age, Oldest: oldest}
+		ages[records.Kind()] = viewAge{Age: age, Oldest: oldest, Counts: records.Counts()}
 	}
 	return ages
 }
