importer: adopt only the latest of several documents

An update from the store or from a peer holds each version of the configuration since the last one, and the importer translated, parsed and adopted all of them in turn: 23 to 39 ms of a whole core each with 1,400 routes, up to 0.24 s on a VM with 0.16 of a core.

Now the latest valid one is adopted first and the others are not parsed. Nothing depends on the versions in between: each is the whole configuration. TestObsoleteDocumentsDelayTheLatest failed before with generations 2, 3, 4 for 4.

--- a/internal/document/importer/importer.go
+++ b/internal/document/importer/importer.go
@@ -10,6 +10,7 @@
 
 import (
 	"log/slog"
+	"slices"
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
@@ -48,35 +49,40 @@
 // Reset implements follower.Handler.
 func (i *Importer) Reset(records []storer.Record) {
 	for _, r := range records {
-		i.handle(storer.Change{Record: r})
+		if r.Name == i.name {
+			i.adopt(r)
+		}
 	}
 }
 
-// Apply implements follower.Handler. If the record is removed or its document is invalid,
-// the current document stays.
+// Apply implements follower.Handler. Of several documents it adopts the latest that is valid,
+// without parsing those before it. If the record is removed or no document is valid, the
+// current document stays.
 func (i *Importer) Apply(changes []storer.Change) {
-	for _, c := range changes {
-		i.handle(c)
+	for _, c := range slices.Backward(changes) {
+		if c.Record.Name == i.name && !c.Removed && i.adopt(c.Record) {
+			return
+		}
 	}
 }
 
-func (i *Importer) handle(c storer.Change) {
-	if c.Record.Name != i.name || c.Removed {
-		return
-	}
-	generation, sources, err := i.translate(c.Record)
+// adopt adopts the document in a record and reports whether it became current.
+func (i *Importer) adopt(r storer.Record) bool {
+	generation, sources, err := i.translate(r)
 	if err != nil {
-		i.log.Error("translating the document record failed; keeping the current document", "version", c.Record.Version, "reason", err.Error())
-		return
+		i.log.Error("translating the document record failed; keeping the current document", "version", r.Version, "reason", err.Error())
+		return false
 	}
 	head := keeper.Head{Generation: generation}
 	for _, src := range sources {
 		edit := keeper.Edit{Generation: generation, Section: src.Section, Author: platformAuthor}
 		head.Sections = append(head.Sections, keeper.SectionHead{Hash: keeper.HashOf(src.Text), Edit: edit})
 	}
-	if _, err := i.documents.Adopt(head, sources); err != nil {
+	adopted, err := i.documents.Adopt(head, sources)
+	if err != nil {
 		i.log.Error("adopting the document failed; keeping the current one", "generation", uint64(generation), "reason", err.Error())
 	}
+	return adopted
 }
 
 // StoreReachableSince implements follower.Handler. It does nothing, since the document does
--- a/internal/document/importer/importer_test.go
+++ b/internal/document/importer/importer_test.go
@@ -41,3 +41,38 @@
 	im.Apply([]storer.Change{{Record: record(6, 2, 72)}})
 	assert.Equal(t, documents.Generation(), namer.Generation(6))
 }
+
+// TestObsoleteDocumentsDelayTheLatest guards against a configuration that is late because each
+// one before it is parsed and adopted first.
+func TestObsoleteDocumentsDelayTheLatest(t *testing.T) {
+	t.Parallel()
+	log := slog.New(slog.DiscardHandler)
+	documents := keeper.New(log)
+	var adopted []namer.Generation
+	documents.Subscribe(func(s *keeper.Snapshot) { adopted = append(adopted, s.Head.Generation) })
+	translated := 0
+	im := importer.New(func(r storer.Record) (namer.Generation, parser.Sources, error) {
+		translated++
+		return translate(r)
+	}, name, documents, log)
+	im.Apply([]storer.Change{{Record: record(2, 1, 70)}, {Record: record(3, 1, 71)}, {Record: record(4, 1, 72)}})
+	assert.DeepEqual(t, adopted, []namer.Generation{4})
+	assert.Equal(t, translated, 1)
+}
+
+// TestLatestDocumentInvalid expects the latest valid one of several documents that are learned
+// together.
+func TestLatestDocumentInvalid(t *testing.T) {
+	t.Parallel()
+	log := slog.New(slog.DiscardHandler)
+	documents := keeper.New(log)
+	im := importer.New(func(r storer.Record) (namer.Generation, parser.Sources, error) {
+		g, sources, err := translate(r)
+		if g == 4 {
+			sources = parser.Sources{{Section: parser.Services, Text: []byte("[service\n")}}
+		}
+		return g, sources, err
+	}, name, documents, log)
+	im.Apply([]storer.Change{{Record: record(2, 1, 70)}, {Record: record(3, 1, 71)}, {Record: record(4, 1, 72)}})
+	assert.Equal(t, documents.Generation(), namer.Generation(3))
+}
