follower: send peers only the latest version of each record

Callers saw routes answered by an old configuration (CONFIG on grown Lone Star). A peer that was several versions behind got all of them in one update: with 1,400 routes 317 kB each, over links of 10 Mbit/s that carry up to 13 such streams.

A record's last version is all that a peer needs; a VM that lists the records never sees the others either.

--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -120,7 +121,7 @@
 				changes = append(changes, d.changes...)
 			}
 		}
-		return changes, false
+		return latestOnly(changes), false
 	}
 	for _, r := range f.records {
 		changes = append(changes, storer.Change{Record: r})
@@ -128,6 +129,20 @@
 	return changes, true
 }
 
+// latestOnly returns the last change of each record, in their order.
+func latestOnly(changes []storer.Change) []storer.Change {
+	later := make(map[string]bool, len(changes))
+	latest := make([]storer.Change, 0, len(changes))
+	for _, c := range slices.Backward(changes) {
+		if !later[c.Record.Name] {
+			later[c.Record.Name] = true
+			latest = append(latest, c)
+		}
+	}
+	slices.Reverse(latest)
+	return latest
+}
+
 // changesTo returns the changes that write records.
 func changesTo(records []storer.Record) []storer.Change {
 	changes := make([]storer.Change, len(records))
