answerer: don't queue updates for a peer that is still applying earlier ones

The sender wrote each update into the stream at once, so those that the receiver had not read waited in the stream's window, and were obsolete when they were read: each one was applied all the same. The marks that the receiver sends before it reads on tell how far it is. At most one update now waits while another is applied; what changes meanwhile is part of the next one, once. A peer that sends no marks gets updates as before. TestObsoleteUpdatesQueueUp failed before.

--- a/internal/peer/answerer/answerer.go
+++ b/internal/peer/answerer/answerer.go
@@ -198,7 +198,8 @@
 }
 
 // streamUpdates sends a peer the records of a kind and then their changes, until the peer
-// closes the stream.
+// closes the stream. While a peer that sends marks applies an update, it is sent one more:
+// further ones would be obsolete when it reads them.
 func (a *Answerer) streamUpdates(ctx context.Context, f *encoder.Follow, s *messenger.Stream) error {
 	records, ok := a.deps.Records[storer.Kind(f.GetKind())]
 	if !ok {
@@ -206,14 +207,17 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	m := &lastMark{}
+	m := newLastMark()
 	m.set(f.GetMark(), a.clock.Now())
 	go func() {
 		defer cancel()
 		a.receiveMarks(s, m)
 	}()
 	position := follower.Position{Version: converter.VersionFrom(f.GetEra(), f.GetSince())}
-	for {
+	for sent := 0; ; sent++ {
+		if f.GetMark() > 0 && !m.await(ctx, sent) {
+			return ctx.Err()
+		}
 		update, next, err := records.Await(ctx, position)
 		if err != nil {
 			return err
@@ -241,18 +245,29 @@
 	}
 }
 
-// lastMark is the latest mark of a peer, a reading of the peer's clock, and when this VM
-// received it.
+// lastMark is the latest mark of a peer, a reading of the peer's clock, when this VM received
+// it, and how many marks it has received. A peer sends the first mark when it opens a stream,
+// and one more for each update that it has applied.
 type lastMark struct {
 	mu       sync.Mutex
 	mark     uint64
 	received time.Time
+	count    int
+	// updated is closed at the next mark.
+	updated chan struct{}
+}
+
+func newLastMark() *lastMark {
+	return &lastMark{updated: make(chan struct{})}
 }
 
 func (m *lastMark) set(mark uint64, received time.Time) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.mark, m.received = mark, received
+	m.count++
+	close(m.updated)
+	m.updated = make(chan struct{})
 }
 
 func (m *lastMark) get() (uint64, time.Time) {
@@ -261,6 +276,23 @@
 	return m.mark, m.received
 }
 
+// await waits until at least count marks were received, and reports false if ctx ends before.
+func (m *lastMark) await(ctx context.Context, count int) bool {
+	for {
+		m.mu.Lock()
+		reached, updated := m.count >= count, m.updated
+		m.mu.Unlock()
+		if reached {
+			return true
+		}
+		select {
+		case <-updated:
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
 func (a *Answerer) replyDocument(s *messenger.Stream, upstreams bool) error {
 	current := a.deps.Documents.Current()
 	if current == nil {
--- a/internal/peer/relayer/relayer_test.go
+++ b/internal/peer/relayer/relayer_test.go
@@ -192,3 +192,43 @@
 	assert.Equal(t, got.SeenVersion, sent.SeenVersion)
 	assert.Equal(t, got.Changes[0].Record.Version, sent.Changes[0].Record.Version)
 }
+
+// TestObsoleteUpdatesQueueUp guards against updates that wait in the stream to a VM that is slow
+// to apply them, and are obsolete when it reads them.
+func TestObsoleteUpdatesQueueUp(t *testing.T) {
+	t.Parallel()
+	const maxUnread = 2
+	clock := clockwork.NewFakeClock()
+	r := &fakeRecords{awaited: make(chan struct{}), next: make(chan confirmation)}
+	deps := answerer.Dependencies{Records: map[storer.Kind]answerer.RecordSource{kind: r}}
+	_, address := newMessenger(t, 1, answerer.New(deps, clock, slog.New(slog.DiscardHandler)))
+	own, _ := newMessenger(t, 2, answerer.New(answerer.Dependencies{}, clock, slog.New(slog.DiscardHandler)))
+	relay := relayer.New(own, fixedParent{tracker.Member{PeerAddress: address, Incarnation: namer.Incarnation{1}}}, clock)
+	updates, err := relay.Open(t.Context(), kind, storer.Absent)
+	assert.NilError(t, err)
+	defer updates.Close()
+
+	revision := storer.Revision(0)
+	sendNext := func(timeout time.Duration) bool {
+		select {
+		case <-r.awaited:
+		case <-time.After(timeout):
+			return false
+		}
+		revision++
+		r.next <- confirmation{update: storer.Update{Version: storer.Version{Revision: revision}}, confirmedAt: clock.Now()}
+		return true
+	}
+	for range maxUnread {
+		assert.Assert(t, sendNext(5*time.Second))
+	}
+	assert.Assert(t, !sendNext(100*time.Millisecond), "more than %d updates are sent unread", maxUnread)
+	for want := storer.Revision(1); want <= 5; want++ {
+		u, err := updates.Next()
+		assert.NilError(t, err)
+		assert.Equal(t, u.Version.Revision, want)
+		if want > 1 {
+			assert.Assert(t, sendNext(5*time.Second))
+		}
+	}
+}
