heartbeater: pull the document from one peer at a time, and only when nothing else brings it

A VM without any document pulled one from each peer that it heard, all at once: after all VMs had lost power, that is up to 13 times the document on the link of each.

One pull is in progress at a time, and it waits while documents arrive or are applied. TestDocumentPulledFromAllPeersAtOnce and TestDocumentPulledDuringProgress failed before: 4 more pulls, and a pull during progress.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -160,7 +160,9 @@
 func registerSeenVersions(r *registrar.Registrar) {
 	r.Register(seenVersionsName, append([]registrar.Name{membersName}, followerNames...), func(f registrar.Finder) (any, func(), error) {
 		all := followers(f)
-		f.Find(membersName).(*heartbeater.Heartbeater).SetRecordHooks(
+		members := f.Find(membersName).(*heartbeater.Heartbeater)
+		members.SetApplying(f.Find(configName).(*follower.Follower).Applying)
+		members.SetRecordHooks(
 			func() []tracker.SeenVersion { return seenVersions(all) },
 			func(versions []tracker.SeenVersion) { observePeerVersions(all, versions) },
 			func() bool { return slices.ContainsFunc(all, (*follower.Follower).StoreUnreachable) })
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -175,7 +175,10 @@
 		seenVersions     func() []tracker.SeenVersion
 		onPeerVersions   func([]tracker.SeenVersion)
 		storeUnreachable func() bool
-		pulling          bool
+		// applying is whether a document is being applied. pulling is whether one is being
+		// pulled, or is to be after PullDelay.
+		applying func() bool
+		pulling  bool
 	}
 )
 
@@ -206,6 +209,7 @@
 		seenVersions:     func() []tracker.SeenVersion { return nil },
 		onPeerVersions:   func([]tracker.SeenVersion) {},
 		storeUnreachable: func() bool { return false },
+		applying:         func() bool { return false },
 	}
 }
 
@@ -242,6 +246,14 @@
 	h.storeUnreachable = unreachable
 }
 
+// SetApplying sets the function that reports whether a document that has arrived through the
+// store's records is being applied.
+func (h *Heartbeater) SetApplying(f func() bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.applying = f
+}
+
 // SetSeeds replaces the peers to contact while no other peer is known.
 func (h *Heartbeater) SetSeeds(seeds []string) {
 	h.mu.Lock()
@@ -568,35 +580,62 @@
 	return sender, found
 }
 
-// catchUp pulls the document of a peer whose generation is higher. It first waits PullDelay
-// for the document to arrive through the store's records, unless this VM has no document
-// yet.
+// catchUp pulls the document of a peer whose generation is higher, unless another pull is in
+// progress: the peer's next heartbeat tries again. It first waits for the document to arrive
+// through the store's records, unless this VM has no document yet.
 func (h *Heartbeater) catchUp(ctx context.Context, from tracker.Member) {
-	if from.Generation <= h.deps.Documents.Generation() {
+	known := h.deps.Documents.Generation()
+	if from.Generation <= known || !h.beginPull() {
 		return
 	}
-	if h.timing.PullDelay == 0 || h.deps.Documents.Generation() == 0 {
+	if h.timing.PullDelay == 0 || known == 0 {
+		defer h.endPull()
 		h.pull(ctx, from)
 		return
 	}
-	h.mu.Lock()
-	defer h.mu.Unlock()
-	if h.pulling {
+	h.clock.AfterFunc(h.timing.PullDelay, func() { h.pullIfStuck(context.WithoutCancel(ctx), from, known) })
+}
+
+// pullIfStuck pulls a peer's document if no document has arrived by another path since the
+// one with the generation that was known, and none is being applied. Else it waits again.
+func (h *Heartbeater) pullIfStuck(ctx context.Context, from tracker.Member, known namer.Generation) {
+	current := h.deps.Documents.Generation()
+	if current >= from.Generation {
+		h.endPull()
+		return
+	}
+	if current > known || h.isApplying() {
+		h.clock.AfterFunc(h.timing.PullDelay, func() { h.pullIfStuck(ctx, from, current) })
 		return
 	}
+	defer h.endPull()
+	// The heartbeat that reported the generation has been answered by now, so its context is
+	// canceled.
+	ctx, cancel := context.WithTimeout(ctx, h.timing.Tracker.SuspectTimeout)
+	defer cancel()
+	h.pull(ctx, from)
+}
+
+func (h *Heartbeater) isApplying() bool {
+	h.mu.Lock()
+	applying := h.applying
+	h.mu.Unlock()
+	return applying()
+}
+
+// beginPull reports whether no pull was in progress, and begins one if so.
+func (h *Heartbeater) beginPull() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	begun := !h.pulling
 	h.pulling = true
-	h.clock.AfterFunc(h.timing.PullDelay, func() {
-		// The heartbeat that reported the generation has been answered by now, so its
-		// context is canceled.
-		ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), h.timing.Tracker.SuspectTimeout)
-		defer cancel()
-		if from.Generation > h.deps.Documents.Generation() {
-			h.pull(ctx, from)
-		}
-		h.mu.Lock()
-		defer h.mu.Unlock()
-		h.pulling = false
-	})
+	return begun
+}
+
+func (h *Heartbeater) endPull() {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	h.pulling = false
 }
 
 func (h *Heartbeater) pull(ctx context.Context, from tracker.Member) {
--- a/internal/member/heartbeater/pull_test.go
+++ b/internal/member/heartbeater/pull_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"log/slog"
+	"sync"
 	"testing"
 	"time"
 
@@ -93,3 +94,108 @@
 		})
 	}
 }
+
+// gatedPeer is a peer with document 4 that answers pulls only once its gate is closed.
+type gatedPeer struct {
+	newerPeer
+	gate chan struct{}
+}
+
+// Call implements heartbeater.PeerClient.
+func (p gatedPeer) Call(ctx context.Context, address string, want namer.Incarnation, req *encoder.Request) (*encoder.Reply, error) {
+	p.pulled <- struct{}{}
+	select {
+	case <-p.gate:
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+	head, sources := document(4)
+	raw, err := head.Encode()
+	assert.Check(p.t, err)
+	doc := &encoder.Document{Generation: 4, Head: raw, Sections: []*encoder.Section{{Name: string(sources[0].Section), Text: sources[0].Text}}}
+	return &encoder.Reply{Kind: &encoder.Reply_Document{Document: doc}}, nil
+}
+
+// newPulling returns a heartbeater that pulls from a peer, its documents and its clock.
+func newPulling(t *testing.T, p heartbeater.PeerClient) (*heartbeater.Heartbeater, *keeper.Keeper, *clockwork.FakeClock) {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	log := slog.New(slog.DiscardHandler)
+	documents := keeper.New(log)
+	self := tracker.Member{VM: "b", Zone: "z", Region: "r", Incarnation: namer.Incarnation{1}}
+	timing := heartbeater.Timing{
+		HeartbeatInterval: heartbeatInterval, ListInterval: time.Hour,
+		Tracker: tracker.Timing{SuspectTimeout: 3 * heartbeatInterval, DeadTimeout: 10 * heartbeatInterval}, PullDelay: pullDelay,
+	}
+	return heartbeater.New(self, heartbeater.Dependencies{Peers: p, Lister: emptyList{}, Documents: documents}, nil, timing, clock, log), documents, clock
+}
+
+// heartbeatOf returns a heartbeat of a VM with document 4.
+func heartbeatOf(vm byte) *encoder.Heartbeat {
+	sender := namer.Incarnation{vm}
+	return &encoder.Heartbeat{Sender: &encoder.Member{Vm: string(vm), Zone: "z", Region: "r", Peers: string(vm), Incarnation: sender[:], Generation: 4}}
+}
+
+// TestDocumentPulledFromAllPeersAtOnce guards against a VM without a document whose link is full
+// of copies of it, since it pulls one from each peer.
+func TestDocumentPulledFromAllPeersAtOnce(t *testing.T) {
+	t.Parallel()
+	peer := gatedPeer{newerPeer: newerPeer{t: t, pulled: make(chan struct{}, 16)}, gate: make(chan struct{})}
+	h, documents, _ := newPulling(t, peer)
+	var handled sync.WaitGroup
+	for vm := byte('c'); vm < 'h'; vm++ {
+		handled.Go(func() { h.HandleHeartbeat(t.Context(), heartbeatOf(vm)) })
+	}
+	<-peer.pulled
+	time.Sleep(50 * time.Millisecond)
+	assert.Equal(t, len(peer.pulled), 0, "pulled from another peer, too")
+	close(peer.gate)
+	handled.Wait()
+	assert.Equal(t, documents.Generation(), namer.Generation(4))
+}
+
+// TestDocumentPulledDuringProgress guards against pulls while documents arrive by another path,
+// only not yet the one that a peer has.
+func TestDocumentPulledDuringProgress(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name string
+		// progress is what happens before the delay ends, and settle what happens after it.
+		progress, settle func(h *heartbeater.Heartbeater, documents *keeper.Keeper)
+	}{
+		{"a document in between arrives", func(_ *heartbeater.Heartbeater, d *keeper.Keeper) {
+			_, err := d.Adopt(document(2))
+			assert.NilError(t, err)
+		}, func(*heartbeater.Heartbeater, *keeper.Keeper) {}},
+		{"a document is being applied", func(h *heartbeater.Heartbeater, _ *keeper.Keeper) {
+			h.SetApplying(func() bool { return true })
+		}, func(h *heartbeater.Heartbeater, _ *keeper.Keeper) {
+			h.SetApplying(func() bool { return false })
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			peer := gatedPeer{newerPeer: newerPeer{t: t, pulled: make(chan struct{}, 16)}, gate: make(chan struct{})}
+			close(peer.gate)
+			h, documents, clock := newPulling(t, peer)
+			_, err := documents.Adopt(document(1))
+			assert.NilError(t, err)
+			h.HandleHeartbeat(t.Context(), heartbeatOf('a'))
+			tc.progress(h, documents)
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			assert.NilError(t, clock.BlockUntilContext(ctx, 1))
+			clock.Advance(pullDelay)
+			assert.NilError(t, clock.BlockUntilContext(ctx, 1), "no further look")
+			assert.Equal(t, len(peer.pulled), 0, "pulled although there is progress")
+			tc.settle(h, documents)
+			clock.Advance(pullDelay)
+			poll.WaitOn(t, func(poll.LogT) poll.Result {
+				if documents.Generation() == 4 {
+					return poll.Success()
+				}
+				return poll.Continue("generation %d", documents.Generation())
+			})
+		})
+	}
+}
