packer: send large configurations between VMs in compressed form

Changes of 4 kB or more are sent compressed to peers that say that they read them, and compressed once for all that need the same; so are the texts of a pulled document. A peer of an earlier build gets them as before. TestLargeConfigurationFillsLink failed before: 2.6 MB for 13 VMs, where 1.25 MB pass in a second.

--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -36,6 +36,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
 	"github.com/waxwingloom/waxwingloom/internal/peer/converter"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
+	"github.com/waxwingloom/waxwingloom/internal/peer/packer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/route/quarantiner"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
@@ -640,7 +641,7 @@
 
 func (h *Heartbeater) pull(ctx context.Context, from tracker.Member) {
 	borrow := h.deps.Upstreams != nil && !h.deps.Upstreams.Listed()
-	req := &encoder.Request{Kind: &encoder.Request_Pull{Pull: &encoder.Pull{Upstreams: borrow}}}
+	req := &encoder.Request{Kind: &encoder.Request_Pull{Pull: &encoder.Pull{Upstreams: borrow, Packs: true}}}
 	reply, err := h.deps.Peers.Call(ctx, from.PeerAddress, from.Incarnation, req)
 	if err != nil {
 		h.log.Warn("document pull failed; retrying after a later heartbeat", "from", string(from.VM), "reason", err.Error())
@@ -663,6 +664,9 @@
 	if d == nil {
 		return false, errors.New("peer reply does not contain a document")
 	}
+	if err := packer.UnpackDocument(d); err != nil {
+		return false, err
+	}
 	head, err := keeper.DecodeHead(d.GetHead())
 	if err != nil {
 		return false, err
--- a/internal/peer/answerer/answerer.go
+++ b/internal/peer/answerer/answerer.go
@@ -26,6 +26,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/peer/converter"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
 	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
+	"github.com/waxwingloom/waxwingloom/internal/peer/packer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/route/dispatcher"
 	"github.com/waxwingloom/waxwingloom/internal/route/forwarder"
@@ -82,6 +83,7 @@
 	// Answerer handles the requests of other entry VMs.
 	Answerer struct {
 		deps     Dependencies
+		packer   *packer.Packer
 		clock    clockwork.Clock
 		log      *slog.Logger
 		inFlight atomic.Int64
@@ -90,7 +92,7 @@
 
 // New returns an answerer.
 func New(deps Dependencies, clock clockwork.Clock, log *slog.Logger) *Answerer {
-	return &Answerer{deps: deps, clock: clock, log: log}
+	return &Answerer{deps: deps, packer: packer.New(), clock: clock, log: log}
 }
 
 // InFlight returns the number of relayed and spilled requests in progress. A request
@@ -112,7 +114,7 @@
 		hb := a.deps.Members.HandleHeartbeat(ctx, kind.Heartbeat)
 		return s.SendReply(&encoder.Reply{Kind: &encoder.Reply_Heartbeat{Heartbeat: hb}})
 	case *encoder.Request_Pull:
-		return a.replyDocument(s, kind.Pull.GetUpstreams())
+		return a.replyDocument(kind.Pull, s)
 	case *encoder.Request_Follow:
 		return a.streamUpdates(ctx, kind.Follow, s)
 	}
@@ -227,7 +229,13 @@
 			// The peer adds the time since it sent the mark, by its own clock.
 			update.Mark, update.Age = mark, received.Sub(next.ConfirmedAt)
 		}
-		if err := s.SendReply(&encoder.Reply{Kind: &encoder.Reply_Update{Update: converter.Update(update)}}); err != nil {
+		message := converter.Update(update)
+		if f.GetPacks() {
+			if err := a.packer.PackUpdate(f.GetKind(), message); err != nil {
+				return err
+			}
+		}
+		if err := s.SendReply(&encoder.Reply{Kind: &encoder.Reply_Update{Update: message}}); err != nil {
 			return err
 		}
 	}
@@ -293,7 +301,7 @@
 	}
 }
 
-func (a *Answerer) replyDocument(s *messenger.Stream, upstreams bool) error {
+func (a *Answerer) replyDocument(p *encoder.Pull, s *messenger.Stream) error {
 	current := a.deps.Documents.Current()
 	if current == nil {
 		return errors.New("no steering document is in force")
@@ -306,7 +314,12 @@
 	for _, src := range current.Sources {
 		doc.Sections = append(doc.Sections, &encoder.Section{Name: string(src.Section), Text: src.Text})
 	}
-	if upstreams && a.deps.Upstreams != nil {
+	if p.GetPacks() {
+		if err := a.packer.PackDocument(doc); err != nil {
+			return err
+		}
+	}
+	if p.GetUpstreams() && a.deps.Upstreams != nil {
 		converter.AddUpstreams(doc, a.deps.Upstreams.View(), a.clock.Now())
 	}
 	return s.SendReply(&encoder.Reply{Kind: &encoder.Reply_Document{Document: doc}})
--- a/internal/peer/relayer/relayer.go
+++ b/internal/peer/relayer/relayer.go
@@ -27,6 +27,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/peer/converter"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
 	"github.com/waxwingloom/waxwingloom/internal/peer/messenger"
+	"github.com/waxwingloom/waxwingloom/internal/peer/packer"
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 )
 
@@ -97,7 +98,7 @@
 		return nil, err
 	}
 	u := &updateStream{relayer: r, peer: peer, stream: stream}
-	if err := u.sendFollow(&encoder.Follow{Kind: string(kind), Since: uint64(since.Revision), Era: uint64(since.Era)}); err != nil {
+	if err := u.sendFollow(&encoder.Follow{Kind: string(kind), Since: uint64(since.Revision), Era: uint64(since.Era), Packs: true}); err != nil {
 		stream.Close()
 		return nil, err
 	}
@@ -134,6 +135,9 @@
 	if reply.GetUpdate() == nil {
 		return storer.Update{}, errUnexpectedReply
 	}
+	if err := packer.UnpackUpdate(reply.GetUpdate()); err != nil {
+		return storer.Update{}, err
+	}
 	u.markDue = true
 	update := converter.UpdateFrom(reply.GetUpdate())
 	if update.Mark > u.relayer.mark() {
--- a/internal/peer/relayer/relayer_test.go
+++ b/internal/peer/relayer/relayer_test.go
@@ -1,11 +1,14 @@
 package relayer_test
 
 import (
+	"bytes"
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"net"
 	"strconv"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -83,6 +86,12 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
+	return newMessengerOn(t, ln, inc, h)
+}
+
+// newMessengerOn is newMessenger with a listener.
+func newMessengerOn(t *testing.T, ln net.Listener, inc byte, h messenger.Handler) (*messenger.Messenger, string) {
+	t.Helper()
 	m, cleanup, err := messenger.New(ln, messenger.Identity{Incarnation: namer.Incarnation{inc}}, [][]byte{[]byte("a key of the test")})
 	assert.NilError(t, err)
 	ctx, cancel := context.WithCancel(context.Background())
@@ -232,3 +241,95 @@
 		}
 	}
 }
+
+// countingListener counts the bytes that are written to the connections it accepts.
+type countingListener struct {
+	net.Listener
+	written *atomic.Int64
+}
+
+// Accept implements net.Listener.
+func (l countingListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	return countingConn{conn, l.written}, err
+}
+
+type countingConn struct {
+	net.Conn
+	written *atomic.Int64
+}
+
+// Write implements net.Conn.
+func (c countingConn) Write(b []byte) (int, error) {
+	n, err := c.Conn.Write(b)
+	c.written.Add(int64(n))
+	return n, err
+}
+
+// oneUpdate sends each peer one update.
+type oneUpdate struct{ update storer.Update }
+
+// Await implements answerer.RecordSource.
+func (r oneUpdate) Await(ctx context.Context, p follower.Position) (storer.Update, follower.Position, error) {
+	if p.Version.Before(r.update.Version) {
+		return r.update, follower.Position{Version: r.update.Version}, nil
+	}
+	<-ctx.Done()
+	return storer.Update{}, p, ctx.Err()
+}
+
+// configuration returns a configuration of 1,400 routes.
+func configuration() []byte {
+	var b bytes.Buffer
+	for i := range 1400 {
+		_, _ = fmt.Fprintf(&b, `{"name":"r-%d","kind":"idempotent","match":{"pathPrefix":"/%x/"},"action":{"service":"desk","timeout":"1500ms","maxAttempts":2}},`, i, uint64(i)*0x9e3779b97f4a7c15)
+	}
+	return b.Bytes()
+}
+
+// TestLargeConfigurationFillsLink guards against a configuration that is late at the VMs of a
+// zone because the link of the one that sends it to the others is full. At 10 Mbit/s, 13 VMs can
+// get 1.25 MB in a second.
+func TestLargeConfigurationFillsLink(t *testing.T) {
+	t.Parallel()
+	const (
+		peers        = 13
+		maxLinkBytes = 1_250_000
+	)
+	clock := clockwork.NewFakeClock()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	written := new(atomic.Int64)
+	sent := storer.Update{Version: storer.Version{Revision: 2}, Changes: []storer.Change{{Record: storer.Record{Name: "main", Version: storer.Version{Revision: 2}, Spec: configuration()}}}}
+	deps := answerer.Dependencies{Records: map[storer.Kind]answerer.RecordSource{kind: oneUpdate{sent}}}
+	_, address := newMessengerOn(t, countingListener{ln, written}, 1, answerer.New(deps, clock, slog.New(slog.DiscardHandler)))
+	for range peers {
+		own, _ := newMessenger(t, 2, answerer.New(answerer.Dependencies{}, clock, slog.New(slog.DiscardHandler)))
+		relay := relayer.New(own, fixedParent{tracker.Member{PeerAddress: address, Incarnation: namer.Incarnation{1}}}, clock)
+		updates, err := relay.Open(t.Context(), kind, storer.Absent)
+		assert.NilError(t, err)
+		defer updates.Close()
+		u, err := updates.Next()
+		assert.NilError(t, err)
+		assert.DeepEqual(t, u.Changes, sent.Changes)
+	}
+	assert.Assert(t, written.Load() < maxLinkBytes, "%d bytes", written.Load())
+}
+
+// TestPeerOfEarlierBuild checks that a peer which does not say that it reads packed changes is
+// sent them as they are.
+func TestPeerOfEarlierBuild(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	sent := storer.Update{Version: storer.Version{Revision: 2}, Changes: []storer.Change{{Record: storer.Record{Name: "main", Spec: configuration()}}}}
+	deps := answerer.Dependencies{Records: map[storer.Kind]answerer.RecordSource{kind: oneUpdate{sent}}}
+	_, address := newMessenger(t, 1, answerer.New(deps, clock, slog.New(slog.DiscardHandler)))
+	own, _ := newMessenger(t, 2, handlerFunc(func(*encoder.Request, *messenger.Stream) {}))
+	s, err := own.Open(t.Context(), address, namer.Incarnation{1})
+	assert.NilError(t, err)
+	defer s.Close()
+	assert.NilError(t, s.SendRequest(&encoder.Request{Kind: &encoder.Request_Follow{Follow: &encoder.Follow{Kind: string(kind)}}}))
+	reply, err := s.ReceiveReply()
+	assert.NilError(t, err)
+	assert.DeepEqual(t, reply.GetUpdate().GetChanges()[0].GetSpec(), configuration())
+}
