exchanger, forwarder: an answer with an invalid status line is a broken answer

A status below 100 was never passed on, but was taken for an interim response: the request waited to its deadline and ended in 504, where a broken answer is known at once. The same held for a 101, which no request asks for, and a status with a sign; HTTP/2.0, 3.1 and 0.9 in the status line were passed on.

net/http parses any three characters that make a number. A status outside 100 to 599 is invalid (RFC 9110, section 15), and what follows it can't be trusted as a response. It is now an error of the exchange like other garbled bytes: the request may have run, so it is repeated only where that is allowed, the connection is closed, and the upstream is charged with a failure. Answers between VMs come from these two; the store's client accepts 200, 201 and 204 only.

--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -43,6 +43,8 @@
 	// maxHeadFields is the maximum number of header fields of a response. Short fields take
 	// many times the memory of their bytes, so maxHeadBytes alone does not limit it.
 	maxHeadFields = 256
+	// maxStatus is the highest status of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 	// maxErrorBytes is the maximum length of the description of a malformed response. The
 	// descriptions of net/http quote what was received.
 	maxErrorBytes = 256
@@ -52,8 +54,8 @@
 var ErrNotSent = errors.New("no byte reached the upstream")
 
 var (
-	// errNoResponse is returned for a status that does not end an exchange.
-	errNoResponse    = errors.New("the status is not that of a response")
+	// errNoResponse is returned for a status line that does not end an exchange.
+	errNoResponse    = errors.New("the status line is not that of a response")
 	errTooManyFields = errors.Newf("the head has over %d fields", maxHeadFields)
 )
 
@@ -120,11 +122,11 @@
 		}
 		return Response{}, errors.Wrapf(err, "forwarding to %s", t.Upstream)
 	}
-	if resp.StatusCode < http.StatusOK {
+	if resp.StatusCode < http.StatusOK || resp.StatusCode > maxStatus || resp.ProtoMajor != 1 {
 		// After a 101, the transport leaves the connection to the reader of the body, beyond
 		// the end of ctx.
 		_ = resp.Body.Close()
-		return Response{}, errors.Wrapf(errNoResponse, "forwarding to %s: status %d", t.Upstream, resp.StatusCode)
+		return Response{}, errors.Wrapf(errNoResponse, "forwarding to %s: %s %03d", t.Upstream, resp.Proto, resp.StatusCode)
 	}
 	if fieldCount(resp.Header) > maxHeadFields {
 		_ = resp.Body.Close()
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -40,6 +40,8 @@
 	// maxHeadFields is the maximum number of header fields of a response. Short fields take
 	// many times the memory of their bytes, so maxHeadBytes alone does not limit it.
 	maxHeadFields = 256
+	// maxStatus is the highest status of HTTP (RFC 9110, section 15).
+	maxStatus = 599
 	// maxErrorBytes is the maximum length of the description of a malformed response. The
 	// descriptions of net/http quote what was received.
 	maxErrorBytes = 256
@@ -59,6 +61,7 @@
 	ErrAttemptMismatch = errors.New("the answer belongs to another request")
 
 	errTooManyFields = errors.Newf("the head has over %d fields", maxHeadFields)
+	errInvalidStatus = errors.New("the status line is not that of a response")
 
 	errCallerGone = errors.New("the caller left before the request was sent")
 	errNotUsable  = errors.New("the upstream left before the request was sent")
@@ -239,8 +242,8 @@
 			return Response{}, errors.Wrap(shortError(err), "reading an answer")
 		}
 		c.limiter.inHead = false
-		if fieldCount(resp.Header) > maxHeadFields {
-			return Response{}, errors.Wrap(errTooManyFields, "reading an answer")
+		if err := checkHead(resp); err != nil {
+			return Response{}, errors.Wrap(err, "reading an answer")
 		}
 		if resp.StatusCode < http.StatusOK {
 			continue
@@ -265,6 +268,19 @@
 	return Response{}, ErrAttemptMismatch
 }
 
+// checkHead returns what is wrong with the head of a response that net/http could parse. No
+// request asks for an upgrade, so a 101 is as wrong as a status outside 100 to 599.
+func checkHead(resp *http.Response) error {
+	status := resp.StatusCode
+	switch {
+	case resp.ProtoMajor != 1, status < http.StatusContinue, status > maxStatus, status == http.StatusSwitchingProtocols:
+		return errors.Wrapf(errInvalidStatus, "%s %03d", resp.Proto, status)
+	case fieldCount(resp.Header) > maxHeadFields:
+		return errTooManyFields
+	}
+	return nil
+}
+
 // shortError returns err, or an error with the beginning of its description if that is longer
 // than maxErrorBytes.
 func shortError(err error) error {
