parser, checker: parse only the sections that a version of the document changes

Callers saw routes answered by an old configuration (CONFIG on grown Lone Star), and late answers beside changes. Each change of one route parsed and checked all of them.

A checker keeps the entries of the version before by the text of their sections.

--- a/internal/config/checker/checker.go
+++ b/internal/config/checker/checker.go
@@ -39,6 +39,7 @@
 		Default bool
 	}
 
+	// value is the value of a key. The line counts from the section's header.
 	value struct {
 		key  string
 		text string
@@ -50,6 +51,12 @@
 // sections that could be read when there are problems, so that a caller can look for
 // further problems in them.
 func Check(s Schema, file string, text []byte) ([]Entry, Problems) {
+	entries, problems := checkSections(s, file, text)
+	return complete(s, file, entries, problems)
+}
+
+// checkSections parses and checks the sections of text by themselves.
+func checkSections(s Schema, file string, text []byte) ([]Entry, Problems) {
 	lines, problems := indexLines(file, text)
 	parsed, err := ini.LoadSources(ini.LoadOptions{
 		ChildSectionDelimiter:   noChildDelimiter,
@@ -71,6 +78,11 @@
 			entries = append(entries, entry)
 		}
 	}
+	return entries, problems
+}
+
+// complete adds the entries and problems of the sections that a text does not have.
+func complete(s Schema, file string, entries []Entry, problems Problems) ([]Entry, Problems) {
 	problems = append(problems, missingGroups(s, file, entries)...)
 	entries = append(entries, defaultEntries(s, file, entries)...)
 	sort.SliceStable(problems, func(i, j int) bool { return problems[i].Line < problems[j].Line })
@@ -129,7 +141,7 @@
 	p.Reason = fmt.Sprintf(format, args...)
 	for _, v := range e.values {
 		if v.key == key {
-			p.Line = v.line
+			p.Line = e.Line + v.line
 		}
 	}
 	return p
@@ -181,7 +193,7 @@
 	entry := Entry{Kind: kind, Name: name, File: file, Line: line, group: group}
 	var problems Problems
 	for _, k := range sec.Keys() {
-		v := value{key: k.Name(), text: k.Value(), line: lines.line(sec.Name(), k.Name())}
+		v := value{key: k.Name(), text: k.Value(), line: lines.line(sec.Name(), k.Name()) - line}
 		entry.values = append(entry.values, v)
 		definition, ok := group.key(v.key)
 		if !ok {
--- a/internal/document/keeper/keeper.go
+++ b/internal/document/keeper/keeper.go
@@ -70,6 +70,7 @@
 	Keeper struct {
 		log         *slog.Logger
 		mu          sync.Mutex
+		parser      *parser.Parser
 		current     atomic.Pointer[Snapshot]
 		subscribers []func(*Snapshot)
 		staleCount  atomic.Uint64
@@ -128,7 +129,7 @@
 
 // New returns a keeper without a document.
 func New(log *slog.Logger) *Keeper {
-	return &Keeper{log: log}
+	return &Keeper{log: log, parser: parser.New()}
 }
 
 // Current returns the current document, or nil if none has been adopted yet.
@@ -182,7 +183,7 @@
 			return false, errors.Newf("text of section %s of generation %d does not match its hash in the head", sec.Edit.Section, head.Generation)
 		}
 	}
-	doc, err := parser.Parse(sources)
+	doc, err := k.parser.Parse(sources)
 	if err != nil {
 		return false, errors.Wrapf(err, "generation %d", head.Generation)
 	}
--- a/internal/document/parser/parser.go
+++ b/internal/document/parser/parser.go
@@ -29,6 +29,12 @@
 
 	// Sources is the text of the document. A section that is not in it is empty.
 	Sources []Source
+
+	// Parser parses the successive versions of a document, and of each only what the version
+	// before did not have. It must not be used concurrently.
+	Parser struct {
+		checkers map[Section]*checker.Checker
+	}
 )
 
 // Text returns the text of a section.
@@ -52,9 +58,23 @@
 	return out
 }
 
+// New returns a parser that has not parsed any version yet.
+func New() *Parser {
+	p := &Parser{checkers: make(map[Section]*checker.Checker)}
+	for _, section := range Sections() {
+		p.checkers[section] = checker.New(SchemaOf(section))
+	}
+	return p
+}
+
 // Parse parses and validates the whole document. The error is of type checker.Problems
 // and lists every problem found.
 func Parse(sources Sources) (*Document, error) {
+	return New().Parse(sources)
+}
+
+// Parse is Parse for the next version of a document.
+func (p *Parser) Parse(sources Sources) (*Document, error) {
 	d := &Document{}
 	var problems checker.Problems
 	for _, section := range Sections() {
@@ -67,7 +87,7 @@
 			})
 			continue
 		}
-		entries, found := checker.Check(SchemaOf(section), file, text)
+		entries, found := p.checkers[section].Check(file, text)
 		problems = append(problems, found...)
 		d.entries = append(d.entries, entries...)
 	}
