--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -145,7 +145,7 @@
 		})
 	}
 	follow(configName, platform.ConfigKind, documentsName, func(f registrar.Finder) follower.Handler {
-		return importer.New(platform.TranslateConfig, platform.ConfigName, f.Find(documentsName).(*keeper.Keeper), log)
+		return importer.New(platform.NewConfigTranslator().Translate, platform.ConfigName, f.Find(documentsName).(*keeper.Keeper), log)
 	})
 	follow(upstreamsName, platform.UpstreamKind, discoverName, func(f registrar.Finder) follower.Handler {
 		return f.Find(discoverName).(*discoverer.Discoverer).Upstreams()
