follower: list one large record instead of reading each of its versions

A watch returns each version since the last answer, so an answer that does not arrive in time is followed by a longer one, up to the largest that a VM accepts, 8 MB, after which none can ever arrive. A list has the last version only.

Where one record has most of the bytes of its kind, a list is hardly longer than one change. So after a failed call, and when peers are ahead, such a kind is listed. TestObsoleteVersionsAreRead failed before.

--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -291,6 +291,20 @@
 	return age, max(age, f.maxAge)
 }
 
+// dominated reports whether one record has most of the bytes of all. Then the list of the
+// records is hardly longer than one change of that record.
+func (f *feed) dominated() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	largest, total := 0, 0
+	for _, r := range f.records {
+		size := len(r.Spec) + len(r.Status)
+		largest = max(largest, size)
+		total += size
+	}
+	return largest > total/2
+}
+
 func (f *feed) setStoreUnreachable(unreachable bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -320,14 +320,41 @@
 	return nil
 }
 
-// callStore lists the records if that is still to be done, or else watches once.
+// callStore lists the records if that is still to be done, or else watches once. A watch returns
+// each version since the last answer, so after a failed call, or when peers are ahead, one large
+// record is listed instead: the answer does not grow with the time that it takes.
 func (f *Follower) callStore(ctx context.Context) error {
-	if !f.listed {
-		return f.list(ctx)
+	switch {
+	case !f.listed:
+		err := f.list(ctx)
+		if err == nil {
+			f.notifyPeers()
+		}
+		return err
+	case f.feed.dominated() && (f.failures > 0 || f.isPollDue()):
+		defer f.end()
+		return f.list(f.beginPoll(ctx))
 	}
 	return f.watch(ctx)
 }
 
+// isPollDue reports whether a peer has seen a version that this VM lacks.
+func (f *Follower) isPollDue() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.pollDue
+}
+
+// beginPoll returns the context of a poll that is not a watch.
+func (f *Follower) beginPoll(ctx context.Context) context.Context {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.pollDue = false
+	f.polling = true
+	ctx, f.cancel = context.WithCancelCause(ctx)
+	return ctx
+}
+
 // backOff delays the next call to the store after a failed one.
 func (f *Follower) backOff(d time.Duration) {
 	f.mu.Lock()
@@ -505,7 +532,6 @@
 		f.handler.Reset(records)
 		f.logLearned(changesTo(records), first, answered.Sub(begun), answered)
 	})
-	f.notifyPeers()
 	return nil
 }
 
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -758,3 +758,46 @@
 	assert.DeepEqual(t, u.Changes, []storer.Change{change("second", 2)})
 	assert.Equal(t, u.SeenVersion, version(2))
 }
+
+// TestObsoleteVersionsAreRead guards against a VM that never catches up with a large record: a call
+// that gets no whole answer in time is repeated, and the answer has each version since, so it
+// only grows.
+func TestObsoleteVersionsAreRead(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name      string
+		sizes     map[string]int
+		wantLists int
+	}{
+		{"one large record", map[string]int{"large": 100 << 10, "small": 100}, 2},
+		{"many records", map[string]int{"a": 100, "b": 100, "c": 100}, 1},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			t.Parallel()
+			clock := clockwork.NewFakeClock()
+			src := newSource(clock)
+			for name, size := range tc.sizes {
+				src.put(name)
+				r := src.records[name]
+				r.Spec = make([]byte, size)
+				src.records[name] = r
+			}
+			src.unanswered = 1
+			handler := &recorder{}
+			f := follower.New(src, kind, handler, clock, slog.New(slog.DiscardHandler), follower.WithMaxDelay(shortestMaxDelay))
+			ctx, cancel := context.WithCancel(context.Background())
+			done := make(chan error, 1)
+			go func() { done <- f.Serve(ctx) }()
+			t.Cleanup(func() {
+				cancel()
+				assert.NilError(t, <-done)
+			})
+			poll.WaitOn(t, hasSeen(f, version(storer.Revision(len(tc.sizes)))))
+			src.put("later")
+			advanceUntil(t, clock, handler.has("later"))
+			src.mu.Lock()
+			defer src.mu.Unlock()
+			assert.Equal(t, src.lists, tc.wantLists)
+		})
+	}
+}
