--- a/internal/config/checker/incremental_test.go
+++ b/internal/config/checker/incremental_test.go
@@ -49,7 +49,7 @@
 	for i, before := range texts {
 		for j, text := range texts {
 			c := checker.New(schema)
-			c.Check("f.ini", []byte(before))
+			_, _ = c.Check("f.ini", []byte(before))
 			assert.Equal(t, describe(c.Check("f.ini", []byte(text))), describe(checker.Check(schema, "f.ini", []byte(text))), "%d after %d", j, i)
 		}
 	}
@@ -61,7 +61,7 @@
 	}
 	f.Fuzz(func(t *testing.T, before, text string) {
 		c := checker.New(schema)
-		c.Check("f.ini", []byte(before))
+		_, _ = c.Check("f.ini", []byte(before))
 		assert.Equal(t, describe(c.Check("f.ini", []byte(text))), describe(checker.Check(schema, "f.ini", []byte(text))))
 	})
 }
