exchanger: an answer without a length is whole only if its connection ended in order

The upstream answers before it has read a long body, without a length, and the connection is reset or times out. The kernel reports that once, and the request is sent and the response read by two goroutines: if the sending gets the error, the read returns the end, which is where such an answer is complete. Exchange used the sending's result only to decide whether to keep the connection.

A read now returns the end only if the sending has ended without an error or, when the end is read, is still in progress. It holds for answers that are streamed, too, since it is the connection that decides.

--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -183,7 +183,7 @@
 			stop()
 		}
 	}()
-	written := c.writeRequest(r)
+	c.writeRequest(r)
 	response, err := c.readResponse(r)
 	if err != nil {
 		x.closeBroken(t, c, err)
@@ -196,17 +196,12 @@
 		response.Rest = x.newBodyRest(t, c, response.Rest, r.Deadline)
 		return response, nil
 	}
-	select {
-	case err := <-written:
-		// A caller that leaves later must not close the connection: the next request may
-		// have taken it already.
-		if err == nil && c.reusable(x.clock.Now(), r, response) && stop() {
-			x.putIdle(t, c)
-			return response, nil
-		}
-	default:
-		// The upstream responded before it had read the whole request. The connection cannot
-		// be reused: it would take the rest of the body for another request.
+	// If the upstream responded before it had read the whole request, the connection cannot be
+	// reused: it would take the rest of the body for another request. A caller that leaves later
+	// must not close the connection: the next request may have taken it already.
+	if c.request.sent() && c.reusable(x.clock.Now(), r, response) && stop() {
+		x.putIdle(t, c)
+		return response, nil
 	}
 	x.closeBusy(t, c)
 	return response, nil
@@ -214,23 +209,22 @@
 
 // writeRequest sends the request concurrently with the reading of the response, since
 // the upstream may respond before it has read the whole request. A request with a small
-// body fits the socket's send buffer and is written synchronously. The channel receives
-// the result of the write.
-func (c *connection) writeRequest(r Request) <-chan error {
-	written := make(chan error, 1)
+// body fits the socket's send buffer and is written synchronously.
+func (c *connection) writeRequest(r Request) {
+	c.request = newSending()
 	if len(r.Body) <= maxSingleWriteBodyBytes {
 		_, err := c.conn.Write(append(r.Head, r.Body...))
-		written <- err
-		return written
+		c.request.finish(err)
+		return
 	}
+	sending := c.request
 	go func() {
 		_, err := c.conn.Write(r.Head)
 		if err == nil {
 			_, err = c.conn.Write(r.Body)
 		}
-		written <- err
+		sending.finish(err)
 	}()
-	return written
 }
 
 // readResponse reads responses until the one with the request's attempt ID.
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"context"
+	"io"
 	"net"
 	"slices"
 	"strconv"
@@ -81,9 +82,11 @@
 	// not reused after idleUntil, nor if willClose is set, which means that the upstream
 	// closes it after the response.
 	connection struct {
-		conn      net.Conn
-		limiter   *headLimiter
-		reader    *bufio.Reader
+		conn    net.Conn
+		limiter *headLimiter
+		reader  *bufio.Reader
+		// request is the sending of the current request, or of the last one.
+		request   *sending
 		idleUntil time.Time
 		// openUntil is the end of the idle timeout that the upstream stated, zero if it did not.
 		openUntil time.Time
@@ -103,7 +106,7 @@
 
 // headLimiter limits the bytes read from a connection while a response's head is read.
 type headLimiter struct {
-	conn     net.Conn
+	conn     io.Reader
 	inHead   bool
 	headLeft int
 }
@@ -156,8 +159,9 @@
 		}
 		return nil, 0, err
 	}
-	l := &headLimiter{conn: conn}
-	c := &connection{conn: conn, limiter: l, reader: newBufferedReader(l)}
+	c := &connection{conn: conn}
+	c.limiter = &headLimiter{conn: c}
+	c.reader = newBufferedReader(c.limiter)
 	x.mu.Lock()
 	defer x.mu.Unlock()
 	x.poolFor(t).busy[c] = true
