--- a/internal/peer/relayer/relayer_test.go
+++ b/internal/peer/relayer/relayer_test.go
@@ -172,16 +172,22 @@
 	}
 }
 
+// newRelay starts a relay parent with records, and returns the relayer of a VM that follows it.
+func newRelay(t *testing.T, r answerer.RecordSource, clock clockwork.Clock) *relayer.Relayer {
+	t.Helper()
+	deps := answerer.Dependencies{Records: map[storer.Kind]answerer.RecordSource{kind: r}}
+	_, address := newMessenger(t, 1, answerer.New(deps, clock, slog.New(slog.DiscardHandler)))
+	own, _ := newMessenger(t, 2, answerer.New(answerer.Dependencies{}, clock, slog.New(slog.DiscardHandler)))
+	return relayer.New(own, fixedParent{tracker.Member{PeerAddress: address, Incarnation: namer.Incarnation{1}}}, clock)
+}
+
 // TestErasAreRelayed guards against versions that lose their era between two VMs, so that
 // records from before a restoration of the store count as later ones.
 func TestErasAreRelayed(t *testing.T) {
 	t.Parallel()
 	clock := clockwork.NewFakeClock()
 	r := &fakeRecords{awaited: make(chan struct{}), next: make(chan confirmation)}
-	deps := answerer.Dependencies{Records: map[storer.Kind]answerer.RecordSource{kind: r}}
-	_, address := newMessenger(t, 1, answerer.New(deps, clock, slog.New(slog.DiscardHandler)))
-	own, _ := newMessenger(t, 2, answerer.New(answerer.Dependencies{}, clock, slog.New(slog.DiscardHandler)))
-	relay := relayer.New(own, fixedParent{tracker.Member{PeerAddress: address, Incarnation: namer.Incarnation{1}}}, clock)
+	relay := newRelay(t, r, clock)
 
 	since := storer.Version{Era: 2, Revision: 90}
 	updates, err := relay.Open(t.Context(), kind, since)
@@ -209,10 +215,7 @@
 	const maxUnread = 2
 	clock := clockwork.NewFakeClock()
 	r := &fakeRecords{awaited: make(chan struct{}), next: make(chan confirmation)}
-	deps := answerer.Dependencies{Records: map[storer.Kind]answerer.RecordSource{kind: r}}
-	_, address := newMessenger(t, 1, answerer.New(deps, clock, slog.New(slog.DiscardHandler)))
-	own, _ := newMessenger(t, 2, answerer.New(answerer.Dependencies{}, clock, slog.New(slog.DiscardHandler)))
-	relay := relayer.New(own, fixedParent{tracker.Member{PeerAddress: address, Incarnation: namer.Incarnation{1}}}, clock)
+	relay := newRelay(t, r, clock)
 	updates, err := relay.Open(t.Context(), kind, storer.Absent)
 	assert.NilError(t, err)
 	defer updates.Close()
