--- a/internal/document/keeper/keeper_test.go
+++ b/internal/document/keeper/keeper_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"log/slog"
+	"strconv"
+	"strings"
 	"testing"
 
 	"gotest.tools/v3/assert"
@@ -58,3 +60,33 @@
 	assert.ErrorContains(t, err, "text of section services of generation 1 does not match its hash in the head")
 	assert.Assert(t, k.Current() == nil)
 }
+
+// TestEachVersionAdoptedWhole guards against a keeper that parses all of a document of which one
+// route changes.
+func TestEachVersionAdoptedWhole(t *testing.T) {
+	generation := namer.Generation(0)
+	texts := []string{manyServices(0), manyServices(1)}
+	k := keeper.New(slog.New(slog.DiscardHandler))
+	adopt := func() {
+		generation++
+		adopted, err := k.Adopt(newDocument(generation, texts[generation%2]))
+		assert.NilError(t, err)
+		assert.Assert(t, adopted)
+	}
+	first := testing.AllocsPerRun(1, func() { k = keeper.New(slog.New(slog.DiscardHandler)); adopt() })
+	next := testing.AllocsPerRun(5, adopt)
+	assert.Assert(t, next < first/4, "%.0f allocations, %.0f for the first version", next, first)
+}
+
+// manyServices returns a section of many services, of which one differs.
+func manyServices(different int) string {
+	var b strings.Builder
+	for i := range 1400 {
+		conns := "100"
+		if i == different {
+			conns = "200"
+		}
+		b.WriteString("[service s" + strconv.Itoa(i) + "]\nconns = " + conns + "\n")
+	}
+	return b.String()
+}
--- a/internal/member/heartbeater/pull_test.go
+++ b/internal/member/heartbeater/pull_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"sync"
 	"testing"
@@ -17,6 +18,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
 	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
+	"github.com/waxwingloom/waxwingloom/internal/peer/packer"
 )
 
 const pullDelay = 250 * time.Millisecond
@@ -99,6 +101,8 @@
 type gatedPeer struct {
 	newerPeer
 	gate chan struct{}
+	// services is the number of services in the document, 1 if it is 0.
+	services int
 }
 
 // Call implements heartbeater.PeerClient.
@@ -110,9 +114,16 @@
 		return nil, ctx.Err()
 	}
 	head, sources := document(4)
+	for i := 1; i < p.services; i++ {
+		sources[0].Text = fmt.Appendf(sources[0].Text, "[service s%d]\n", i)
+	}
+	head.Sections[0].Hash = keeper.HashOf(sources[0].Text)
 	raw, err := head.Encode()
 	assert.Check(p.t, err)
 	doc := &encoder.Document{Generation: 4, Head: raw, Sections: []*encoder.Section{{Name: string(sources[0].Section), Text: sources[0].Text}}}
+	if req.GetPull().GetPacks() {
+		assert.Check(p.t, packer.New().PackDocument(doc))
+	}
 	return &encoder.Reply{Kind: &encoder.Reply_Document{Document: doc}}, nil
 }
 
@@ -130,6 +141,18 @@
 	return heartbeater.New(self, heartbeater.Dependencies{Peers: p, Lister: emptyList{}, Documents: documents}, nil, timing, clock, log), documents, clock
 }
 
+// TestPackedDocumentRejected guards against a VM that says that it reads packed documents, and
+// can't adopt one.
+func TestPackedDocumentRejected(t *testing.T) {
+	t.Parallel()
+	peer := gatedPeer{newerPeer: newerPeer{t: t, pulled: make(chan struct{}, 1)}, gate: make(chan struct{}), services: 1400}
+	close(peer.gate)
+	h, documents, _ := newPulling(t, peer)
+	h.HandleHeartbeat(t.Context(), heartbeatOf('a'))
+	assert.Equal(t, documents.Generation(), namer.Generation(4))
+	assert.Equal(t, len(documents.Current().Document.Services), 1400)
+}
+
 // heartbeatOf returns a heartbeat of a VM with document 4.
 func heartbeatOf(vm byte) *encoder.Heartbeat {
 	sender := namer.Incarnation{vm}
