--- a/internal/document/parser/document.go
+++ b/internal/document/parser/document.go
@@ -1,6 +1,7 @@
 package parser
 
 import (
+	"crypto/sha256"
 	"net/netip"
 	"time"
 
@@ -28,6 +29,7 @@
 		ShiftCaps  []ShiftCap
 		Exceptions []Exception
 		Routes     []Route
+		Accounts   []Account
 		Ingress    Ingress
 
 		entries []checker.Entry
@@ -70,7 +72,8 @@
 	// latency that responses should not exceed, and Timeout the longest that a caller
 	// waits. AttemptLimit is the number of upstreams that a request may be sent to.
 	// Priority 0 is the most urgent. Without PermittedRegions, every region may serve the
-	// route. Affinity keeps the requests for one object on the same upstreams.
+	// route. Affinity keeps the requests for one object on the same upstreams. The requests
+	// of a Public route need no key where the document has accounts.
 	Route struct {
 		Name             namer.Route
 		Host             string
@@ -83,6 +86,24 @@
 		Priority         int
 		PermittedRegions []namer.Region
 		Affinity         bool
+		Public           bool
+	}
+
+	// KeyHash is the SHA-256 digest of an account's key. Keys themselves are not kept.
+	KeyHash [sha256.Size]byte
+
+	// Account is a client account. Its requests carry one of its keys. Rate, in requests
+	// per second, and Burst, in requests, limit them over all entry VMs together; a Rate of
+	// 0 means no limit. If HasPriority is set, Priority replaces that of the route. Without
+	// PermittedRegions, every region that the route permits may serve the account.
+	Account struct {
+		Name             namer.Account
+		Keys             []KeyHash
+		HasPriority      bool
+		Priority         int
+		Rate             int
+		Burst            int
+		PermittedRegions []namer.Region
 	}
 
 	// WeightedService is a service of a route with its weight. Requests are distributed
--- a/internal/document/parser/parser.go
+++ b/internal/document/parser/parser.go
@@ -115,6 +115,8 @@
 		d.addClass(e)
 	case "route":
 		d.Routes = append(d.Routes, newRoute(e))
+	case "account":
+		d.Accounts = append(d.Accounts, newAccount(e))
 	case "ingress":
 		d.Ingress = newIngress(e)
 	case "zone":
--- a/internal/document/parser/route.go
+++ b/internal/document/parser/route.go
@@ -35,9 +35,9 @@
 		AttemptLimit:  int(e.Number("attempts")),
 		Priority:      int(e.Number("rank")),
 		Affinity:      e.Switch("affinity"),
-	}
-	for _, region := range strings.Fields(e.Text("regions")) {
-		r.PermittedRegions = append(r.PermittedRegions, namer.Region(region))
+		Public:        e.Switch("public"),
+
+		PermittedRegions: regionList(e),
 	}
 	for _, field := range strings.Fields(e.Text("split")) {
 		if service, ok := parseWeightedService(field); ok {
@@ -47,6 +47,15 @@
 	return r
 }
 
+// regionList returns the regions that an entry permits.
+func regionList(e checker.Entry) []namer.Region {
+	var regions []namer.Region
+	for _, region := range strings.Fields(e.Text("regions")) {
+		regions = append(regions, namer.Region(region))
+	}
+	return regions
+}
+
 // parseWeightedService parses a value of the form SERVICE:WEIGHT. The last colon
 // separates them.
 func parseWeightedService(field string) (WeightedService, bool) {
--- a/internal/document/parser/schema.go
+++ b/internal/document/parser/schema.go
@@ -44,7 +44,7 @@
 func schemaOf(s Section) (checker.Schema, bool) {
 	switch s {
 	case Services:
-		return checker.Schema{Groups: []checker.Group{serviceGroup(), classGroup(), routeGroup(), ingressGroup()}}, true
+		return checker.Schema{Groups: []checker.Group{serviceGroup(), classGroup(), routeGroup(), accountGroup(), ingressGroup()}}, true
 	case Places:
 		return checker.Schema{Groups: []checker.Group{zoneGroup(), upstreamGroup(), blockGroup()}}, true
 	case Drains:
@@ -133,6 +133,17 @@
 		{Name: "rank", Kind: checker.Number, Default: "0", Min: 0, Max: 1000, Unit: "", Doc: "the urgency; 0 is the most urgent"},
 		{Name: "regions", Kind: checker.Text, Doc: "the regions that may serve the route, separated by spaces; none means all"},
 		{Name: "affinity", Kind: checker.Switch, Default: "no", Doc: "whether requests for one object should keep to the same upstreams"},
+		{Name: "public", Kind: checker.Switch, Default: "no", Doc: "whether requests need no key where the document has accounts"},
+	}}
+}
+
+func accountGroup() checker.Group {
+	return checker.Group{Kind: "account", Named: true, Doc: "a client account; where there is one, requests of routes that aren't public need a key", Keys: []checker.Key{
+		{Name: "keys", Kind: checker.Text, Doc: "the SHA-256 digests of the account's keys in hexadecimal, separated by spaces"},
+		{Name: "rank", Kind: checker.Number, Min: 0, Max: 1000, Unit: "", Doc: "the urgency, in place of the route's; 0 is the most urgent"},
+		{Name: "rate", Kind: checker.Number, Default: "0", Min: 0, Max: 1 << 30, Unit: "requests/s", Doc: "how many requests all entry VMs together take; above it 429; 0 means no limit"},
+		{Name: "burst", Kind: checker.Number, Default: "0", Min: 0, Max: 1 << 30, Unit: "requests", Doc: "how many requests more may come at once"},
+		{Name: "regions", Kind: checker.Text, Doc: "the regions that may serve the account, separated by spaces; none means all; the route's bind too"},
 	}}
 }
 
--- a/internal/document/parser/validation.go
+++ b/internal/document/parser/validation.go
@@ -11,7 +11,12 @@
 // combinations of values, and the syntax of composite values.
 func (d *Document) validate() checker.Problems {
 	var problems checker.Problems
+	owners := make(map[KeyHash]string)
 	for _, e := range d.entries {
+		if e.Kind == "account" {
+			problems = append(problems, validateAccount(e, owners)...)
+			continue
+		}
 		problems = append(problems, d.validateEntry(e)...)
 	}
 	return problems
--- a/internal/kernel/namer/headers.go
+++ b/internal/kernel/namer/headers.go
@@ -21,6 +21,8 @@
 	NotRun string
 	// Leaving is 1 in the responses of an upstream that is about to shut down.
 	Leaving string
+	// Account tells the upstream the account of a request. Callers can't set it.
+	Account string
 }
 
 // WaxwingHeaderNames returns the header names of the project's own interface.
@@ -34,5 +36,6 @@
 		Load:             "Waxwing-Load",
 		NotRun:           "Waxwing-Refused",
 		Leaving:          "Waxwing-Leaving",
+		Account:          "Waxwing-Account",
 	}
 }
--- a/internal/kernel/namer/namer.go
+++ b/internal/kernel/namer/namer.go
@@ -33,6 +33,8 @@
 	Class string
 	// Route is the name of a route of the steering document.
 	Route string
+	// Account is the name of a client account.
+	Account string
 	// Upstream is the name of an upstream.
 	Upstream string
 	// Author is the name of the operator who made an edit.
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -53,6 +53,7 @@
 		Timing           Timing
 		Operators        []Operator
 		Routing          Routing
+		Accounts         Accounts
 		// Regions maps each zone of the deployment to its region.
 		Regions map[namer.Zone]namer.Region
 	}
@@ -78,6 +79,18 @@
 		RetryWindow time.Duration
 	}
 
+	// Accounts holds the terms of client accounts.
+	Accounts struct {
+		// RevokeTimeout is the time after which a withdrawn key must not be accepted by any
+		// VM, or 0 if VMs out of touch are not bound.
+		RevokeTimeout time.Duration
+		// All VMs together may exceed an account's limit within LimitWindow by the fraction
+		// LimitOverage of it and by LimitSlack requests.
+		LimitWindow  time.Duration
+		LimitOverage float64
+		LimitSlack   int
+	}
+
 	// Limits holds the limits on the resources of a daemon that callers may use.
 	Limits struct {
 		MaxHeadBytes        int
@@ -164,6 +177,8 @@
 		s.Timing = newTiming(e)
 	case "routing":
 		s.Routing = newRouting(e)
+	case "accounts":
+		s.Accounts = newAccounts(e)
 	case "zone":
 		s.Regions[namer.Zone(e.Name)] = namer.Region(e.Text("region"))
 	case "owner":
@@ -241,6 +256,15 @@
 	}
 }
 
+func newAccounts(e checker.Entry) Accounts {
+	return Accounts{
+		RevokeTimeout: e.Duration("revoke"),
+		LimitWindow:   e.Duration("window"),
+		LimitOverage:  e.Ratio("overage"),
+		LimitSlack:    int(e.Number("slack")),
+	}
+}
+
 func newTiming(e checker.Entry) Timing {
 	return Timing{
 		HeartbeatInterval: e.Duration("heartbeat"),
--- a/internal/settings/loader/schema.go
+++ b/internal/settings/loader/schema.go
@@ -9,7 +9,7 @@
 // Schema returns the table of all sections and keys that the settings file may have.
 func Schema() checker.Schema {
 	return checker.Schema{Groups: []checker.Group{
-		vmGroup(), listenGroup(), platformGroup(), peersGroup(), logGroup(), limitsGroup(), timingGroup(), ownerGroup(), routingGroup(), zoneGroup(),
+		vmGroup(), listenGroup(), platformGroup(), peersGroup(), logGroup(), limitsGroup(), timingGroup(), ownerGroup(), routingGroup(), accountsGroup(), zoneGroup(),
 	}}
 }
 
@@ -76,6 +76,15 @@
 	}}
 }
 
+func accountsGroup() checker.Group {
+	return checker.Group{Kind: "accounts", Doc: "the terms of client accounts; they take effect where the document has accounts", Keys: []checker.Key{
+		{Name: "revoke", Kind: checker.Duration, Default: "0s", Min: 0, Max: int64(time.Hour), Doc: "the time after which a withdrawn key must run nowhere, also at VMs out of touch; 0s means that only VMs in touch are bound"},
+		{Name: "window", Kind: checker.Duration, Default: "5s", Min: int64(100 * time.Millisecond), Max: int64(time.Hour), Doc: "the time over which an account's requests are counted against its limit"},
+		{Name: "overage", Kind: checker.Ratio, Default: "0", Doc: "how far all VMs together may exceed an account's limit in a window, as a part of it"},
+		{Name: "slack", Kind: checker.Number, Default: "0", Min: 0, Max: 1000000, Unit: "requests", Doc: "how many requests they may exceed it by in addition"},
+	}}
+}
+
 func zoneGroup() checker.Group {
 	return checker.Group{Kind: "zone", Named: true, Doc: "an availability zone of the deployment, for steering by routes", Keys: []checker.Key{
 		{Name: "region", Kind: checker.Text, Required: true, Doc: "the zone's region"},
