--- /dev/null
+++ b/internal/document/parser/account_test.go
@@ -0,0 +1,21 @@
+package parser_test
+
+import (
+	"strings"
+	"testing"
+
+	"gotest.tools/v3/assert"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+)
+
+// TestAccountKeys checks that a key of two accounts, and one that is no digest, are refused
+// with their place, and that no problem shows the digest.
+func TestAccountKeys(t *testing.T) {
+	t.Parallel()
+	digest := parser.HashKey("a key").String()
+	text := "[account one]\nkeys = " + digest + "\n[account two]\nkeys = " + strings.Repeat("0", 64) + " " + digest + " a-key\n"
+	_, err := parser.Parse(parser.Sources{{Section: parser.Services, Text: []byte(text)}})
+	assert.Error(t, err, `services.ini:4: [account two] keys: key 2 is also one of account "one"
+services.ini:4: [account two] keys: key 3 is not a SHA-256 digest of 64 hexadecimal digits`)
+}
--- a/internal/peer/answerer/answerer.go
+++ b/internal/peer/answerer/answerer.go
@@ -215,6 +215,7 @@
 		defer cancel()
 		a.receiveMarks(s, m)
 	}()
+	differ := a.packer.NewDiffer()
 	position := follower.Position{Version: converter.VersionFrom(f.GetEra(), f.GetSince())}
 	for sent := 0; ; sent++ {
 		if f.GetMark() > 0 && !m.await(ctx, sent) {
@@ -230,6 +231,11 @@
 			update.Mark, update.Age = mark, received.Sub(next.ConfirmedAt)
 		}
 		message := converter.Update(update)
+		if f.GetDiffs() {
+			if err := differ.Replace(f.GetKind(), message); err != nil {
+				return err
+			}
+		}
 		if f.GetPacks() {
 			if err := a.packer.PackUpdate(f.GetKind(), message); err != nil {
 				return err
--- a/internal/peer/packer/message.go
+++ b/internal/peer/packer/message.go
@@ -18,7 +18,7 @@
 	_, _ = fmt.Fprintf(identity, "%q %d\n", kind, u.GetEra())
 	for _, c := range u.GetChanges() {
 		size += len(c.GetSpec()) + len(c.GetStatus())
-		_, _ = fmt.Fprintf(identity, "%q %d %t\n", c.GetName(), c.GetVersion(), c.GetRemoved())
+		_, _ = fmt.Fprintf(identity, "%q %d %t %d\n", c.GetName(), c.GetVersion(), c.GetRemoved(), c.GetBase())
 	}
 	if size < minPackedBytes {
 		return nil
--- a/internal/peer/packer/packer.go
+++ b/internal/peer/packer/packer.go
@@ -11,6 +11,13 @@
 //	p := packer.New()
 //	err := p.PackUpdate(kind, update)
 //	err = packer.UnpackUpdate(update)
+//
+// On a stream of updates, a Differ replaces large records by their differences from what the
+// stream brought before, and a Patcher restores them:
+//
+//	differ := p.NewDiffer()
+//	err := differ.Replace(kind, update)
+//	err = patcher.Restore(update)
 package packer
 
 import (
@@ -57,6 +64,18 @@
 // pack returns the compressed form of the content with a key. It calls encode for the content
 // unless the result is known. Concurrent calls for the same key compress it once.
 func (p *Packer) pack(key string, encode func() ([]byte, error)) ([]byte, error) {
+	return p.result(key, func() ([]byte, error) {
+		raw, err := encode()
+		if err != nil {
+			return nil, errors.Wrap(err, "encoding a message to pack")
+		}
+		return p.compress(raw)
+	})
+}
+
+// result returns the result with a key. It calls compute unless the result is known.
+// Concurrent calls for the same key compute it once.
+func (p *Packer) result(key string, compute func() ([]byte, error)) ([]byte, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for _, r := range p.results {
@@ -64,11 +83,7 @@
 			return r.packed, nil
 		}
 	}
-	raw, err := encode()
-	if err != nil {
-		return nil, errors.Wrap(err, "encoding a message to pack")
-	}
-	packed, err := p.compress(raw)
+	packed, err := compute()
 	if err != nil {
 		return nil, err
 	}
--- a/internal/peer/relayer/relayer.go
+++ b/internal/peer/relayer/relayer.go
@@ -72,6 +72,7 @@
 		stream  *messenger.Stream
 		// markDue is set when no mark was sent since the last update was received.
 		markDue bool
+		patcher packer.Patcher
 	}
 )
 
@@ -98,7 +99,7 @@
 		return nil, err
 	}
 	u := &updateStream{relayer: r, peer: peer, stream: stream}
-	if err := u.sendFollow(&encoder.Follow{Kind: string(kind), Since: uint64(since.Revision), Era: uint64(since.Era), Packs: true}); err != nil {
+	if err := u.sendFollow(&encoder.Follow{Kind: string(kind), Since: uint64(since.Revision), Era: uint64(since.Era), Packs: true, Diffs: true}); err != nil {
 		stream.Close()
 		return nil, err
 	}
@@ -138,6 +139,9 @@
 	if err := packer.UnpackUpdate(reply.GetUpdate()); err != nil {
 		return storer.Update{}, err
 	}
+	if err := u.patcher.Restore(reply.GetUpdate()); err != nil {
+		return storer.Update{}, err
+	}
 	u.markDue = true
 	update := converter.UpdateFrom(reply.GetUpdate())
 	if update.Mark > u.relayer.mark() {
