Open connections to silent machines again before the kernel resends the first packet

After the loss of all power, VMs that start 0.2 s before their seeds send SYN packets to machines without power, which drop them. Connections to peers and to the store are now tried again after 250 ms, 500 ms and so on.

--- a/internal/kernel/dialer/dialer.go
+++ b/internal/kernel/dialer/dialer.go
@@ -28,14 +28,18 @@
 	// closes the connection. It is slightly longer than the time until the kernel's second
 	// retransmission on a link of 100 ms.
 	tcpUserTimeout = 2 * time.Second
-	// connectTimeout bounds the opening of a connection. It leaves time for one
-	// retransmission, since the kernel resends a lost SYN packet after a second.
+	// connectTimeout bounds the opening of a connection. It leaves time for two further
+	// attempts.
 	connectTimeout = 1500 * time.Millisecond
+	// firstAttemptTimeout is the timeout of the first attempt to open a connection, and
+	// doubles with each further one. It is over twice the longest round trip in the
+	// requirements. The kernel resends a lost SYN packet only after a second.
+	firstAttemptTimeout = 250 * time.Millisecond
 )
 
-// Dial opens a TCP connection with the default timeout.
+// Dial opens a TCP connection with the default timeout, in several attempts.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
-	return DialTimeout(ctx, address, connectTimeout)
+	return Redial(connectTimeout, func(timeout time.Duration) (net.Conn, error) { return DialTimeout(ctx, address, timeout) })
 }
 
 // DialTimeout opens a TCP connection with a timeout.
@@ -51,6 +55,27 @@
 	return conn, errors.Wrapf(err, "connecting to %s", address)
 }
 
+// Redial calls dial, which opens a connection within a timeout, again each time that this
+// times out, until the total timeout. A machine that starts drops the first packet, as a
+// lossy link does, and answers the next.
+func Redial(timeout time.Duration, dial func(timeout time.Duration) (net.Conn, error)) (net.Conn, error) {
+	attempt := firstAttemptTimeout
+	for {
+		conn, err := dial(min(attempt, timeout))
+		timeout -= attempt
+		if err == nil || timeout <= 0 || !isTimeout(err) {
+			return conn, err
+		}
+		attempt *= 2
+	}
+}
+
+// isTimeout reports whether an attempt failed because nothing answered.
+func isTimeout(err error) bool {
+	var timeout net.Error
+	return errors.As(err, &timeout) && timeout.Timeout()
+}
+
 // setTCPUserTimeout sets the socket option TCP_USER_TIMEOUT, the kernel's limit on the time
 // that sent bytes stay unacknowledged.
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -25,6 +25,7 @@
 	"github.com/hashicorp/yamux"
 	"golang.org/x/sys/unix"
 
+	"github.com/waxwingloom/waxwingloom/internal/kernel/dialer"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
 )
@@ -215,8 +216,10 @@
 }
 
 func (m *Messenger) dial(ctx context.Context, address string) (*peerConn, error) {
-	dialer := net.Dialer{Timeout: handshakeTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := dialer.Redial(handshakeTimeout, func(timeout time.Duration) (net.Conn, error) {
+		d := net.Dialer{Timeout: timeout}
+		return d.DialContext(ctx, "tcp", address)
+	})
 	if err != nil {
 		return nil, errors.Wrapf(err, "dialing %s", address)
 	}
