Client accounts are checked on each VM

Keys are looked up by digest; withdrawn keys are refused by the age of the store's last confirmation, unknown ones after a bounded wait for a confirmation. The upstream gets the account's name and no key. An account's rank and regions bind beside the route's.

--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -46,6 +46,12 @@
 		// firstEra is the first era that this VM knew, or 0.
 		firstEra    storer.Era
 		confirmedAt time.Time
+		// appliedAt is the time of the last confirmation of what the handler has processed.
+		appliedAt time.Time
+		// suspended returns for how long the machine has been suspended. The times of
+		// confirmations are earlier by accounted, the part of it that they account for.
+		suspended func() time.Duration
+		accounted time.Duration
 		// maxAge is the greatest age that a confirmation reached before the next one.
 		maxAge time.Duration
 		// The store has answered without an outage from reachableSince to lastAnswer. An
@@ -61,6 +67,13 @@
 		updated chan struct{}
 	}
 
+	// confirmation is the time at which a confirmation by the store began, and for how long
+	// the machine had been suspended by then.
+	confirmation struct {
+		at        time.Time
+		suspended time.Duration
+	}
+
 	// delta is the changes between two versions.
 	delta struct {
 		from    storer.Version
@@ -90,7 +103,10 @@
 
 // newFeed returns an empty feed. The store counts as reachable from now on.
 func newFeed(now time.Time, minOutage time.Duration) *feed {
-	return &feed{records: make(map[string]storer.Record), reachableSince: now, lastAnswer: now, minOutage: minOutage, updated: make(chan struct{})}
+	return &feed{
+		records: make(map[string]storer.Record), reachableSince: now, lastAnswer: now, minOutage: minOutage, updated: make(chan struct{}),
+		suspended: func() time.Duration { return 0 },
+	}
 }
 
 // updateAfter returns the update for a peer at a position, or a channel that is closed
@@ -98,6 +114,7 @@
 func (f *feed) updateAfter(p Position) (storer.Update, Position, <-chan struct{}, bool) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.accountSuspension()
 	p.Version = f.withEra(p.Version)
 	if !f.listed || !p.Version.Before(f.version) && !f.confirmedAt.After(p.ConfirmedAt) && f.storeUnreachable == p.StoreUnreachable {
 		return storer.Update{}, p, f.updated, false
@@ -155,7 +172,7 @@
 // replace sets all records. Their difference from the previous ones is added to the
 // history as a delta, so that peers need not be sent all records. The history does not
 // reach back to an earlier era: peers must learn that the store was restored.
-func (f *feed) replace(now time.Time, records []storer.Record, version, seen storer.Version, confirmedAt time.Time) {
+func (f *feed) replace(now time.Time, records []storer.Record, version, seen storer.Version, confirmed confirmation) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.records
@@ -181,20 +198,21 @@
 		f.history, f.historyBytes = nil, 0
 		changes = nil
 	}
-	f.addLocked(now, changes, version, seen, confirmedAt)
+	f.addLocked(now, changes, version, seen, confirmed)
 }
 
-// add applies changes up to a version that the store confirmed at confirmedAt, and
+// add applies changes up to a version that the store confirmed, and
 // drops the oldest deltas beyond maxHistoryBytes. The version of the whole store up to which
 // changes were seen may be later.
-func (f *feed) add(now time.Time, changes []storer.Change, version, seen storer.Version, confirmedAt time.Time) {
+func (f *feed) add(now time.Time, changes []storer.Change, version, seen storer.Version, confirmed confirmation) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.addLocked(now, changes, version, seen, confirmedAt)
+	f.addLocked(now, changes, version, seen, confirmed)
 }
 
 // addLocked is add for callers that hold f.mu.
-func (f *feed) addLocked(now time.Time, changes []storer.Change, version, seen storer.Version, confirmedAt time.Time) {
+func (f *feed) addLocked(now time.Time, changes []storer.Change, version, seen storer.Version, confirmed confirmation) {
+	confirmedAt := f.timeOf(confirmed)
 	f.seen = f.seen.Later(seen)
 	for _, c := range changes {
 		if c.Removed {
@@ -276,6 +294,7 @@
 func (f *feed) lastConfirmed() time.Time {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.accountSuspension()
 	return f.confirmedAt
 }
 
@@ -284,6 +303,7 @@
 func (f *feed) ages(now time.Time) (age, oldest time.Duration) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.accountSuspension()
 	if f.confirmedAt.IsZero() {
 		return 0, 0
 	}
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -134,6 +134,7 @@
 		relay       Relay
 		maxDelay    time.Duration
 		minOutage   time.Duration
+		suspended   func() time.Duration
 		notifyPeers func()
 		feed        *feed
 		// since is the version from which the next watch begins. listed is whether this VM
@@ -159,10 +160,12 @@
 		seen             storer.Version
 		// retryAt is when the store may be asked again after a failed call.
 		retryAt time.Time
-		// pollDue requests a poll of the store; polling is whether one is under way.
-		pollDue bool
-		polling bool
-		cancel  context.CancelCauseFunc
+		// pollDue requests a poll of the store since a peer has seen a later version, refreshDue
+		// one by a watch; polling is whether one is under way.
+		pollDue    bool
+		refreshDue bool
+		polling    bool
+		cancel     context.CancelCauseFunc
 	}
 
 	// Counts is the number of bytes of records, as the store writes them, that were learned
@@ -221,6 +224,9 @@
 	// as an outage.
 	f.maxDelay = min(f.maxDelay, f.minOutage)
 	f.feed = newFeed(clock.Now(), f.minOutage)
+	if f.suspended != nil {
+		f.feed.suspended = f.suspended
+	}
 	return f
 }
 
@@ -349,7 +355,7 @@
 func (f *Follower) beginPoll(ctx context.Context) context.Context {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.pollDue = false
+	f.pollDue, f.refreshDue = false, false
 	f.polling = true
 	ctx, f.cancel = context.WithCancelCause(ctx)
 	return ctx
@@ -360,7 +366,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.retryAt = f.clock.Now().Add(d)
-	f.pollDue = false
+	f.pollDue, f.refreshDue = false, false
 }
 
 // backoffLeft returns how long the store must not be asked; 0 or less when it may be.
@@ -378,7 +384,8 @@
 	defer cancel(nil)
 	limit := f.clock.AfterFunc(wait+f.answerTimeout(), func() { cancel(errNoAnswer) })
 	defer limit.Stop()
-	begun := f.clock.Now()
+	confirmed := f.beginConfirmation()
+	begun := confirmed.at
 	changes, err := f.source.Changes(ctx, f.kind, f.since, wait)
 	if errors.Is(err, storer.ErrCompacted) && changes.StoreVersion.Era > f.era {
 		// The relay parent may not have noticed the restoration that dropped the history.
@@ -405,8 +412,8 @@
 		f.since = f.since.Later(changes.StoreVersion)
 	}
 	answered := f.clock.Now()
-	f.feed.add(answered, changes.Items, f.since, seen, begun)
-	f.apply(seen, func() {
+	f.feed.add(answered, changes.Items, f.since, seen, confirmed)
+	f.apply(confirmed, seen, func() {
 		if len(changes.Items) > 0 {
 			f.handler.Apply(changes.Items)
 			f.logLearned(changes.Items, changes.StoreVersion, answered.Sub(begun), answered)
@@ -429,8 +436,8 @@
 	wait := time.Duration(watchWaitFraction * float64(f.maxDelay))
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	polls := f.pollDue
-	f.pollDue = false
+	polls := f.pollDue || f.refreshDue
+	f.pollDue, f.refreshDue = false, false
 	f.polling = polls
 	if polls {
 		wait = pollWait
@@ -457,15 +464,16 @@
 func (f *Follower) interrupted() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.pollDue
+	return f.pollDue || f.refreshDue
 }
 
 // apply runs a call of the handler, after which changes up to a version are known. The feed
 // has them already: peers need not wait for this VM's handler.
-func (f *Follower) apply(seen storer.Version, handle func()) {
+func (f *Follower) apply(confirmed confirmation, seen storer.Version, handle func()) {
 	f.applying.Store(true)
 	defer f.applying.Store(false)
 	handle()
+	f.feed.markApplied(confirmed)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.seen = f.seen.Later(seen)
@@ -499,7 +507,8 @@
 // brings the changes that were made between two pages.
 func (f *Follower) list(ctx context.Context) error {
 	var records []storer.Record
-	begun := f.clock.Now()
+	confirmed := f.beginConfirmation()
+	begun := confirmed.at
 	after := ""
 	var first storer.Version
 	for {
@@ -527,8 +536,8 @@
 	f.since = first
 	f.listed = true
 	answered := f.clock.Now()
-	f.feed.replace(answered, records, first, first, begun)
-	f.apply(first, func() {
+	f.feed.replace(answered, records, first, first, confirmed)
+	f.apply(confirmed, first, func() {
 		f.handler.Reset(records)
 		f.logLearned(changesTo(records), first, answered.Sub(begun), answered)
 	})
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -91,6 +91,8 @@
 	}
 	f.watchParentChange(ctx, updates, cancel)
 	for {
+		// A suspension while this VM waits counts twice, until the next update.
+		suspended := f.feed.suspended()
 		u, err := updates.Next()
 		if err != nil {
 			err = causeOf(ctx, err)
@@ -110,7 +112,7 @@
 			timeout.Stop()
 			timeout = f.clock.AfterFunc(left, giveUp)
 		}
-		f.applyUpdate(u)
+		f.applyUpdate(u, suspended)
 		// During the backoff, stale updates, or those of a relay parent that the store does
 		// not answer, are still better than none.
 		mayAsk := f.backoffLeft() <= 0
@@ -188,12 +190,13 @@
 	return nil
 }
 
-func (f *Follower) applyUpdate(u storer.Update) {
+func (f *Follower) applyUpdate(u storer.Update, suspended time.Duration) {
 	if !u.StoreUnreachable {
 		f.feed.setStoreUnreachable(false)
 	}
 	now := f.clock.Now()
 	confirmedAt := now.Add(-u.Age)
+	confirmed := confirmation{at: confirmedAt, suspended: suspended}
 	f.noteEra(u.Version)
 	f.markReachable(u.Version.Era, confirmedAt.Add(-u.StoreReachableFor), confirmedAt)
 	f.since = f.since.Later(u.Version)
@@ -203,15 +206,15 @@
 			records[i] = c.Record
 		}
 		f.listed = true
-		f.feed.replace(now, records, f.since, u.SeenVersion, confirmedAt)
-		f.apply(u.SeenVersion, func() {
+		f.feed.replace(now, records, f.since, u.SeenVersion, confirmed)
+		f.apply(confirmed, u.SeenVersion, func() {
 			f.handler.Reset(records)
 			f.logLearned(u.Changes, u.Version, u.Age, now)
 		})
 		return
 	}
-	f.feed.add(now, u.Changes, f.since, u.SeenVersion, confirmedAt)
-	f.apply(u.SeenVersion, func() {
+	f.feed.add(now, u.Changes, f.since, u.SeenVersion, confirmed)
+	f.apply(confirmed, u.SeenVersion, func() {
 		if len(u.Changes) > 0 {
 			f.handler.Apply(u.Changes)
 			f.logLearned(u.Changes, u.Version, u.Age, now)
@@ -240,7 +243,7 @@
 func (f *Follower) beginFollow(cancel context.CancelCauseFunc) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.pollDue {
+	if f.pollDue || f.refreshDue {
 		return false
 	}
 	f.cancel = cancel
--- a/internal/front/locator/locator.go
+++ b/internal/front/locator/locator.go
@@ -32,18 +32,29 @@
 // region. Only if there are none does it take those of the allowed regions, then
 // those of any region; without allowed regions, every region is allowed. Suspect
 // VMs are returned only if no VM is alive, and leaving VMs only if none is alive or
-// suspect.
+// suspect. VMs that refuse the keys of client accounts are returned only if no other VM is
+// alive or suspect.
 func Choose(l Location, members []tracker.Member, allowed []namer.Region) []string {
-	for _, states := range [][]tracker.State{{tracker.Alive}, {tracker.Suspect}, {tracker.Leaving}} {
-		if out := chooseByState(l, members, allowed, states); len(out) > 0 {
+	sure := slices.DeleteFunc(slices.Clone(members), func(m tracker.Member) bool { return m.AccountsStale })
+	for _, tier := range []struct {
+		members []tracker.Member
+		state   tracker.State
+	}{
+		{sure, tracker.Alive},
+		{sure, tracker.Suspect},
+		{members, tracker.Alive},
+		{members, tracker.Suspect},
+		{members, tracker.Leaving},
+	} {
+		if out := chooseByState(l, tier.members, allowed, tier.state); len(out) > 0 {
 			return out
 		}
 	}
 	return nil
 }
 
-// chooseByState does the work of Choose for the members in one of the given states.
-func chooseByState(l Location, members []tracker.Member, allowed []namer.Region, states []tracker.State) []string {
+// chooseByState does the work of Choose for the members in one state.
+func chooseByState(l Location, members []tracker.Member, allowed []namer.Region, state tracker.State) []string {
 	tiers := []func(tracker.Member) bool{
 		func(m tracker.Member) bool { return m.Zone == l.Zone },
 		func(m tracker.Member) bool { return m.Region == l.Region },
@@ -57,7 +68,7 @@
 			break
 		}
 		for _, m := range members {
-			if inTier(m) && slices.Contains(states, m.State) && !slices.Contains(out, m.CallerAddress) && len(out) < maxEntries {
+			if inTier(m) && m.State == state && !slices.Contains(out, m.CallerAddress) && len(out) < maxEntries {
 				out = append(out, m.CallerAddress)
 			}
 		}
--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -29,6 +29,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingloom/waxwingloom/internal/account/authenticator"
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/front/recorder"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
@@ -264,6 +265,7 @@
 		AttemptID:  in.Header.Get(r.headers.AttemptID),
 		Object:     in.Header.Get(r.headers.AffinityKey),
 		ReceivedAt: arrived,
+		Credential: authenticator.Parse(in.Header),
 		CallerGone: sweeper.CallerGone(in.Context()),
 	}
 	if ms, err := strconv.ParseInt(in.Header.Get(r.headers.RemainingMs), 10, 64); err == nil && ms > 0 {
@@ -312,6 +314,7 @@
 	out := endToEndHeader(in)
 	out.Del(r.headers.RemainingMs)
 	out.Del(r.headers.ExpectedUpstream)
+	out.Del(r.headers.Account)
 	out.Del("Content-Length")
 	out.Del("Expect")
 	return out
@@ -363,6 +366,9 @@
 	if attempt := in.Header.Get(r.headers.AttemptID); attempt != "" {
 		w.Header().Set(r.headers.AttemptID, attempt)
 	}
+	if result.Status == http.StatusUnauthorized {
+		w.Header().Set("WWW-Authenticate", authenticator.Challenge)
+	}
 	w.WriteHeader(result.Status)
 	body, err := json.Marshal(errorBody{Code: result.Code, Reason: result.Reason})
 	if err != nil {
@@ -384,7 +390,8 @@
 	r.latencies.Record(string(result.Route), outcome, took)
 	r.log.Info("answered", "attempt", request.AttemptID, "method", in.Method, "host", in.Host, "route", string(result.Route),
 		"object", request.Object, "generation", uint64(r.router.Generation()), "status", result.Status, "code", string(result.Code),
-		"reason", result.Reason, "sent", result.SendCount, "retryafter", result.RetryAfter, "remaining", request.Remaining, "took", took)
+		"reason", result.Reason, "sent", result.SendCount, "retryafter", result.RetryAfter, "remaining", request.Remaining, "took", took,
+		"account", string(result.Account), "denial", string(result.Denial))
 }
 
 // unavailable returns a 503 result that asks the caller to retry soon.
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -11,6 +11,8 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingloom/waxwingloom/internal/account/gatekeeper"
+	"github.com/waxwingloom/waxwingloom/internal/account/tallier"
 	"github.com/waxwingloom/waxwingloom/internal/document/follower"
 	"github.com/waxwingloom/waxwingloom/internal/document/importer"
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
@@ -18,6 +20,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/timekeeper"
 	"github.com/waxwingloom/waxwingloom/internal/member/enroller"
 	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
 	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
@@ -90,6 +93,7 @@
 	registerRoutedMembers(r, s, log)
 	registerDiscovery(r, s, log)
 	registerSeenVersions(r)
+	registerAccounts(r, s, log)
 	registerSteering(r, s, log)
 	registerRoutedFront(r, s, log)
 }
@@ -136,12 +140,13 @@
 		return discoverer.New(platform.DecodeUpstream, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
 	follow := func(name registrar.Name, kind storer.Kind, dep registrar.Name, handler func(registrar.Finder) follower.Handler) {
-		deps := []registrar.Name{platformName, clockName, peersName, membersName, dep}
+		deps := []registrar.Name{platformName, clockName, peersName, membersName, timekeeperName, dep}
 		r.Register(name, deps, func(f registrar.Finder) (any, func(), error) {
 			members := f.Find(membersName).(*heartbeater.Heartbeater)
-			relay := relayer.New(f.Find(peersName).(*messenger.Messenger), members, f.Find(clockName).(clockwork.Clock))
+			suspended := f.Find(timekeeperName).(*timekeeper.Timekeeper).Suspended
+			relay := relayer.New(f.Find(peersName).(*messenger.Messenger), members, f.Find(clockName).(clockwork.Clock), relayer.WithSuspension(suspended))
 			return follower.New(f.Find(platformName).(*platform.Client), kind, handler(f), f.Find(clockName).(clockwork.Clock), log,
-				follower.WithRelay(relay), follower.WithPeerNotifier(members.SendNow), follower.WithMaxDelay(min(s.Routing.MaxApplyDelay, s.Routing.MaxDrainDelay)), follower.WithMinOutage(minOutageReportIntervals*s.ReportInterval)), nil, nil
+				follower.WithRelay(relay), follower.WithSuspension(suspended), follower.WithPeerNotifier(members.SendNow), follower.WithMaxDelay(min(s.Routing.MaxApplyDelay, s.Routing.MaxDrainDelay)), follower.WithMinOutage(minOutageReportIntervals*s.ReportInterval)), nil, nil
 		})
 	}
 	follow(configName, platform.ConfigKind, documentsName, func(f registrar.Finder) follower.Handler {
@@ -212,7 +217,7 @@
 }
 
 func registerSteering(r *registrar.Registrar, s loader.Settings, log *slog.Logger) {
-	deps := []registrar.Name{clockName, documentsName, discoverName, membersName, upstreamsName, quarantineName}
+	deps := []registrar.Name{clockName, documentsName, discoverName, membersName, upstreamsName, quarantineName, accountsName, talliesName}
 	r.Register(steerName, deps, func(f registrar.Finder) (any, func(), error) {
 		clock := f.Find(clockName).(clockwork.Clock)
 		upstreamClient, cleanup := exchanger.New(clock)
@@ -225,6 +230,7 @@
 			age, _ := upstreams.Age()
 			return age
 		})
+		st.SetAuthenticator(f.Find(accountsName).(*gatekeeper.Gatekeeper), f.Find(talliesName).(*tallier.Tallier))
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		st.SetQuarantine(f.Find(quarantineName).(*quarantiner.Quarantiner), members.SendEvidence)
 		counter := newMemberCounter(st, members, clock, s)
@@ -297,7 +303,7 @@
 		ready := func() bool { return st.Ready() && !front.ShuttingDown() }
 		return newAdminServer(f, s.Routing.ReadyAddress, platform.ReadyHandler(ready), log)
 	})
-	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, graceName}, followerNames...)
+	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, accountsName, talliesName, graceName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeadTimeout}
 		return newWebServer(server, f.Find(portsName).(*listeners).operators, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
@@ -342,6 +348,7 @@
 	store := f.Find(platformName).(*platform.Client)
 	m.Set("store", expvar.Func(func() any { return store.Counts() }))
 	m.Set("views", expvar.Func(func() any { return viewAges(f) }))
+	m.Set("accounts", expvar.Func(func() any { return metricsOfAccounts(f) }))
 	m.Set("generation", expvar.Func(func() any { return documents.Generation() }))
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -176,6 +176,7 @@
 		seenVersions     func() []tracker.SeenVersion
 		onPeerVersions   func([]tracker.SeenVersion)
 		storeUnreachable func() bool
+		accountsStale    func() bool
 		// applying is whether a document is being applied. pulling is whether one is being
 		// pulled, or is to be after PullDelay.
 		applying func() bool
@@ -210,6 +211,7 @@
 		seenVersions:     func() []tracker.SeenVersion { return nil },
 		onPeerVersions:   func([]tracker.SeenVersion) {},
 		storeUnreachable: func() bool { return false },
+		accountsStale:    func() bool { return false },
 		applying:         func() bool { return false },
 	}
 }
@@ -415,6 +417,9 @@
 	states := make(map[namer.VM]string, len(members))
 	for _, m := range members {
 		state := m.Incarnation.String() + "=" + m.State.String()
+		if m.AccountsStale {
+			state += staleSuffix
+		}
 		states[m.VM] = state
 		if h.states[m.VM] != state {
 			h.changedAt[m.VM] = now
@@ -534,6 +539,7 @@
 	self.Demands = h.demands()
 	self.SeenVersions = h.seenVersions()
 	self.StoreUnreachable = h.storeUnreachable()
+	self.AccountsStale = h.accountsStale()
 	return self
 }
 
--- a/internal/member/tracker/tracker.go
+++ b/internal/member/tracker/tracker.go
@@ -78,7 +78,10 @@
 		Leaving         bool
 		// StoreUnreachable is whether the store does not answer the member.
 		StoreUnreachable bool
-		Generation       namer.Generation
+		// AccountsStale is whether the member refuses the keys of all client accounts, because
+		// it does not know the accounts as of now.
+		AccountsStale bool
+		Generation    namer.Generation
 		// ZoneSize is the number of VMs in the member's zone that it knows to run,
 		// including itself.
 		ZoneSize     int
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -188,6 +188,7 @@
 		Generation:  uint64(m.Generation),
 		Age:         now.Sub(m.LastHeard).Milliseconds(),
 		Away:        m.StoreUnreachable,
+		Unsure:      m.AccountsStale,
 		Near:        int64(m.ZoneSize),
 	}
 	out.Need = demands(m.Demands)
@@ -221,6 +222,7 @@
 		Sequence:         m.GetSequence(),
 		Leaving:          m.GetState() == encoder.State_STATE_LEAVING,
 		StoreUnreachable: m.GetAway(),
+		AccountsStale:    m.GetUnsure(),
 		ZoneSize:         count(m.GetNear()),
 		Generation:       namer.Generation(m.GetGeneration()),
 		LastHeard:        now.Add(-AgeFrom(m.GetAge())),
--- a/internal/peer/relayer/relayer.go
+++ b/internal/peer/relayer/relayer.go
@@ -63,8 +63,13 @@
 		clock   clockwork.Clock
 		// epoch is the time from which marks count.
 		epoch time.Time
+		// suspended returns for how long the machine has been suspended.
+		suspended func() time.Duration
 	}
 
+	// Option configures a relayer.
+	Option func(*Relayer)
+
 	// updateStream receives a relay parent's updates of one kind of record.
 	updateStream struct {
 		relayer *Relayer
@@ -78,8 +83,23 @@
 var _ follower.Relay = (*Relayer)(nil)
 
 // New returns a relayer that receives the updates of the relay parent that p finds.
-func New(o StreamOpener, p ParentFinder, clock clockwork.Clock) *Relayer {
-	return &Relayer{opener: o, parents: p, clock: clock, epoch: clock.Now()}
+func New(o StreamOpener, p ParentFinder, clock clockwork.Clock, opts ...Option) *Relayer {
+	r := &Relayer{opener: o, parents: p, clock: clock, epoch: clock.Now(), suspended: func() time.Duration { return 0 }}
+	for _, opt := range opts {
+		opt(r)
+	}
+	return r
+}
+
+// WithSuspension sets the function that returns for how long the machine has been suspended.
+// The age of an update includes that time.
+func WithSuspension(suspended func() time.Duration) Option {
+	return func(r *Relayer) { r.suspended = suspended }
+}
+
+// elapsed returns the time since the epoch, suspensions included.
+func (r *Relayer) elapsed() time.Duration {
+	return r.clock.Since(r.epoch) + r.suspended()
 }
 
 // WaitForPeer implements follower.Relay.
@@ -107,7 +127,7 @@
 
 // mark returns the current time as a mark. It is never 0, which stands for no mark.
 func (r *Relayer) mark() uint64 {
-	return uint64(r.clock.Since(r.epoch)/markResolution) + 1
+	return uint64(r.elapsed()/markResolution) + 1
 }
 
 // age returns how long ago the store confirmed an update, by this VM's clock. With a mark,
@@ -117,8 +137,8 @@
 	if u.Mark == 0 {
 		return max(0, u.Age)
 	}
-	marked := r.epoch.Add(time.Duration(u.Mark-1) * markResolution)
-	return max(0, r.clock.Since(marked)+u.Age)
+	marked := time.Duration(u.Mark-1) * markResolution
+	return max(0, r.elapsed()-marked+u.Age)
 }
 
 // Next implements follower.Updates.
--- a/internal/route/selector/notice.go
+++ b/internal/route/selector/notice.go
@@ -4,7 +4,6 @@
 	"slices"
 	"time"
 
-	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 )
 
@@ -98,7 +97,7 @@
 	usual := s.processingTime(r.Route)
 	for _, u := range svc.upstreams {
 		pause := u.notice.pauseLeft(now)
-		if pause == 0 || s.isDraining(u) || !r.Route.AllowsRegion(u.region) || slices.Contains(r.Tried, u.Upstream.Upstream) {
+		if pause == 0 || s.isDraining(u) || !r.allowsRegion(u.region) || slices.Contains(r.Tried, u.Upstream.Upstream) {
 			continue
 		}
 		// The queue at the upstream shortens during the pause.
@@ -107,23 +106,23 @@
 			return Decision{Action: Wait, Reason: ReasonPaused}
 		}
 	}
-	if pause := s.PauseLeft(now, r.Route, r.Service); pause > 0 {
+	if pause := s.PauseLeft(now, r); pause > 0 {
 		refusal.Reason = ReasonPaused
 		refusal.RetryAfter = pause
 	}
 	return refusal
 }
 
-// PauseLeft returns the time until the first upstream of a service takes requests of a
-// route again, or 0 if not all of them are paused.
-func (s *Selector) PauseLeft(now time.Time, route *parser.Route, name namer.Service) time.Duration {
-	svc := s.services[name]
+// PauseLeft returns the time until the first upstream of a service takes requests like r
+// again, or 0 if not all of them are paused.
+func (s *Selector) PauseLeft(now time.Time, r Request) time.Duration {
+	svc := s.services[r.Service]
 	if svc == nil {
 		return 0
 	}
 	var shortest time.Duration
 	for _, u := range svc.upstreams {
-		if s.isDraining(u) || !route.AllowsRegion(u.region) {
+		if s.isDraining(u) || !r.allowsRegion(u.region) {
 			continue
 		}
 		pause := u.notice.pauseLeft(now)
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -200,7 +200,7 @@
 // eligible reports whether a request may be sent to an upstream now. A cold upstream is
 // eligible while this VM's share of its rate limit is not used up.
 func (s *Selector) eligible(now time.Time, u *upstreamState, r Request) bool {
-	if s.isDraining(u) || u.notice.pauseLeft(now) > 0 || now.Before(u.retryAt) || !r.Route.AllowsRegion(u.region) {
+	if s.isDraining(u) || u.notice.pauseLeft(now) > 0 || now.Before(u.retryAt) || !r.allowsRegion(u.region) {
 		return false
 	}
 	if slices.Contains(r.Tried, u.Upstream.Upstream) {
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -80,6 +80,11 @@
 		Deadline   time.Time
 		// Tried lists the upstreams that earlier attempts were sent to.
 		Tried []namer.Upstream
+		// Priority 0 is the most urgent. It is the account's or the route's.
+		Priority int
+		// AccountRegions are the regions that the account permits in addition to the route's
+		// restriction. Without any, it permits all.
+		AccountRegions []namer.Region
 	}
 
 	// Decision is what to do with a request, at which upstream. RetryAfter is the time
@@ -148,6 +153,11 @@
 	}
 )
 
+// allowsRegion reports whether both the route and the account permit a region.
+func (r *Request) allowsRegion(region namer.Region) bool {
+	return r.Route.AllowsRegion(region) && (len(r.AccountRegions) == 0 || slices.Contains(r.AccountRegions, region))
+}
+
 // New returns a selector without upstreams.
 func New(self Self) *Selector {
 	return &Selector{
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -76,6 +76,10 @@
 		lastResult           Result
 		// cachedFingerprints is nil until they are needed.
 		cachedFingerprints *quarantiner.Fingerprints
+		// account is nil where requests need none.
+		account *parser.Account
+		// credentialDropped is set once the headers hold no credential any more.
+		credentialDropped bool
 	}
 )
 
@@ -91,12 +95,17 @@
 		limit = min(limit, r.Remaining)
 	}
 	a := &activeRequest{request: r, route: route, service: service, deadline: r.ReceivedAt.Add(limit)}
-	result := ShuttingDownResult()
-	if s.runsUntil(a.deadline) {
-		result = s.sendUntilFinal(ctx, a)
+	result, admitted := s.admitAccount(ctx, a)
+	if admitted {
+		s.countArrival(a)
+		result = ShuttingDownResult()
+		if s.runsUntil(a.deadline) {
+			result = s.sendUntilFinal(ctx, a)
+		}
 	}
 	result.Route = route.Name
 	result.SendCount = a.sendCount
+	s.tallyAccount(a, &result)
 	s.countResult(result)
 	return result
 }
@@ -104,7 +113,12 @@
 // sendUntilFinal makes attempts at one upstream after another until the request has a
 // result or must not be sent again.
 func (s *Steerer) sendUntilFinal(ctx context.Context, a *activeRequest) Result {
-	for {
+	for first := true; ; first = false {
+		if !first {
+			if denied, ok := s.recheckAccount(a); !ok {
+				return denied
+			}
+		}
 		if s.isQuarantined(a) {
 			return s.quarantinedResult(a)
 		}
@@ -214,7 +228,7 @@
 // until the first pause ends if all upstreams that may serve it are paused.
 func (s *Steerer) retryAfterRefusal(a *activeRequest) time.Duration {
 	s.mu.Lock()
-	pause := s.selector.PauseLeft(s.clock.Now(), a.route, a.service)
+	pause := s.selector.PauseLeft(s.clock.Now(), s.selectorRequest(a))
 	s.mu.Unlock()
 	if pause > 0 {
 		return pause
@@ -230,7 +244,7 @@
 	timeLeft := a.deadline.Sub(start)
 	admitted := true
 	admit := func() bool {
-		admitted = !s.isQuarantined(a) && s.admit(d)
+		admitted = !s.isQuarantined(a) && s.accountHolds(a) && s.admit(d)
 		return admitted
 	}
 	if timeLeft < minSendTime {
@@ -401,6 +415,9 @@
 	_ = r.Header.Write(&b)
 	b.WriteString(s.headers.RemainingMs + ": " + strconv.FormatInt(timeLeft.Milliseconds(), 10) + "\r\n")
 	b.WriteString(s.headers.ExpectedUpstream + ": " + string(name) + "\r\n")
+	if a.account != nil {
+		b.WriteString(s.headers.Account + ": " + string(a.account.Name) + "\r\n")
+	}
 	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
 		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
 	}
--- a/internal/route/steerer/quarantine.go
+++ b/internal/route/steerer/quarantine.go
@@ -9,6 +9,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingloom/waxwingloom/internal/account/authenticator"
 	"github.com/waxwingloom/waxwingloom/internal/route/quarantiner"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
@@ -48,8 +49,8 @@
 func (a *activeRequest) fingerprints() quarantiner.Fingerprints {
 	if a.cachedFingerprints == nil {
 		r := a.request
-		// An account's credentials identify a caller better than the address.
-		caller := cmp.Or(r.Header.Get("Authorization"), r.Caller)
+		// An account, or its credentials, identify a caller better than the address.
+		caller := cmp.Or(a.accountName(), r.Header.Get(authenticator.Header), r.Caller)
 		fps := quarantiner.FingerprintsOf(caller, r.Method, r.Host, r.Target, r.Body)
 		a.cachedFingerprints = &fps
 	}
--- a/internal/route/steerer/queue.go
+++ b/internal/route/steerer/queue.go
@@ -72,6 +72,9 @@
 		TargetTime: a.request.ReceivedAt.Add(a.route.LatencyTarget),
 		Deadline:   s.capAtShutdown(a.deadline),
 		Tried:      a.tried,
+		Priority:   a.priority(),
+
+		AccountRegions: a.accountRegions(),
 	}
 }
 
@@ -188,11 +191,11 @@
 	return true
 }
 
-// before reports whether w is served before o: the route with the lower Priority first,
-// and within a priority the request with the earlier target time.
+// before reports whether w is served before o: the request with the lower Priority first,
+// and within a priority the one with the earlier target time.
 func (w *waiter) before(o *waiter) bool {
-	if w.request.Route.Priority != o.request.Route.Priority {
-		return w.request.Route.Priority < o.request.Route.Priority
+	if w.request.Priority != o.request.Priority {
+		return w.request.Priority < o.request.Priority
 	}
 	return w.request.TargetTime.Before(o.request.TargetTime)
 }
--- a/internal/route/steerer/queue_test.go
+++ b/internal/route/steerer/queue_test.go
@@ -6,24 +6,22 @@
 
 	"gotest.tools/v3/assert"
 
-	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 )
 
-// TestQueueOrder checks that the route with the lower Priority is served first, and within
+// TestQueueOrder checks that the request with the lower Priority is served first, and within
 // a priority the request with the earlier target time.
 func TestQueueOrder(t *testing.T) {
 	t.Parallel()
 	now := time.Unix(1000, 0)
-	urgent := &parser.Route{Name: "urgent", Priority: 0}
-	usual := &parser.Route{Name: "usual", Priority: 2}
+	const urgent, usual = 0, 2
 	q := &queue{}
 	for _, w := range []*waiter{
-		{request: selector.Request{Route: usual, Service: "b", TargetTime: now.Add(2 * time.Second)}},
-		{request: selector.Request{Route: urgent, Service: "d", TargetTime: now.Add(9 * time.Second)}},
-		{request: selector.Request{Route: usual, Service: "a", TargetTime: now.Add(time.Second)}},
-		{request: selector.Request{Route: urgent, Service: "c", TargetTime: now.Add(3 * time.Second)}},
+		{request: selector.Request{Priority: usual, Service: "b", TargetTime: now.Add(2 * time.Second)}},
+		{request: selector.Request{Priority: urgent, Service: "d", TargetTime: now.Add(9 * time.Second)}},
+		{request: selector.Request{Priority: usual, Service: "a", TargetTime: now.Add(time.Second)}},
+		{request: selector.Request{Priority: urgent, Service: "c", TargetTime: now.Add(3 * time.Second)}},
 	} {
 		q.add(w)
 	}
@@ -32,8 +30,8 @@
 		order = append(order, w.request.Service)
 	}
 	assert.DeepEqual(t, order, []namer.Service{"c", "d", "a", "b"})
-	assert.Assert(t, q.hasEarlier(&waiter{request: selector.Request{Route: usual}}))
-	assert.Assert(t, !q.hasEarlier(&waiter{request: selector.Request{Route: urgent, TargetTime: now}}))
+	assert.Assert(t, q.hasEarlier(&waiter{request: selector.Request{Priority: usual}}))
+	assert.Assert(t, !q.hasEarlier(&waiter{request: selector.Request{Priority: urgent, TargetTime: now}}))
 	assert.Assert(t, q.remove(q.waiters[1]))
 	assert.Equal(t, len(q.waiters), 3)
 }
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -28,6 +28,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingloom/waxwingloom/internal/account/authenticator"
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/matcher"
@@ -73,6 +74,8 @@
 		AttemptID  string
 		Object     string
 		ReceivedAt time.Time
+		// Credential is what the request says of its account.
+		Credential authenticator.Credential
 		// Remaining is how long the caller still waits, or 0 if it did not say.
 		Remaining time.Duration
 		// CallerGone reports whether the caller has disconnected. It may be nil.
@@ -98,6 +101,10 @@
 		// the request was sent to.
 		Route     namer.Route
 		SendCount int
+		// Account is empty if the request was not identified as one of an account. Denial is
+		// why the request was refused on account of its account, or authenticator.None.
+		Account namer.Account
+		Denial  authenticator.Denial
 	}
 
 	// RetryBudget limits retries to Ratio retries per request of a service within any
@@ -151,6 +158,7 @@
 		// when this VM finds another one.
 		quarantine *quarantiner.Quarantiner
 		onEvidence func()
+		accounts   accounts
 	}
 
 	// Counts are the results of requests since the process started. Resent counts the
@@ -202,6 +210,7 @@
 	s.generation = g
 	s.document = d
 	s.table = matcher.New(d)
+	s.accounts.inForce.Store(s.accounts.authenticator != nil && len(d.Accounts) > 0)
 	s.updateSelector()
 }
 
@@ -391,8 +400,7 @@
 }
 
 // match finds a request's route, and chooses one of the services that the route is split
-// over. It counts the request for the retry budget and the demand. If no route can be
-// found, the returned route is nil and the result is the failure.
+// over. If no route can be found, the returned route is nil and the result is the failure.
 func (s *Steerer) match(r Request) (*parser.Route, namer.Service, Result) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -403,11 +411,16 @@
 	if !ok {
 		return nil, "", failure(http.StatusNotFound, CodeNoRoute, "no route fits host and path", 0)
 	}
-	service := pickService(route.Services)
+	return route, pickService(route.Services), Result{}
+}
+
+// countArrival counts a request for the retry budget and the demand.
+func (s *Steerer) countArrival(a *activeRequest) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	now := s.clock.Now()
-	s.retryBudgetFor(service).CountRequest(now)
-	s.selector.RecordArrival(now, route, service, affinityObject(route, r))
-	return route, service, Result{}
+	s.retryBudgetFor(a.service).CountRequest(now)
+	s.selector.RecordArrival(now, a.route, a.service, affinityObject(a.route, a.request))
 }
 
 func (s *Steerer) retryBudgetFor(service namer.Service) *budgeter.Budgeter {
