--- a/internal/account/gatekeeper/gatekeeper.go
+++ b/internal/account/gatekeeper/gatekeeper.go
@@ -76,8 +76,9 @@
 		// index is nil while the document has no accounts.
 		index atomic.Pointer[authenticator.Index]
 
-		mu      sync.Mutex
-		waiting int
+		mu sync.Mutex
+		// waiting holds the requests that wait for a confirmation.
+		waiting map[*wait]struct{}
 		// unknown has the time until which each key is refused without a confirmation.
 		unknown     map[authenticator.Credential]time.Time
 		askedAt     time.Time
@@ -87,6 +88,12 @@
 		stale       bool
 	}
 
+	// wait is a request that waits for a confirmation until it is canceled.
+	wait struct {
+		credential authenticator.Credential
+		cancel     context.CancelFunc
+	}
+
 	// State is what the metrics show. Age is that of the accounts, and meaningless before
 	// the first confirmation.
 	State struct {
@@ -102,12 +109,12 @@
 func New(c Confirmations, terms Terms, clock clockwork.Clock, log *slog.Logger) *Gatekeeper {
 	return &Gatekeeper{
 		confirmations: c, terms: terms, clock: clock, log: log,
-		unknown: make(map[authenticator.Credential]time.Time), askInterval: minAskInterval,
+		waiting: make(map[*wait]struct{}), unknown: make(map[authenticator.Credential]time.Time), askInterval: minAskInterval,
 	}
 }
 
 // SetDocument replaces the accounts. Keys that only the document before had are refused from
-// now on.
+// now on, and requests that wait for one that is new go on.
 func (k *Gatekeeper) SetDocument(d *parser.Document) {
 	var index *authenticator.Index
 	if len(d.Accounts) > 0 {
@@ -117,6 +124,14 @@
 	defer k.mu.Unlock()
 	k.index.Store(index)
 	clear(k.unknown)
+	for w := range k.waiting {
+		if index == nil {
+			break
+		}
+		if _, denial := index.Identify(w.credential); denial == authenticator.None {
+			w.cancel()
+		}
+	}
 }
 
 // Find returns the account that holds a credential's key now, or why the request is refused.
@@ -141,16 +156,21 @@
 		return account, denial
 	}
 	arrived := k.clock.Now()
-	known, admitted := k.beginWait(arrived, c)
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	w := &wait{credential: c, cancel: cancel}
+	known, admitted := k.beginWait(arrived, w)
 	if known {
 		return nil, authenticator.UnknownKey
 	}
 	if !admitted {
 		return nil, k.unconfirmed()
 	}
-	err := k.await(ctx, arrived)
+	timer := k.clock.AfterFunc(refreshTimeout, cancel)
+	err := k.confirmations.AwaitApplied(ctx, arrived)
+	timer.Stop()
 	account, denial = k.Find(c)
-	k.endWait(c, err == nil, denial)
+	k.endWait(w, err == nil, denial)
 	if denial == authenticator.UnknownKey && err != nil {
 		denial = k.unconfirmed()
 	}
@@ -203,25 +223,25 @@
 
 // beginWait reports whether a key is known to be unknown, and whether the request may wait for
 // a confirmation.
-func (k *Gatekeeper) beginWait(now time.Time, c authenticator.Credential) (known, admitted bool) {
+func (k *Gatekeeper) beginWait(now time.Time, w *wait) (known, admitted bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if now.Before(k.unknown[c]) {
+	if now.Before(k.unknown[w.credential]) {
 		return true, false
 	}
-	if k.waiting >= maxWaiting {
+	if len(k.waiting) >= maxWaiting {
 		return false, false
 	}
-	k.waiting++
+	k.waiting[w] = struct{}{}
 	k.scheduleAsk(now)
 	return false, true
 }
 
 // endWait records the result of a wait.
-func (k *Gatekeeper) endWait(c authenticator.Credential, confirmed bool, denial authenticator.Denial) {
+func (k *Gatekeeper) endWait(w *wait, confirmed bool, denial authenticator.Denial) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.waiting--
+	delete(k.waiting, w)
 	switch {
 	case denial == authenticator.None:
 		k.askInterval = minAskInterval
@@ -229,19 +249,10 @@
 		if len(k.unknown) >= maxUnknown {
 			clear(k.unknown)
 		}
-		k.unknown[c] = k.clock.Now().Add(unknownRetention)
+		k.unknown[w.credential] = k.clock.Now().Add(unknownRetention)
 	}
 }
 
-// await waits until the store has confirmed the accounts after a time.
-func (k *Gatekeeper) await(ctx context.Context, after time.Time) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	timer := k.clock.AfterFunc(refreshTimeout, cancel)
-	defer timer.Stop()
-	return k.confirmations.AwaitApplied(ctx, after)
-}
-
 // scheduleAsk asks the store as soon as the interval between two calls allows that. The caller
 // holds k.mu.
 func (k *Gatekeeper) scheduleAsk(now time.Time) {
@@ -267,7 +278,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	k.askDue = false
-	if k.waiting > 0 {
+	if len(k.waiting) > 0 {
 		k.askInterval = min(2*k.askInterval, maxAskInterval)
 		k.askNow(k.clock.Now())
 	}
