--- /dev/null
+++ b/internal/kernel/runner/accounts_test.go
@@ -0,0 +1,88 @@
+package runner_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
+
+	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
+	"github.com/waxwingloom/waxwingloom/platform"
+)
+
+// configureAccounts writes a configuration with a client account that has the given keys.
+func (f *fixture) configureAccounts(t *testing.T, version int, keys ...string) {
+	t.Helper()
+	text := string(sample(t, "configuration", "VERSION", fmt.Sprint(version), "PATH", "/stock/"))
+	list, err := json.Marshal(keys)
+	assert.NilError(t, err)
+	text = strings.Replace(text, `"limits"`, `"tenants":[{"name":"acme","apiKeys":`+string(list)+`}],"limits"`, 1)
+	assert.NilError(t, f.storekeeper.Write(platform.ConfigKind, platform.ConfigName, json.RawMessage(text)))
+}
+
+// getWithKey sends a request with a key, and returns the status and the challenge.
+func getWithKey(t *testing.T, address, key string) (int, string) {
+	t.Helper()
+	req, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+address+"/stock/1", nil)
+	assert.NilError(t, err)
+	req.Host = "shop.example"
+	req.Header.Set(platform.Headers().AttemptID, "a1")
+	if key != "" {
+		req.Header.Set("Authorization", "Bearer "+key)
+	}
+	resp, err := http.DefaultClient.Do(req)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = resp.Body.Close() }()
+	return resp.StatusCode, resp.Header.Get("WWW-Authenticate")
+}
+
+// TestAccounts runs a daemon through the first configuration with accounts, a change of a key and
+// an outage of the store.
+func TestAccounts(t *testing.T) {
+	t.Parallel()
+	f := newFixture(t)
+	f.configureAccounts(t, 2, "first-key")
+	d := startWith(t, "vm-1", f.storeAddress, "", startOptions{routing: "[accounts]\nrevoke = 3s\n"})
+	d.waitReady(t)
+	status, _ := getWithKey(t, d.callers, "first-key")
+	assert.Equal(t, status, http.StatusOK)
+	for _, key := range []string{"", "second-key"} {
+		status, challenge := getWithKey(t, d.callers, key)
+		assert.Equal(t, status, http.StatusUnauthorized)
+		assert.Equal(t, challenge, "Bearer")
+	}
+
+	f.configureAccounts(t, 3, "third-key")
+	status, _ = getWithKey(t, d.callers, "third-key")
+	assert.Equal(t, status, http.StatusOK, "a new key was refused")
+	poll.WaitOn(t, answersKey(t, d, "first-key", http.StatusUnauthorized), poll.WithTimeout(5*time.Second))
+
+	f.storekeeper.SetFaults(storekeeper.Faults{Outage: true})
+	poll.WaitOn(t, answersKey(t, d, "third-key", http.StatusServiceUnavailable), poll.WithTimeout(5*time.Second))
+	status, _ = getWithKey(t, d.callers, "")
+	assert.Equal(t, status, http.StatusUnauthorized)
+	log := d.log.String()
+	assert.Assert(t, strings.Contains(log, "denial=unknown-key"))
+	assert.Assert(t, strings.Contains(log, "account=acme"))
+	for _, key := range []string{"first-key", "second-key", "third-key"} {
+		assert.Assert(t, !strings.Contains(log, key) && !strings.Contains(log, parser.HashKey(key).String()), "the log has %s or its digest", key)
+	}
+}
+
+// answersKey checks which status a request with a key gets.
+func answersKey(t *testing.T, d *daemon, key string, want int) poll.Check {
+	return func(poll.LogT) poll.Result {
+		if status, _ := getWithKey(t, d.callers, key); status != want {
+			return poll.Continue("status %d", status)
+		}
+		return poll.Success()
+	}
+}
