--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -366,6 +366,10 @@
 	if attempt := in.Header.Get(r.headers.AttemptID); attempt != "" {
 		w.Header().Set(r.headers.AttemptID, attempt)
 	}
+	if result.Code == steerer.CodeStaleAccounts {
+		// Another VM may know the accounts, so the caller should not come back here.
+		w.Header().Set("Connection", "close")
+	}
 	if result.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", authenticator.Challenge)
 	}
--- a/internal/front/receiver/receiver_test.go
+++ b/internal/front/receiver/receiver_test.go
@@ -218,9 +218,21 @@
 		assert.NilError(t, err)
 		assert.Equal(t, resp.StatusCode, status)
 		assert.Equal(t, resp.Header.Get("WWW-Authenticate"), want)
+		assert.Assert(t, !resp.Close)
 	}
 }
 
+// TestStaleAccountsEndConnection checks that a caller whose key this VM can't check does not come
+// back on the same connection.
+func TestStaleAccountsEndConnection(t *testing.T) {
+	t.Parallel()
+	_, address := start(t, &router{result: steerer.Result{Status: http.StatusServiceUnavailable, Code: steerer.CodeStaleAccounts, RetryAfter: time.Second}}, defaultLimits)
+	resp, _, err := exchange(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Assert(t, resp.Close)
+	assert.Assert(t, resp.Header.Get("Retry-After") != "")
+}
+
 // TestForwardedParts checks which parts of a request reach the router and which
 // headers of a response reach the caller.
 func TestForwardedParts(t *testing.T) {
