Large records travel as patches of those before them

The configuration is one record, which went whole to each VM when one key of an account changed. A relay parent now keeps the record before, and sends a peer that has it the difference.

--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -36,9 +36,11 @@
 	// peers that follow this VM. It has no updates until it is listed, which means that
 	// it has got all records.
 	feed struct {
-		mu           sync.Mutex
-		listed       bool
-		records      map[string]storer.Record
+		mu      sync.Mutex
+		listed  bool
+		records map[string]storer.Record
+		// previous has the records before the current ones, where these were large.
+		previous     map[string]storer.Record
 		history      []delta
 		historyBytes int
 		version      storer.Version
@@ -104,7 +106,7 @@
 // newFeed returns an empty feed. The store counts as reachable from now on.
 func newFeed(now time.Time, minOutage time.Duration) *feed {
 	return &feed{
-		records: make(map[string]storer.Record), reachableSince: now, lastAnswer: now, minOutage: minOutage, updated: make(chan struct{}),
+		records: make(map[string]storer.Record), previous: make(map[string]storer.Record), reachableSince: now, lastAnswer: now, minOutage: minOutage, updated: make(chan struct{}),
 		suspended: func() time.Duration { return 0 },
 	}
 }
@@ -138,7 +140,7 @@
 				changes = append(changes, d.changes...)
 			}
 		}
-		return latestOnly(changes), false
+		return f.withBases(latestOnly(changes), since), false
 	}
 	for _, r := range f.records {
 		changes = append(changes, storer.Change{Record: r})
@@ -180,7 +182,7 @@
 	f.listed = true
 	f.records = make(map[string]storer.Record, len(records))
 	for _, r := range records {
-		f.records[r.Name] = r
+		f.setRecord(known, r)
 	}
 	var changes []storer.Change
 	for _, r := range records {
@@ -217,9 +219,10 @@
 	for _, c := range changes {
 		if c.Removed {
 			delete(f.records, c.Record.Name)
+			delete(f.previous, c.Record.Name)
 			continue
 		}
-		f.records[c.Record.Name] = c.Record
+		f.setRecord(f.records, c.Record)
 	}
 	if f.version.Before(version) {
 		d := delta{from: f.version, to: version, changes: changes}
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -108,6 +108,11 @@
 		if err := f.checkUpdate(u, left); err != nil {
 			return f.unfollow(err)
 		}
+		if err := f.feed.applyPatches(u.Changes); err != nil {
+			// The store's list brings the whole records.
+			f.listed = false
+			return f.unfollow(err)
+		}
 		if left > 0 && !u.StoreUnreachable {
 			timeout.Stop()
 			timeout = f.clock.AfterFunc(left, giveUp)
--- a/internal/peer/answerer/answerer.go
+++ b/internal/peer/answerer/answerer.go
@@ -230,6 +230,9 @@
 			update.Mark, update.Age = mark, received.Sub(next.ConfirmedAt)
 		}
 		message := converter.Update(update)
+		if f.GetPatches() {
+			a.packer.PatchUpdate(f.GetKind(), message, update)
+		}
 		if f.GetPacks() {
 			if err := a.packer.PackUpdate(f.GetKind(), message); err != nil {
 				return err
--- a/internal/peer/converter/converter.go
+++ b/internal/peer/converter/converter.go
@@ -388,6 +388,7 @@
 				Status:  c.GetStatus(),
 			},
 			Removed: c.GetRemoved(),
+			Patch:   c.GetPatch(),
 		})
 	}
 	return u
--- a/internal/peer/packer/message.go
+++ b/internal/peer/packer/message.go
@@ -17,8 +17,8 @@
 	identity := sha256.New()
 	_, _ = fmt.Fprintf(identity, "%q %d\n", kind, u.GetEra())
 	for _, c := range u.GetChanges() {
-		size += len(c.GetSpec()) + len(c.GetStatus())
-		_, _ = fmt.Fprintf(identity, "%q %d %t\n", c.GetName(), c.GetVersion(), c.GetRemoved())
+		size += len(c.GetSpec()) + len(c.GetStatus()) + len(c.GetPatch())
+		_, _ = fmt.Fprintf(identity, "%q %d %t %x\n", c.GetName(), c.GetVersion(), c.GetRemoved(), c.GetPatch())
 	}
 	if size < minPackedBytes {
 		return nil
--- a/internal/peer/packer/packer.go
+++ b/internal/peer/packer/packer.go
@@ -1,6 +1,7 @@
-// Package packer compresses large messages between entry VMs: updates of the store's records,
+// Package packer makes large messages between entry VMs small: updates of the store's records,
 // and steering documents. Many VMs follow one relay parent, whose link may be slow, and a
-// configuration is one record that is sent whole for each change of a route.
+// configuration is one record that the store gives whole for each change. A peer that has the
+// record before gets a patch of it; all else is compressed.
 //
 // The VMs that follow a relay parent mostly need the same update, so a packer keeps the last
 // few results. What is small, or for a peer that does not read packed messages, is left as it
@@ -40,6 +41,8 @@
 		mu      sync.Mutex
 		writer  *flate.Writer
 		results []result
+		// patches are the last few patches, which are not compressed.
+		patches []result
 	}
 
 	// result is the compressed form of the content with a key.
--- a/internal/peer/packer/packer_test.go
+++ b/internal/peer/packer/packer_test.go
@@ -8,8 +8,10 @@
 	"google.golang.org/protobuf/proto"
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingloom/waxwingloom/internal/peer/differ"
 	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
 	"github.com/waxwingloom/waxwingloom/internal/peer/packer"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 )
 
 // text returns a text of n lines that differ.
@@ -50,6 +52,29 @@
 	}
 }
 
+// TestPatch checks that a record of which little has changed is sent as a patch, and that the
+// whole record, which another peer needs, is not taken for it.
+func TestPatch(t *testing.T) {
+	t.Parallel()
+	p := packer.New()
+	before, after := text(1400), append(text(1400), "more"...)
+	for _, base := range []*storer.Record{{Spec: before}, nil, {Spec: before}} {
+		m := update(2, after)
+		u := storer.Update{Changes: []storer.Change{{Record: storer.Record{Name: "main", Spec: after}, Base: base}}}
+		p.PatchUpdate("config", m, u)
+		assert.NilError(t, p.PackUpdate("config", m))
+		assert.Equal(t, proto.Size(m) < 100, base != nil)
+		assert.NilError(t, packer.UnpackUpdate(m))
+		if base == nil {
+			assert.Assert(t, proto.Equal(m, update(2, after)))
+			continue
+		}
+		got, err := differ.Apply(before, m.GetChanges()[0].GetPatch(), len(after))
+		assert.NilError(t, err)
+		assert.Assert(t, bytes.Equal(got, after))
+	}
+}
+
 func TestDocument(t *testing.T) {
 	t.Parallel()
 	doc := func() *encoder.Document {
--- a/internal/peer/relayer/relayer.go
+++ b/internal/peer/relayer/relayer.go
@@ -118,7 +118,7 @@
 		return nil, err
 	}
 	u := &updateStream{relayer: r, peer: peer, stream: stream}
-	if err := u.sendFollow(&encoder.Follow{Kind: string(kind), Since: uint64(since.Revision), Era: uint64(since.Era), Packs: true}); err != nil {
+	if err := u.sendFollow(&encoder.Follow{Kind: string(kind), Since: uint64(since.Revision), Era: uint64(since.Era), Packs: true, Patches: true}); err != nil {
 		stream.Close()
 		return nil, err
 	}
--- a/internal/platform/storer/records.go
+++ b/internal/platform/storer/records.go
@@ -35,10 +35,14 @@
 		StoreVersion Version
 	}
 
-	// Change is the write or the removal of one record.
+	// Change is the write or the removal of one record. Between two VMs, Base is the record
+	// that the receiver is known to have, or nil, and Patch what makes it the new one, in place
+	// of its Spec.
 	Change struct {
 		Record  Record
 		Removed bool
+		Base    *Record
+		Patch   []byte
 	}
 
 	// Changes is the changes of a kind's records up to a version of the whole store.
