Unknown keys: callers that go on with a withdrawn key cost no call to the store

A VM knows what its documents have withdrawn, and asks at most every 30 s while asking finds nothing.

--- a/internal/account/authenticator/authenticator.go
+++ b/internal/account/authenticator/authenticator.go
@@ -79,6 +79,21 @@
 	return nil, UnknownKey
 }
 
+// Withdrawn returns the credentials of the keys that a later index does not have. Either index
+// may be nil.
+func (x *Index) Withdrawn(later *Index) []Credential {
+	var out []Credential
+	if x == nil {
+		return nil
+	}
+	for hash := range x.accounts {
+		if later == nil || later.accounts[hash] == nil {
+			out = append(out, Credential{hash: hash, present: true})
+		}
+	}
+	return out
+}
+
 // Excludes reports whether no region may serve a request of both a route and an account.
 func Excludes(route, account []namer.Region) bool {
 	if len(route) == 0 || len(account) == 0 {
--- a/internal/account/gatekeeper/gatekeeper.go
+++ b/internal/account/gatekeeper/gatekeeper.go
@@ -4,7 +4,8 @@
 // run. A key that is not known may be new, so the store is asked before it is refused.
 //
 // It answers the load of many unknown keys: one call to the store at a time asks for all that
-// wait, calls that find nothing become rarer, and few requests wait.
+// wait, calls that find nothing become rarer, and few requests wait. Callers that go on with a
+// withdrawn key cost no call.
 //
 // # Usage
 //
@@ -38,14 +39,17 @@
 	// minAskInterval to maxAskInterval while they find none, and returns to it when a key is
 	// found or there was no call for resetInterval.
 	minAskInterval = 250 * time.Millisecond
-	maxAskInterval = 4 * time.Second
-	resetInterval  = 10 * time.Second
+	maxAskInterval = 30 * time.Second
+	resetInterval  = time.Minute
 	// maxWaiting is the number of requests with unknown keys that wait at the same time.
 	maxWaiting = 32
 	// unknownRetention is how long a key that was confirmed to be unknown is refused without
 	// another confirmation, and maxUnknown how many such keys are remembered.
 	unknownRetention = time.Second
 	maxUnknown       = 256
+	// maxWithdrawn is the number of withdrawn keys that are remembered. They are refused without
+	// a confirmation.
+	maxWithdrawn = 4096
 )
 
 type (
@@ -81,6 +85,7 @@
 		waiting map[*wait]struct{}
 		// unknown has the time until which each key is refused without a confirmation.
 		unknown     map[authenticator.Credential]time.Time
+		withdrawn   map[authenticator.Credential]struct{}
 		askedAt     time.Time
 		askInterval time.Duration
 		askDue      bool
@@ -109,7 +114,8 @@
 func New(c Confirmations, terms Terms, clock clockwork.Clock, log *slog.Logger) *Gatekeeper {
 	return &Gatekeeper{
 		confirmations: c, terms: terms, clock: clock, log: log,
-		waiting: make(map[*wait]struct{}), unknown: make(map[authenticator.Credential]time.Time), askInterval: minAskInterval,
+		waiting: make(map[*wait]struct{}), unknown: make(map[authenticator.Credential]time.Time),
+		withdrawn: make(map[authenticator.Credential]struct{}), askInterval: minAskInterval,
 	}
 }
 
@@ -122,8 +128,14 @@
 	}
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	k.index.Store(index)
+	withdrawn := k.index.Swap(index).Withdrawn(index)
 	clear(k.unknown)
+	if len(k.withdrawn)+len(withdrawn) > maxWithdrawn {
+		clear(k.withdrawn)
+	}
+	for _, c := range withdrawn[:min(len(withdrawn), maxWithdrawn)] {
+		k.withdrawn[c] = struct{}{}
+	}
 	for w := range k.waiting {
 		if index == nil {
 			break
@@ -221,12 +233,12 @@
 	return authenticator.StaleAccounts
 }
 
-// beginWait reports whether a key is known to be unknown, and whether the request may wait for
+// beginWait reports whether a key is known to be unknown or withdrawn, and whether the request may wait for
 // a confirmation.
 func (k *Gatekeeper) beginWait(now time.Time, w *wait) (known, admitted bool) {
 	k.mu.Lock()
 	defer k.mu.Unlock()
-	if now.Before(k.unknown[w.credential]) {
+	if _, withdrawn := k.withdrawn[w.credential]; withdrawn || now.Before(k.unknown[w.credential]) {
 		return true, false
 	}
 	if len(k.waiting) >= maxWaiting {
--- a/internal/account/gatekeeper/gatekeeper_test.go
+++ b/internal/account/gatekeeper/gatekeeper_test.go
@@ -157,7 +157,13 @@
 	assert.Equal(t, <-identify(k, "unknown"), authenticator.UnknownKey)
 	assert.Equal(t, k.State().Asks, int64(1))
 
-	// A document that has the key makes it known at once.
+	// A document that has the key makes it known at once, the next one without it unknown.
+	k.SetDocument(documentOf("known", "unknown"))
+	assert.Equal(t, <-identify(k, "unknown"), authenticator.None)
+	k.SetDocument(documentOf("known"))
+	c.clock.Advance(2 * time.Second)
+	assert.Equal(t, <-identify(k, "unknown"), authenticator.UnknownKey)
+	assert.Equal(t, k.State().Asks, int64(1))
 	k.SetDocument(documentOf("known", "unknown"))
 	assert.Equal(t, <-identify(k, "unknown"), authenticator.None)
 }
