Limits of accounts over all VMs: tokens of each zone, lent between VMs

A part of an account's limit for each VM would be below one request for most accounts. Each zone generates a part of the tokens at one VM, the keeper; VMs ask it for what their requests need, and keepers borrow from other zones.

A keeper that is not certain to be the only one loses its level at the rate at which another may generate, and one that hears a part of its zone generates that part, so that the sum holds through deaths, starts, freezes and divided zones. Nothing calls the limiter yet: the steerer is connected with the accounts.

--- /dev/null
+++ b/internal/account/limiter/tenure.go
@@ -0,0 +1,88 @@
+package limiter
+
+import (
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+// confirmTime is how long a look at the members confirms a keeper. It is several times the
+// interval of looks, so that a VM that is short of processor time stays keeper.
+const confirmTime = 500 * time.Millisecond
+
+type (
+	// Timing holds the times of the members' heartbeats.
+	Timing struct {
+		HeartbeatInterval time.Duration
+		SuspectTimeout    time.Duration
+	}
+
+	// Sight is what a VM sees of its zone when it looks at the members.
+	Sight struct {
+		// First is whether the VM is the first of those alive in the account's order.
+		First bool
+		// Heard is the fraction of the zone's VMs that this VM hears, itself included.
+		Heard float64
+		// SilentSince is when a VM that precedes this one and fell silent was last heard, the
+		// latest if there are several.
+		SilentSince time.Time
+	}
+
+	// tenure is what a VM has seen for the time that it is keeper by its own view.
+	tenure struct {
+		lookedAt time.Time
+		// from is when the VM may be confirmed, or zero if it isn't keeper.
+		from time.Time
+		// heard is the fraction of the zone that counts. A higher one counts only after a
+		// heartbeat interval: risen is the lowest fraction since risingFrom, when it began to
+		// be higher.
+		heard      float64
+		risen      float64
+		risingFrom time.Time
+	}
+)
+
+// Look confirms the keeper for a short time, or not, by what its VM sees. A new keeper waits
+// until its predecessor's confirmation has run out: one that is alive hears of this VM within a
+// heartbeat, and one that is cut off finds that out as other VMs find it silent. A VM that
+// didn't look for longer than others take to find it silent begins anew. A keeper that hears a
+// part of its zone generates that part, so that the parts of a divided zone generate no more
+// than the zone.
+func (k *Keeper) Look(now time.Time, s Sight, t Timing) {
+	paused := now.Sub(k.tenure.lookedAt) > t.SuspectTimeout
+	k.tenure.lookedAt = namer.Later(k.tenure.lookedAt, now)
+	if !s.First || s.Heard <= 0 || paused {
+		k.Revoke(now)
+		k.tenure.from = time.Time{}
+	}
+	if !s.First || s.Heard <= 0 {
+		return
+	}
+	if k.tenure.from.IsZero() {
+		k.tenure.from = now.Add(t.HeartbeatInterval)
+		if !s.SilentSince.IsZero() {
+			k.tenure.from = namer.Later(k.tenure.from, s.SilentSince.Add(t.SuspectTimeout+t.HeartbeatInterval+confirmTime))
+		}
+		k.tenure.heard, k.tenure.risingFrom = s.Heard, time.Time{}
+	}
+	k.tenure.hear(now, s.Heard, t.HeartbeatInterval)
+	if !now.Before(k.tenure.from) {
+		k.Confirm(now, now.Add(confirmTime), k.tenure.heard)
+	}
+}
+
+// hear takes over the fraction of the zone that is heard: a lower one at once, a higher one
+// after a delay, in which the keeper of the other part of a zone that was divided hears of it.
+func (t *tenure) hear(now time.Time, heard float64, delay time.Duration) {
+	switch {
+	case heard <= t.heard:
+		t.heard, t.risingFrom = heard, time.Time{}
+	case t.risingFrom.IsZero():
+		t.risen, t.risingFrom = heard, now
+	default:
+		t.risen = min(t.risen, heard)
+		if now.Sub(t.risingFrom) >= delay {
+			t.heard, t.risingFrom = t.risen, time.Time{}
+		}
+	}
+}
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -11,6 +11,7 @@
 	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
+	"github.com/waxwingloom/waxwingloom/internal/account/lender"
 	"github.com/waxwingloom/waxwingloom/internal/document/follower"
 	"github.com/waxwingloom/waxwingloom/internal/document/importer"
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
@@ -90,6 +91,7 @@
 	registerRoutedMembers(r, s, log)
 	registerDiscovery(r, s, log)
 	registerSeenVersions(r)
+	registerLimits(r, s, log)
 	registerSteering(r, s, log)
 	registerRoutedFront(r, s, log)
 }
@@ -111,13 +113,14 @@
 		f.Find(reloadName).(*reloader.Reloader).OnChange(func(s loader.Settings) { h.SetSeeds(s.Seeds) })
 		return h, nil, nil
 	})
-	deps = append([]registrar.Name{clockName, peersName, membersName, documentsName, discoverName}, followerNames...)
+	deps = append([]registrar.Name{clockName, peersName, membersName, documentsName, discoverName, limitsName}, followerNames...)
 	r.Register(peerServerName, deps, func(f registrar.Finder) (any, func(), error) {
 		deps := answerer.Dependencies{
 			Members:   f.Find(membersName).(*heartbeater.Heartbeater),
 			Documents: f.Find(documentsName).(*keeper.Keeper),
 			Upstreams: f.Find(discoverName).(*discoverer.Discoverer),
 			Records:   make(map[storer.Kind]answerer.RecordSource, len(followerNames)),
+			Lender:    f.Find(limitsName).(*lender.Lender),
 		}
 		for _, name := range followerNames {
 			records := f.Find(name).(*follower.Follower)
@@ -297,7 +300,7 @@
 		ready := func() bool { return st.Ready() && !front.ShuttingDown() }
 		return newAdminServer(f, s.Routing.ReadyAddress, platform.ReadyHandler(ready), log)
 	})
-	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, graceName}, followerNames...)
+	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, graceName, limitsName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeadTimeout}
 		return newWebServer(server, f.Find(portsName).(*listeners).operators, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
@@ -338,6 +341,8 @@
 	m.Set("cuts", expvar.Func(func() any { return sweep.Cuts() }))
 	m.Set("needs", expvar.Func(func() any { return st.Demand() }))
 	quarantine, clock := f.Find(quarantineName).(*quarantiner.Quarantiner), f.Find(clockName).(clockwork.Clock)
+	limits := f.Find(limitsName).(*lender.Lender)
+	m.Set("limits", expvar.Func(func() any { return limits.Counts() }))
 	m.Set("quarantine", expvar.Func(func() any { return quarantine.Counts(clock.Now()) }))
 	store := f.Find(platformName).(*platform.Client)
 	m.Set("store", expvar.Func(func() any { return store.Counts() }))
--- a/internal/peer/answerer/answerer.go
+++ b/internal/peer/answerer/answerer.go
@@ -67,10 +67,15 @@
 		Await(ctx context.Context, p follower.Position) (storer.Update, follower.Position, error)
 	}
 
+	// Lender handles requests of another VM for tokens of accounts.
+	Lender interface {
+		Lend(ctx context.Context, lend *encoder.Lend) *encoder.Loan
+	}
+
 	// Dependencies holds what an answerer calls to handle requests. Without Tokens and
 	// Router it rejects token messages and relayed or spilled requests. Without Upstreams
 	// it sends documents without upstreams; without Records it rejects requests to follow
-	// records.
+	// records; without Lender it lends no tokens.
 	Dependencies struct {
 		Members   HeartbeatHandler
 		Tokens    TokenHandler
@@ -78,6 +83,7 @@
 		Documents DocumentSource
 		Upstreams UpstreamSource
 		Records   map[storer.Kind]RecordSource
+		Lender    Lender
 	}
 
 	// Answerer handles the requests of other entry VMs.
@@ -117,6 +123,8 @@
 		return a.replyDocument(kind.Pull, s)
 	case *encoder.Request_Follow:
 		return a.streamUpdates(ctx, kind.Follow, s)
+	case *encoder.Request_Lend:
+		return a.replyLoan(ctx, kind.Lend, s)
 	}
 	if a.deps.Tokens == nil {
 		return errors.New("this VM serves no once-only or spilled requests")
@@ -134,6 +142,13 @@
 	return errors.New("unknown request")
 }
 
+func (a *Answerer) replyLoan(ctx context.Context, lend *encoder.Lend, s *messenger.Stream) error {
+	if a.deps.Lender == nil {
+		return errors.New("this VM lends no tokens")
+	}
+	return s.SendReply(&encoder.Reply{Kind: &encoder.Reply_Loan{Loan: a.deps.Lender.Lend(ctx, lend)}})
+}
+
 func (a *Answerer) replyVerdict(s *messenger.Stream, raw *encoder.Token, decide func(arbiter.Token) arbiter.Verdict) error {
 	t, err := arbiter.TokenFromProto(raw)
 	if err != nil {
