messenger: try to connect to a silent peer again after 300 ms

After a loss of all power every VM asks seeds that don't listen yet; the kernel sends the lost SYN packet again after a second, and until then a VM knows no peer and waits.

--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -37,6 +37,11 @@
 	streamCloseTimeout = 10 * time.Second
 	// acceptRetryDelay is how long the messenger waits for resources to accept connections again.
 	acceptRetryDelay = 50 * time.Millisecond
+	// initialConnectTimeout bounds the first attempt to connect to a peer, and doubles with each
+	// further one. The kernel would resend a lost SYN packet only after a second, and a peer that
+	// starts at the same time drops those that arrive before it listens. It is over twice the
+	// longest round trip in the requirements.
+	initialConnectTimeout = 300 * time.Millisecond
 )
 
 // ErrWrongIncarnation is returned when the peer at an address is not the incarnation
@@ -62,10 +67,14 @@
 		keys         [][]byte
 		log          *slog.Logger
 		pool         connPool
+		connectOnce  connectFunc
 		onDisconnect atomic.Pointer[func(Identity)]
 		running      sync.WaitGroup
 	}
 
+	// connectFunc opens a TCP connection.
+	connectFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
 	// Option configures a messenger.
 	Option func(*Messenger)
 )
@@ -85,6 +94,7 @@
 	m := &Messenger{listener: ln, self: self, keys: keys, log: slog.New(slog.DiscardHandler)}
 	m.pool.conns = make(map[string]*peerConn)
 	m.pool.dial = m.dial
+	m.connectOnce = (&net.Dialer{}).DialContext
 	for _, opt := range opts {
 		opt(m)
 	}
@@ -215,8 +225,7 @@
 }
 
 func (m *Messenger) dial(ctx context.Context, address string) (*peerConn, error) {
-	dialer := net.Dialer{Timeout: handshakeTimeout}
-	conn, err := dialer.DialContext(ctx, "tcp", address)
+	conn, err := m.connect(ctx, address)
 	if err != nil {
 		return nil, errors.Wrapf(err, "dialing %s", address)
 	}
@@ -241,6 +250,22 @@
 	return &peerConn{session: session, remote: remote}, nil
 }
 
+// connect opens a TCP connection within handshakeTimeout, and tries again when an attempt gets no
+// reply.
+func (m *Messenger) connect(ctx context.Context, address string) (net.Conn, error) {
+	ctx, cancel := context.WithTimeout(ctx, handshakeTimeout)
+	defer cancel()
+	for timeout := initialConnectTimeout; ; timeout *= 2 {
+		attempt, cancelAttempt := context.WithTimeout(ctx, timeout)
+		conn, err := m.connectOnce(attempt, "tcp", address)
+		silent := attempt.Err() != nil
+		cancelAttempt()
+		if err == nil || !silent || ctx.Err() != nil {
+			return conn, err
+		}
+	}
+}
+
 func (m *Messenger) notifyDisconnect(remote Identity) {
 	if f := m.onDisconnect.Load(); f != nil {
 		(*f)(remote)
