ranker: VMs near a cold upstream come first in its order

The VMs of the upstream's zone come first now, then those of its region; the order is still the same on all VMs.

--- a/internal/kernel/runner/membercounter.go
+++ b/internal/kernel/runner/membercounter.go
@@ -23,7 +23,7 @@
 
 	// memberSetter is told the numbers of VMs, in all and in the own zone, and this VM's rank.
 	memberSetter interface {
-		SetMembers(vms, zoneVMs int, rank func(namer.Upstream) int)
+		SetMembers(vms, zoneVMs int, rank func(namer.Upstream, namer.Zone) int)
 	}
 )
 
@@ -49,7 +49,7 @@
 		zone:       s.Zone,
 		zones:      slices.Collect(maps.Keys(s.Regions)),
 		settleTime: s.Timing.DeadTimeout,
-		ranker:     ranker.New(s.VM, s.Zone, clock.Now(), s.Timing.DeadTimeout),
+		ranker:     ranker.New(s.VM, s.Zone, s.Regions, clock.Now(), s.Timing.DeadTimeout),
 	}
 }
 
@@ -79,5 +79,5 @@
 		}
 	}
 	view := c.ranker.Update(c.clock.Now(), zones, zoneVMs)
-	c.steerer.SetMembers(view.VMs(), len(zoneVMs)+1, func(u namer.Upstream) int { return view.Rank(c.clock.Now(), u) })
+	c.steerer.SetMembers(view.VMs(), len(zoneVMs)+1, func(u namer.Upstream, zone namer.Zone) int { return view.Rank(c.clock.Now(), u, zone) })
 }
--- a/internal/kernel/runner/membercounter_test.go
+++ b/internal/kernel/runner/membercounter_test.go
@@ -24,8 +24,8 @@
 // rankRecorder computes the rank once for each call, as the selector does.
 type rankRecorder struct{ updates chan [2]int }
 
-func (r *rankRecorder) SetMembers(vms, _ int, rank func(namer.Upstream) int) {
-	r.updates <- [2]int{vms, rank("u")}
+func (r *rankRecorder) SetMembers(vms, _ int, rank func(namer.Upstream, namer.Zone) int) {
+	r.updates <- [2]int{vms, rank("u", "own")}
 }
 
 // next returns the next update.
--- a/internal/route/selector/cold_test.go
+++ b/internal/route/selector/cold_test.go
@@ -19,7 +19,7 @@
 func coldFixture(t *testing.T) (*fixture, namer.Upstream) {
 	t.Helper()
 	f := newFixture(t, "a1", startedView())
-	f.SetMembers(4, 2, func(namer.Upstream) int { return 0 })
+	f.SetMembers(4, 2, func(namer.Upstream, namer.Zone) int { return 0 })
 	return f, f.pick(t, "o")
 }
 
@@ -89,13 +89,13 @@
 	t.Parallel()
 	f := newFixture(t, "a1", startedView())
 	calls := 0
-	f.SetMembers(4, 2, func(namer.Upstream) int { calls++; return 0 })
+	f.SetMembers(4, 2, func(namer.Upstream, namer.Zone) int { calls++; return 0 })
 	name := f.pick(t, "o")
 	f.Update(f.now, f.restarted(name), f.doc)
 	for range 100 {
 		f.Decide(f.now, f.request("o"))
 	}
 	assert.Equal(t, calls, 1)
-	f.SetMembers(100, 2, func(namer.Upstream) int { return 99 })
+	f.SetMembers(100, 2, func(namer.Upstream, namer.Zone) int { return 99 })
 	assert.Equal(t, len(f.beginTo(name, 1)), 0, "the share of the former members is used")
 }
--- a/internal/route/selector/lost_test.go
+++ b/internal/route/selector/lost_test.go
@@ -137,7 +137,7 @@
 func TestLostUpstreamWithoutShareStaysCold(t *testing.T) {
 	t.Parallel()
 	f, target := lostFixture(t)
-	f.SetMembers(100, 2, func(namer.Upstream) int { return 50 })
+	f.SetMembers(100, 2, func(namer.Upstream, namer.Zone) int { return 50 })
 	assert.Equal(t, len(f.beginTo(target.Upstream, 1)), 0)
 	assert.Assert(t, f.IsLost(target))
 	f.RecordContact(f.now, target)
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -218,7 +218,7 @@
 // while it is cold. It is asked for each queued request, and the rank takes long to compute.
 func (s *Selector) coldShare(u *upstreamState) int {
 	if u.share == nil {
-		share := pacer.Share(int(float64(u.coldRate)*coldRateFraction), s.vms, s.rank(u.Upstream.Upstream))
+		share := pacer.Share(int(float64(u.coldRate)*coldRateFraction), s.vms, s.rank(u.Upstream.Upstream, u.Zone))
 		u.share = &share
 	}
 	return *u.share
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -130,7 +130,7 @@
 		crossRegion crossRegionLimiter
 		vms         int
 		zoneVMs     int
-		rank        func(namer.Upstream) int
+		rank        func(namer.Upstream, namer.Zone) int
 		lastID      pacer.ID
 	}
 
@@ -163,7 +163,7 @@
 		spreaders:       make(map[namer.Service]*spreader.Spreader),
 		vms:             1,
 		zoneVMs:         1,
-		rank:            func(namer.Upstream) int { return 0 },
+		rank:            func(namer.Upstream, namer.Zone) int { return 0 },
 	}
 }
 
@@ -180,8 +180,8 @@
 }
 
 // SetMembers sets the number of VMs in all and in this VM's zone. Rank returns this VM's
-// position among all VMs, in an order that is specific to an upstream.
-func (s *Selector) SetMembers(vms, zoneVMs int, rank func(namer.Upstream) int) {
+// position among all VMs, in an order that is specific to an upstream in a zone.
+func (s *Selector) SetMembers(vms, zoneVMs int, rank func(namer.Upstream, namer.Zone) int) {
 	s.vms = max(vms, 1)
 	s.zoneVMs = max(zoneVMs, 1)
 	s.rank = rank
--- a/internal/route/selector/selector_test.go
+++ b/internal/route/selector/selector_test.go
@@ -176,7 +176,7 @@
 	v := view()
 	v.Drained["a1"] = true
 	f := newFixture(t, "a1", v)
-	f.SetMembers(4, 2, func(namer.Upstream) int { return 0 })
+	f.SetMembers(4, 2, func(namer.Upstream, namer.Zone) int { return 0 })
 	f.Update(f.now, view(), f.doc)
 	cold := make(map[namer.Upstream]int)
 	for i := range 1000 {
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -282,8 +282,8 @@
 }
 
 // SetMembers sets the number of VMs in all zones and in this VM's zone, and a function
-// that returns this VM's rank among all VMs for an upstream.
-func (s *Steerer) SetMembers(vms, zoneVMs int, rank func(namer.Upstream) int) {
+// that returns this VM's rank among all VMs for an upstream in a zone.
+func (s *Steerer) SetMembers(vms, zoneVMs int, rank func(namer.Upstream, namer.Zone) int) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.selector.SetMembers(vms, zoneVMs, rank)
--- a/internal/share/ranker/ranker_test.go
+++ b/internal/share/ranker/ranker_test.go
@@ -38,19 +38,28 @@
 		for i := range zoneSize {
 			name := namer.VM(fmt.Sprintf("vm-%d-%d", z, i))
 			f.names[z] = append(f.names[z], name)
-			f.vms[z] = append(f.vms[z], ranker.New(name, zoneName(z), startTime.Add(-time.Hour), settleTime))
+			f.vms[z] = append(f.vms[z], ranker.New(name, zoneName(z), testRegions(), startTime.Add(-time.Hour), settleTime))
 		}
 	}
 	return f
 }
 
+// testRegions returns the regions of the zones, of two zones each.
+func testRegions() map[namer.Zone]namer.Region {
+	out := make(map[namer.Zone]namer.Region)
+	for z := range zones {
+		out[zoneName(z)] = namer.Region(fmt.Sprintf("region-%d", z/2))
+	}
+	return out
+}
+
 func zoneName(z int) namer.Zone { return namer.Zone(fmt.Sprintf("zone-%d", z)) }
 
 // restart starts the VMs of the lost zones again.
 func (f *fleet) restart(now time.Time) {
 	for z := range lostZones {
 		for i, name := range f.names[z] {
-			f.vms[z][i] = ranker.New(name, zoneName(z), now, settleTime)
+			f.vms[z][i] = ranker.New(name, zoneName(z), testRegions(), now, settleTime)
 		}
 	}
 }
@@ -88,7 +97,7 @@
 	total := 0
 	for _, zone := range views {
 		for _, v := range zone {
-			total += pacer.Share(coldRate, v.VMs(), v.Rank(now, u))
+			total += pacer.Share(coldRate, v.VMs(), v.Rank(now, u, zoneName(int(u[len(u)-1])%(zones+1))))
 		}
 	}
 	return total
@@ -132,7 +141,7 @@
 // or with a smaller number at once, however long the higher one was known.
 func TestSmallerZoneCountsLater(t *testing.T) {
 	t.Parallel()
-	r := ranker.New("vm", "own", startTime, settleTime)
+	r := ranker.New("vm", "own", nil, startTime, settleTime)
 	count := func(after time.Duration, vms int) int {
 		return r.Update(startTime.Add(after), map[namer.Zone]int{"own": 1, "other": vms}, nil).VMs()
 	}
@@ -143,3 +152,29 @@
 	assert.Equal(t, count(time.Minute+settleTime, 2), 8)
 	assert.Equal(t, count(time.Minute+4*time.Second+settleTime, 2), 3)
 }
+
+// TestShareGoesToNearVMs guards against a cold upstream that is left idle since VMs of other zones,
+// which have no requests for it, hold the shares in its limit.
+func TestShareGoesToNearVMs(t *testing.T) {
+	t.Parallel()
+	f := newFleet(1)
+	f.update(startTime, true)
+	now := startTime.Add(settleTime)
+	views := f.update(now, true)
+	for u := range upstreams {
+		home := u % zones
+		for z, zone := range views {
+			for _, v := range zone {
+				rank := v.Rank(now, namer.Upstream(fmt.Sprintf("u-%d", u)), zoneName(home))
+				switch {
+				case z == home:
+					assert.Assert(t, rank < zoneSize)
+				case z/2 == home/2:
+					assert.Assert(t, rank >= zoneSize && rank < 2*zoneSize)
+				default:
+					assert.Assert(t, rank >= 2*zoneSize)
+				}
+			}
+		}
+	}
+}
