starter: the pace of an upstream that has started or recovered is found from its answers

An upstream that came back was kept from requests by fixed times (back-off up to 3 s after it was reachable, cold time) and then counted like all others at once. Now this VM's requests in flight there begin at one, double with each good answer and halve with a refusal, failure or very slow answer. The limit on cold upstreams stays as it was; a connection that opens ends the back-off.

TestLostUpstreamStaysCold counted requests in flight at once; the pace lets them in one by one, so it now counts requests that are answered within one instant, which the cold share bounds just as much.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -338,6 +338,7 @@
 	m.Set("cuts", expvar.Func(func() any { return sweep.Cuts() }))
 	m.Set("needs", expvar.Func(func() any { return st.Demand() }))
 	quarantine, clock := f.Find(quarantineName).(*quarantiner.Quarantiner), f.Find(clockName).(clockwork.Clock)
+	m.Set("paces", expvar.Func(func() any { return st.Paces() }))
 	m.Set("quarantine", expvar.Func(func() any { return quarantine.Counts(clock.Now()) }))
 	store := f.Find(platformName).(*platform.Client)
 	m.Set("store", expvar.Func(func() any { return store.Counts() }))
--- a/internal/route/selector/cold_test.go
+++ b/internal/route/selector/cold_test.go
@@ -37,6 +37,21 @@
 	return out
 }
 
+// answerTo sends up to n requests to an upstream, one after another within an instant, each of which
+// is answered well, and returns how many were sent.
+func (f *fixture) answerTo(name namer.Upstream, n int) int {
+	sent := 0
+	for sent < n {
+		ds := f.beginTo(name, 1)
+		if f.admit(ds) == 0 {
+			break
+		}
+		f.End(f.now, ds[0], answered(10*time.Millisecond, 0))
+		sent++
+	}
+	return sent
+}
+
 // admit returns how many of the decisions are admitted.
 func (f *fixture) admit(ds []selector.Decision) int {
 	n := 0
--- a/internal/route/selector/lost.go
+++ b/internal/route/selector/lost.go
@@ -22,7 +22,7 @@
 // RecordContact records that a connection to an upstream has opened.
 func (s *Selector) RecordContact(now time.Time, t cataloger.Target) {
 	if u := s.processOf(t); u != nil {
-		u.recordContact(now)
+		s.recordContact(now, u)
 	}
 }
 
@@ -54,7 +54,7 @@
 
 // recordContact ends the time in which the process was not reachable. It started before now, so
 // it is warm after the warm-up time.
-func (u *upstreamState) recordContact(now time.Time) {
+func (s *Selector) recordContact(now time.Time, u *upstreamState) {
 	if !u.lost {
 		return
 	}
@@ -62,4 +62,5 @@
 	if until := now.Add(u.warmup); until.After(u.ColdUntil) {
 		u.ColdUntil = until
 	}
+	s.paceRecovered(u)
 }
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -58,6 +58,7 @@
 		if returned[u.Zone] {
 			state.ColdUntil = now.Add(svc.Warmup)
 		}
+		s.paceStarted(now, state, returned[u.Zone])
 		upstreams[u.Upstream] = state
 		svc.upstreams = append(svc.upstreams, state)
 	}
@@ -198,7 +199,8 @@
 }
 
 // eligible reports whether a request may be sent to an upstream now. A cold upstream is
-// eligible while this VM's share of its rate limit is not used up.
+// eligible while this VM's share of its rate limit is not used up, one that has become warm or
+// recovered while its pace allows it.
 func (s *Selector) eligible(now time.Time, u *upstreamState, r Request) bool {
 	if s.isDraining(u) || u.notice.pauseLeft(now) > 0 || now.Before(u.retryAt) || !r.Route.AllowsRegion(u.region) {
 		return false
@@ -206,7 +208,10 @@
 	if slices.Contains(r.Tried, u.Upstream.Upstream) {
 		return false
 	}
-	return !s.isPaced(now, u) || u.pacer.CanSend(now, s.coldShare(u))
+	if s.isPaced(now, u) {
+		return u.pacer.CanSend(now, s.coldShare(u))
+	}
+	return u.pace.Allows(now, u.inFlight)
 }
 
 // isPaced reports whether the rate of requests to an upstream is limited.
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -32,6 +32,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/share/pacer"
 	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
+	"github.com/waxwingloom/waxwingloom/internal/share/starter"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
@@ -102,6 +103,8 @@
 		upstream *upstreamState
 		target   cataloger.Target
 		route    namer.Route
+		// usual is the usual processing time of a warm request.
+		usual time.Duration
 		// warm says that the upstream is one that keeps the object warm.
 		warm bool
 		// freeSlot says that the upstream was estimated to have a free slot.
@@ -132,6 +135,8 @@
 		zoneVMs     int
 		rank        func(namer.Upstream, namer.Zone) int
 		lastID      pacer.ID
+		paceCounts  starter.Counts
+		paceEvents  []PaceEvent
 	}
 
 	// missingUpstream is an upstream that has left the view.
@@ -258,7 +263,7 @@
 // candidate's position in the object's order, usual the route's usual processing time.
 func (s *Selector) evaluate(now time.Time, u *upstreamState, position int, usual time.Duration) Decision {
 	load := u.estimatedLoad(now)
-	d := Decision{upstream: u, Zone: u.Zone, Load: load, LoadAge: u.loadAge(now), ColdLeft: u.coldLeft(now), Reason: ReasonPrimary, warm: position < warmCopies}
+	d := Decision{upstream: u, usual: usual, Zone: u.Zone, Load: load, LoadAge: u.loadAge(now), ColdLeft: u.coldLeft(now), Reason: ReasonPrimary, warm: position < warmCopies}
 	processing := u.expectedProcessingTime(now, usual)
 	switch {
 	case position == 1:
@@ -314,7 +319,7 @@
 		return false
 	}
 	u := d.upstream
-	u.recordContact(now)
+	s.recordContact(now, u)
 	limit := math.MaxInt
 	if s.isPaced(now, u) {
 		limit = s.coldShare(u)
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -7,6 +7,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/share/copier"
 	"github.com/waxwingloom/waxwingloom/internal/share/pacer"
+	"github.com/waxwingloom/waxwingloom/internal/share/starter"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
@@ -81,6 +82,12 @@
 	lost   bool
 	warmup time.Duration
 	pacer  *pacer.Pacer
+	// pace is that at which the process gets requests since it started or recovered.
+	pace starter.Pace
+	// started says that paceStarted has seen the process, pacing that the end of its pace has not
+	// been noticed.
+	started bool
+	pacing  bool
 }
 
 // loadReport is the load that an upstream reported, and this VM's requests in flight
@@ -131,6 +138,7 @@
 		u.pacer.Cancel(d.id)
 	}
 	s.recordNotice(now, u, r)
+	s.recordPace(now, d, r)
 	switch {
 	case r.Inconclusive:
 		return
--- a/internal/route/steerer/queue.go
+++ b/internal/route/steerer/queue.go
@@ -110,6 +110,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.selector.End(s.clock.Now(), d, r)
+	s.logPaces()
 	s.serveQueues()
 }
 
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -387,6 +387,7 @@
 		return
 	}
 	s.selector.Update(s.clock.Now(), s.view, s.document)
+	s.logPaces()
 	s.serveQueues()
 }
 
--- a/internal/share/ranker/ranker.go
+++ b/internal/share/ranker/ranker.go
@@ -2,9 +2,10 @@
 // that divide a limit by rank stay within it together as long as each counts all VMs that
 // may send, so a VM may count others that have ended, but must not miss any.
 //
-// The VMs of the upstream's own zone come first, then those of its region: objects are placed
-// near their callers, so a limit that is too small for all VMs goes to those that have requests
-// for the upstream.
+// VMs of the upstream's own zone take turns with the others in the order, of which those of its
+// region come first: objects are placed near their callers, so a limit that is too small for all
+// VMs goes to those that have requests for the upstream. A zone that has lost all its VMs, which
+// have no rank when they start again, leaves half of the limit unused.
 //
 // It handles VMs that start, many at once, and do not know most members yet: they have no
 // rank until they had the time to hear them. It also handles zones whose VMs start together
@@ -88,7 +89,7 @@
 }
 
 // Rank returns this VM's position among all VMs, from 0, in an order that is specific to the
-// upstream in a zone. It orders by the nearness of the VM's zone, then by the hash of the zone,
+// upstream in a zone. Within the own zone and the other zones, it orders by the hash of the zone,
 // then of the VM, since a VM knows the names of the VMs in its own zone but only the number of VMs
 // in other zones. A VM that has just started is behind all others.
 func (v View) Rank(now time.Time, u namer.Upstream, zone namer.Zone) int {
@@ -96,29 +97,38 @@
 		return math.MaxInt
 	}
 	hash := func(name string) uint64 { return xxhash.Sum64String(name + "/" + string(u)) }
-	rank := 0
+	position := 0
 	for _, vm := range v.zoneVMs {
 		if hash(string(vm)) < hash(string(v.self)) {
-			rank++
+			position++
 		}
 	}
+	if v.zone == zone {
+		return takingTurns(position, 0, v.VMs()-v.zones[zone])
+	}
 	for other, vms := range v.zones {
 		order := cmp.Or(
 			cmp.Compare(v.distance(other, zone), v.distance(v.zone, zone)),
 			cmp.Compare(hash(string(other)), hash(string(v.zone))))
-		if order < 0 {
-			rank += vms
+		if other != zone && order < 0 {
+			position += vms
 		}
 	}
-	return rank
+	return takingTurns(position, 1, v.zones[zone])
+}
+
+// takingTurns returns the rank of a VM at a position in one of two lists that take turns, the
+// first (0) or the second (1), until the shorter one ends.
+func takingTurns(position, list, othersCount int) int {
+	if position < othersCount {
+		return 2*position + list
+	}
+	return position + othersCount
 }
 
-// distance returns 0 within a zone, 1 within a region, and 2 otherwise.
+// distance returns 1 within a region, and 2 otherwise.
 func (v View) distance(from, to namer.Zone) int {
-	switch {
-	case from == to:
-		return 0
-	case v.regions[from] == v.regions[to]:
+	if v.regions[from] == v.regions[to] {
 		return 1
 	}
 	return 2
