waxwingctl check: findings, a comparison with the version in force, and the platform's form

A valid configuration that isn't meant showed only under load. The check now tells findings with file, line, section and key, what a change moves and refuses (-against a file, folder or the daemon), also as JSON, and reads the platform's record.

--- a/cmd/waxwingctl/main.go
+++ b/cmd/waxwingctl/main.go
@@ -1,6 +1,6 @@
 // Command waxwingctl is the operators' command line client. It exits with 0 on success, 1
-// when a command failed or was refused, 2 on wrong usage, and 3 when the outcome of an
-// edit is unknown.
+// when a command failed or was refused or a check found something, 2 on wrong usage or a
+// document that can't be used, and 3 when the outcome of an edit is unknown.
 package main
 
 import (
@@ -16,6 +16,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/ctl/requester"
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/platform"
 )
 
 func main() {
@@ -32,7 +33,14 @@
 			&cli.StringFlag{Name: "o", Usage: "the output's `FORM`: table or json", Value: "table"},
 		},
 		Commands: []*cli.Command{
-			{Name: "check", Usage: "check a folder of section files, without a daemon", ArgsUsage: "FOLDER", Action: withExecutor(check)},
+			{
+				Name: "check", Usage: "check a document before it is sent, without a daemon", ArgsUsage: "FILE|FOLDER", Action: withExecutor(check),
+				Flags: []cli.Flag{
+					&cli.StringFlag{Name: "against", Usage: "the document in force: a `FILE`, a folder, or daemon"},
+					&cli.StringFlag{Name: "form", Usage: "the document's `FORM`: ini, or platform for the platform's record", Value: "ini"},
+					&cli.StringFlag{Name: "section", Usage: "the `SECTION` in a file that is not named for it"},
+				},
+			},
 			{
 				Name: "apply", Usage: "send an edit of a section", ArgsUsage: "SECTION", Action: withExecutor(apply),
 				Flags: []cli.Flag{
@@ -122,12 +130,20 @@
 	return parser.Section(name), nil
 }
 
-func check(_ context.Context, e *executor.Executor, c *cli.Command) error {
-	folder, err := onlyArgument(c, "FOLDER")
+func check(ctx context.Context, e *executor.Executor, c *cli.Command) error {
+	path, err := onlyArgument(c, "FILE|FOLDER")
 	if err != nil {
 		return err
 	}
-	return e.Check(folder)
+	options := executor.CheckOptions{Section: c.String("section"), Against: c.String("against")}
+	switch form := c.String("form"); form {
+	case "ini":
+	case "platform":
+		options.Decode = platform.DecodeConfig
+	default:
+		return errors.Wrapf(executor.ErrUsage, "-form %q; allowed: ini, platform", form)
+	}
+	return e.Check(ctx, path, options)
 }
 
 func apply(ctx context.Context, e *executor.Executor, c *cli.Command) error {
--- a/internal/ctl/executor/executor.go
+++ b/internal/ctl/executor/executor.go
@@ -16,7 +16,6 @@
 	"fmt"
 	"io"
 	"os"
-	"path/filepath"
 	"strconv"
 	"strings"
 	"text/tabwriter"
@@ -36,6 +35,8 @@
 const (
 	ExitOK             = 0
 	ExitRefused        = 1
+	ExitFindings       = 1
+	ExitUnusable       = 2
 	ExitUsage          = 2
 	ExitOutcomeUnknown = 3
 )
@@ -48,6 +49,10 @@
 var (
 	ErrUsage          = errors.New("wrong usage")
 	ErrOutcomeUnknown = errors.New("outcome unknown")
+	// ErrFindings is returned by a check that found something, ErrUnusable by one of a
+	// document that would be refused.
+	ErrFindings = errors.New("findings")
+	ErrUnusable = errors.New("unusable")
 )
 
 type (
@@ -83,38 +88,16 @@
 		return ExitOK
 	case errors.Is(err, ErrUsage):
 		return ExitUsage
+	case errors.Is(err, ErrUnusable):
+		return ExitUnusable
+	case errors.Is(err, ErrFindings):
+		return ExitFindings
 	case errors.Is(err, ErrOutcomeUnknown), errors.Is(err, requester.ErrOutcomeUnknown):
 		return ExitOutcomeUnknown
 	}
 	return ExitRefused
 }
 
-// Check validates a folder of section files without a daemon. A section without a file
-// counts as empty.
-func (e *Executor) Check(folder string) error {
-	var sources parser.Sources
-	for _, s := range parser.Sections() {
-		text, err := os.ReadFile(filepath.Join(folder, string(s)+".ini"))
-		if errors.Is(err, os.ErrNotExist) {
-			continue
-		}
-		if err != nil {
-			return errors.Wrap(err, "reading a section")
-		}
-		sources = append(sources, parser.Source{Section: s, Text: text})
-	}
-	if len(sources) == 0 {
-		return errors.Wrapf(ErrUsage, "no section file in %s; allowed: %v with .ini", folder, parser.Sections())
-	}
-	doc, err := parser.Parse(sources)
-	if err != nil {
-		return err
-	}
-	_, err = fmt.Fprintf(e.out, "good: %d services, %d zones, %d upstreams, %d blocks\n",
-		len(doc.Services), len(doc.Zones), len(doc.Upstreams), len(doc.Blocks))
-	return errors.Wrap(err, "printing")
-}
-
 // Get prints a section of the current document. Its first line has the generation that a
 // later edit of the printed text is based on.
 func (e *Executor) Get(ctx context.Context, s parser.Section) error {
