--- a/internal/ctl/executor/check.go
+++ b/internal/ctl/executor/check.go
@@ -59,13 +59,24 @@
 )
 
 // Check checks a document before it is sent: a section's file, or a folder of them. It asks the
-// daemon only to compare the document with the one in force there. It returns ErrUnusable with
+// daemon only to compare the document with the one in force there; a file of one section is then
+// checked together with the other sections in force. It returns ErrUnusable with
 // every error, or ErrFindings if there is a finding or the change would move or refuse requests.
 func (e *Executor) Check(ctx context.Context, path string, o CheckOptions) error {
 	sources, err := readDocument(path, o)
 	if err != nil {
 		return err
 	}
+	var inForce parser.Sources
+	if o.Against != "" {
+		if inForce, err = e.readInForce(ctx, o); err != nil {
+			return err
+		}
+		if isFile(path) && o.Decode == nil {
+			// The file is an edit of one section.
+			sources = inForce.With(sources[0].Section, sources[0].Text)
+		}
+	}
 	doc, err := parser.Parse(sources)
 	if err != nil {
 		return e.reportUnusable(err, path, o)
@@ -78,11 +89,11 @@
 		report.Findings = append(report.Findings, f)
 	}
 	if o.Against != "" {
-		inForce, err := e.readInForce(ctx, o)
+		before, err := parser.Parse(inForce)
 		if err != nil {
-			return err
+			return errors.Wrapf(ErrUnusable, "the document in force can't be read: %s", errorsText(checkErrors(err, o.Against, o)))
 		}
-		comparison := inspector.Compare(inForce, doc)
+		comparison := inspector.Compare(before, doc)
 		report.Comparison = &comparison
 	}
 	return e.reportCheck(report, doc)
@@ -136,31 +147,28 @@
 	return sources, nil
 }
 
-// readInForce returns the document to compare with.
-func (e *Executor) readInForce(ctx context.Context, o CheckOptions) (*parser.Document, error) {
+// readInForce returns the sections of the document to compare with.
+func (e *Executor) readInForce(ctx context.Context, o CheckOptions) (parser.Sources, error) {
+	if o.Against != AgainstDaemon {
+		return readDocument(o.Against, o)
+	}
 	var sources parser.Sources
-	if o.Against == AgainstDaemon {
-		for _, s := range parser.Sections() {
-			response, err := e.daemon.Section(ctx, s)
-			if err != nil {
-				return nil, errors.Mark(errors.Wrap(err, "reading the document in force"), ErrUsage)
-			}
-			if response.Section != s {
-				return nil, errors.Wrap(ErrUsage, "the daemon follows routes of the platform and tells no sections; compare with a file")
-			}
-			sources = append(sources, parser.Source{Section: s, Text: []byte(response.Text)})
+	for _, s := range parser.Sections() {
+		response, err := e.daemon.Section(ctx, s)
+		if err != nil {
+			return nil, errors.Mark(errors.Wrap(err, "reading the document in force"), ErrUsage)
 		}
-	} else {
-		var err error
-		if sources, err = readDocument(o.Against, o); err != nil {
-			return nil, err
+		if response.Section != s {
+			return nil, errors.Wrap(ErrUsage, "the daemon follows routes of the platform and tells no sections; compare with a file")
 		}
+		sources = append(sources, parser.Source{Section: s, Text: []byte(response.Text)})
 	}
-	doc, err := parser.Parse(sources)
-	if err != nil {
-		return nil, errors.Wrapf(ErrUnusable, "the document in force can't be read: %s", errorsText(checkErrors(err, o.Against, o)))
-	}
-	return doc, nil
+	return sources, nil
+}
+
+func isFile(path string) bool {
+	info, err := os.Stat(path)
+	return err == nil && !info.IsDir()
 }
 
 // reportUnusable prints why a document would be refused.
@@ -227,10 +235,13 @@
 	} else {
 		e.printReport(r, doc, count)
 	}
-	if count > 0 {
-		return errors.Mark(errors.Newf("%d findings", count), ErrFindings)
+	switch count {
+	case 0:
+		return nil
+	case 1:
+		return errors.Mark(errors.New("1 finding"), ErrFindings)
 	}
-	return nil
+	return errors.Mark(errors.Newf("%d findings", count), ErrFindings)
 }
 
 func (e *Executor) printReport(r checkReport, doc *parser.Document, count int) {
