--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -360,6 +360,7 @@
 	quarantine, clock := f.Find(quarantineName).(*quarantiner.Quarantiner), f.Find(clockName).(clockwork.Clock)
 	limits := f.Find(limitsName).(*lender.Lender)
 	m.Set("limits", expvar.Func(func() any { return limits.Counts() }))
+	m.Set("paces", expvar.Func(func() any { return st.Paces() }))
 	m.Set("quarantine", expvar.Func(func() any { return quarantine.Counts(clock.Now()) }))
 	store := f.Find(platformName).(*platform.Client)
 	m.Set("store", expvar.Func(func() any { return store.Counts() }))
--- a/internal/route/selector/cold_test.go
+++ b/internal/route/selector/cold_test.go
@@ -19,7 +19,7 @@
 func coldFixture(t *testing.T) (*fixture, namer.Upstream) {
 	t.Helper()
 	f := newFixture(t, "a1", startedView())
-	f.SetMembers(4, 2, func(namer.Upstream) int { return 0 })
+	f.SetMembers(4, 2, func(namer.Upstream, namer.Zone) int { return 0 })
 	return f, f.pick(t, "o")
 }
 
@@ -37,6 +37,21 @@
 	return out
 }
 
+// answerTo sends up to n requests to an upstream, one after another within an instant, each of which
+// is answered well, and returns how many were sent.
+func (f *fixture) answerTo(name namer.Upstream, n int) int {
+	sent := 0
+	for sent < n {
+		ds := f.beginTo(name, 1)
+		if f.admit(ds) == 0 {
+			break
+		}
+		f.End(f.now, ds[0], answered(10*time.Millisecond, 0))
+		sent++
+	}
+	return sent
+}
+
 // admit returns how many of the decisions are admitted.
 func (f *fixture) admit(ds []selector.Decision) int {
 	n := 0
@@ -89,13 +104,13 @@
 	t.Parallel()
 	f := newFixture(t, "a1", startedView())
 	calls := 0
-	f.SetMembers(4, 2, func(namer.Upstream) int { calls++; return 0 })
+	f.SetMembers(4, 2, func(namer.Upstream, namer.Zone) int { calls++; return 0 })
 	name := f.pick(t, "o")
 	f.Update(f.now, f.restarted(name), f.doc)
 	for range 100 {
 		f.Decide(f.now, f.request("o"))
 	}
 	assert.Equal(t, calls, 1)
-	f.SetMembers(100, 2, func(namer.Upstream) int { return 99 })
+	f.SetMembers(100, 2, func(namer.Upstream, namer.Zone) int { return 99 })
 	assert.Equal(t, len(f.beginTo(name, 1)), 0, "the share of the former members is used")
 }
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -32,6 +32,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/share/pacer"
 	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
+	"github.com/waxwingloom/waxwingloom/internal/share/starter"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
 
@@ -107,6 +108,8 @@
 		upstream *upstreamState
 		target   cataloger.Target
 		route    namer.Route
+		// usual is the usual processing time of a warm request.
+		usual time.Duration
 		// warm says that the upstream is one that keeps the object warm.
 		warm bool
 		// freeSlot says that the upstream was estimated to have a free slot.
@@ -135,8 +138,10 @@
 		crossRegion crossRegionLimiter
 		vms         int
 		zoneVMs     int
-		rank        func(namer.Upstream) int
+		rank        func(namer.Upstream, namer.Zone) int
 		lastID      pacer.ID
+		paceCounts  starter.Counts
+		paceEvents  []PaceEvent
 	}
 
 	// missingUpstream is an upstream that has left the view.
@@ -173,7 +178,7 @@
 		spreaders:       make(map[namer.Service]*spreader.Spreader),
 		vms:             1,
 		zoneVMs:         1,
-		rank:            func(namer.Upstream) int { return 0 },
+		rank:            func(namer.Upstream, namer.Zone) int { return 0 },
 	}
 }
 
@@ -190,8 +195,8 @@
 }
 
 // SetMembers sets the number of VMs in all and in this VM's zone. Rank returns this VM's
-// position among all VMs, in an order that is specific to an upstream.
-func (s *Selector) SetMembers(vms, zoneVMs int, rank func(namer.Upstream) int) {
+// position among all VMs, in an order that is specific to an upstream in a zone.
+func (s *Selector) SetMembers(vms, zoneVMs int, rank func(namer.Upstream, namer.Zone) int) {
 	s.vms = max(vms, 1)
 	s.zoneVMs = max(zoneVMs, 1)
 	s.rank = rank
@@ -268,7 +273,7 @@
 // candidate's position in the object's order, usual the route's usual processing time.
 func (s *Selector) evaluate(now time.Time, u *upstreamState, position int, usual time.Duration) Decision {
 	load := u.estimatedLoad(now)
-	d := Decision{upstream: u, Zone: u.Zone, Load: load, LoadAge: u.loadAge(now), ColdLeft: u.coldLeft(now), Reason: ReasonPrimary, warm: position < warmCopies}
+	d := Decision{upstream: u, usual: usual, Zone: u.Zone, Load: load, LoadAge: u.loadAge(now), ColdLeft: u.coldLeft(now), Reason: ReasonPrimary, warm: position < warmCopies}
 	processing := u.expectedProcessingTime(now, usual)
 	switch {
 	case position == 1:
@@ -324,7 +329,7 @@
 		return false
 	}
 	u := d.upstream
-	u.recordContact(now)
+	s.recordContact(now, u)
 	limit := math.MaxInt
 	if s.isPaced(now, u) {
 		limit = s.coldShare(u)
--- a/internal/share/ranker/ranker.go
+++ b/internal/share/ranker/ranker.go
@@ -2,18 +2,24 @@
 // that divide a limit by rank stay within it together as long as each counts all VMs that
 // may send, so a VM may count others that have ended, but must not miss any.
 //
+// VMs of the upstream's own zone take turns with the others in the order, of which those of its
+// region come first: objects are placed near their callers, so a limit that is too small for all
+// VMs goes to those that have requests for the upstream. A zone that has lost all its VMs, which
+// have no rank when they start again, leaves half of the limit unused.
+//
 // It handles VMs that start, many at once, and do not know most members yet: they have no
 // rank until they had the time to hear them. It also handles zones whose VMs start together
 // and report too few members at first: the highest recent number counts.
 //
 // # Usage
 //
-//	r := ranker.New(self, zone, started, settleTime)
+//	r := ranker.New(self, zone, regions, started, settleTime)
 //	view := r.Update(now, zones, zoneVMs)
-//	share := pacer.Share(total, view.VMs(), view.Rank(now, upstream))
+//	share := pacer.Share(total, view.VMs(), view.Rank(now, upstream, upstreamZone))
 package ranker
 
 import (
+	"cmp"
 	"math"
 	"slices"
 	"time"
@@ -29,6 +35,7 @@
 	Ranker struct {
 		self       namer.VM
 		zone       namer.Zone
+		regions    map[namer.Zone]namer.Region
 		started    time.Time
 		settleTime time.Duration
 		counts     map[namer.Zone][]count
@@ -38,6 +45,7 @@
 	View struct {
 		self      namer.VM
 		zone      namer.Zone
+		regions   map[namer.Zone]namer.Region
 		settledAt time.Time
 		zones     map[namer.Zone]int
 		zoneVMs   []namer.VM
@@ -50,10 +58,10 @@
 	}
 )
 
-// New returns a ranker for a VM that started at a time. The settle time is how long VMs may
-// take to learn of one that starts, and it of them.
-func New(self namer.VM, zone namer.Zone, started time.Time, settleTime time.Duration) *Ranker {
-	return &Ranker{self: self, zone: zone, started: started, settleTime: settleTime, counts: make(map[namer.Zone][]count)}
+// New returns a ranker for a VM that started at a time. Regions maps each zone to its region. The
+// settle time is how long VMs may take to learn of one that starts, and it of them.
+func New(self namer.VM, zone namer.Zone, regions map[namer.Zone]namer.Region, started time.Time, settleTime time.Duration) *Ranker {
+	return &Ranker{self: self, zone: zone, regions: regions, started: started, settleTime: settleTime, counts: make(map[namer.Zone][]count)}
 }
 
 // Update sets the number of VMs of each zone and the other VMs of the own zone, and returns
@@ -68,7 +76,7 @@
 		r.counts[zone] = append(recent, count{vms: vms, until: now})
 		highest[zone] = r.counts[zone][0].vms
 	}
-	return View{self: r.self, zone: r.zone, settledAt: r.started.Add(r.settleTime), zones: highest, zoneVMs: slices.Clone(zoneVMs)}
+	return View{self: r.self, zone: r.zone, regions: r.regions, settledAt: r.started.Add(r.settleTime), zones: highest, zoneVMs: slices.Clone(zoneVMs)}
 }
 
 // VMs returns the number of VMs in all zones.
@@ -81,24 +89,47 @@
 }
 
 // Rank returns this VM's position among all VMs, from 0, in an order that is specific to the
-// upstream. It orders by the hash of the zone, then of the VM, since a VM knows the names of
-// the VMs in its own zone but only the number of VMs in other zones. A VM that has just
-// started is behind all others.
-func (v View) Rank(now time.Time, u namer.Upstream) int {
+// upstream in a zone. Within the own zone and the other zones, it orders by the hash of the zone,
+// then of the VM, since a VM knows the names of the VMs in its own zone but only the number of VMs
+// in other zones. A VM that has just started is behind all others.
+func (v View) Rank(now time.Time, u namer.Upstream, zone namer.Zone) int {
 	if now.Before(v.settledAt) {
 		return math.MaxInt
 	}
 	hash := func(name string) uint64 { return xxhash.Sum64String(name + "/" + string(u)) }
-	rank := 0
+	position := 0
 	for _, vm := range v.zoneVMs {
 		if hash(string(vm)) < hash(string(v.self)) {
-			rank++
+			position++
 		}
 	}
-	for zone, vms := range v.zones {
-		if hash(string(zone)) < hash(string(v.zone)) {
-			rank += vms
+	if v.zone == zone {
+		return takingTurns(position, 0, v.VMs()-v.zones[zone])
+	}
+	for other, vms := range v.zones {
+		order := cmp.Or(
+			cmp.Compare(v.distance(other, zone), v.distance(v.zone, zone)),
+			cmp.Compare(hash(string(other)), hash(string(v.zone))))
+		if other != zone && order < 0 {
+			position += vms
 		}
 	}
-	return rank
+	return takingTurns(position, 1, v.zones[zone])
+}
+
+// takingTurns returns the rank of a VM at a position in one of two lists that take turns, the
+// first (0) or the second (1), until the shorter one ends.
+func takingTurns(position, list, othersCount int) int {
+	if position < othersCount {
+		return 2*position + list
+	}
+	return position + othersCount
+}
+
+// distance returns 1 within a region, and 2 otherwise.
+func (v View) distance(from, to namer.Zone) int {
+	if v.regions[from] == v.regions[to] {
+		return 1
+	}
+	return 2
 }
