The fourth figure of the load header is not the number of slots

Upstreams that share their host report a fourth figure, how slow the host is. It was read as the number of slots, so that a full upstream counted as one with free slots and its refusals told callers to come back at once.

--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -33,9 +33,6 @@
 	// maxUnsentAttempts is how many attempts of a request may end without anything sent,
 	// such as when an upstream can't be reached. One more ends the request.
 	maxUnsentAttempts = 4
-	// maxLoadField is the largest number in an upstream's load header. The latency that is
-	// expected from a load must not overflow.
-	maxLoadField = 1_000_000
 	// leavingValue is the value of the leaving header of an upstream that shuts down.
 	leavingValue = "1"
 	// maxUpstreamPause is the longest time for which an upstream gets no requests because
@@ -314,8 +311,8 @@
 func (s *Steerer) handleResponse(
 	a *activeRequest, d selector.Decision, took time.Duration, resp exchanger.Response,
 ) (Result, attemptOutcome) {
-	requests, slots := parseLoad(resp.Header.Get(s.headers.Load))
-	report := selector.Report{Latency: took, ConnectTime: resp.ConnectTime, Load: requests, Bytes: transferSize(a, resp)}
+	load := parseLoad(resp.Header.Get(s.headers.Load))
+	report := selector.Report{Latency: took, ConnectTime: resp.ConnectTime, Load: load.requests, Bytes: transferSize(a, resp)}
 	s.readNotice(&report, d, resp)
 	result := Result{
 		Status: resp.Status, Header: resp.Header, Body: resp.Body, Rest: resp.Rest, ContentLength: resp.ContentLength,
@@ -324,7 +321,7 @@
 	case resp.Header.Get(s.headers.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest:
 		report.Refused = true
 		report.Latency = 0
-		a.refusedWithFreeSlots = requests >= 0 && requests < slots && report.RetryAfter == 0
+		a.refusedWithFreeSlots = load.hasFreeSlot() && report.RetryAfter == 0
 		s.release(d, report)
 		s.logAttempt(a, d, resp.Status, "refused", took, nil)
 		closeRest(resp)
@@ -408,28 +405,6 @@
 	return b.Bytes()
 }
 
-// parseLoad parses an upstream's load header: running requests, waiting requests and
-// slots, separated by commas. It returns the sum of running and waiting requests, or
-// -1 if the header is missing, malformed or out of range.
-func parseLoad(text string) (requests, slots int) {
-	fields := strings.Split(text, ",")
-	if len(fields) < 2 {
-		return -1, 0
-	}
-	for i, field := range fields {
-		n, err := strconv.Atoi(strings.TrimSpace(field))
-		switch {
-		case err != nil || n < 0 || n > maxLoadField:
-			return -1, 0
-		case i < 2:
-			requests += n
-		default:
-			slots = n
-		}
-	}
-	return requests, slots
-}
-
 // parseRetryAfter parses a Retry-After header of a number of seconds, which may have a
 // fraction. It returns 0 if the header is missing or malformed, or is a date: the clocks of
 // the VM and the upstream may differ.
--- a/internal/route/steerer/steerer_test.go
+++ b/internal/route/steerer/steerer_test.go
@@ -67,10 +67,11 @@
 	unreachable
 	returnsUnsigned
 	hangs
-	// refusesWithFreeSlots reports free slots in its refusal, refusesWhenFull reports
-	// none, and refuses reports no load.
+	// refusesWithFreeSlots reports free slots in its refusal, refusesWhenFull and
+	// refusesWhenFullAndSlow report none, and refuses reports no load.
 	refusesWithFreeSlots
 	refusesWhenFull
+	refusesWhenFullAndSlow
 	// refusesOtherUpstream is the response of an upstream that is not the expected one.
 	refusesOtherUpstream
 	// returnsEncoded adds a Content-Encoding, as something between might.
@@ -82,7 +83,12 @@
 
 // mayRun reports whether an upstream with this behavior may have run the request.
 func (b behavior) mayRun() bool {
-	return b != refuses && b != unreachable && b != refusesWithFreeSlots && b != refusesWhenFull && b != refusesOtherUpstream
+	switch b {
+	case refuses, unreachable, refusesWithFreeSlots, refusesWhenFull, refusesWhenFullAndSlow, refusesOtherUpstream:
+		return false
+	default:
+		return true
+	}
 }
 
 // fakeUpstreams stands in for all upstreams. The next requests get the given behaviors
@@ -138,9 +144,9 @@
 	case refuses:
 		header.Set(h.NotRun, "1")
 		return exchanger.Response{Status: http.StatusServiceUnavailable, Header: header}, nil
-	case refusesWithFreeSlots, refusesWhenFull:
+	case refusesWithFreeSlots, refusesWhenFull, refusesWhenFullAndSlow:
 		header.Set(h.NotRun, "1")
-		header.Set(h.Load, map[behavior]string{refusesWithFreeSlots: "1,0,4", refusesWhenFull: "4,2,4"}[b])
+		header.Set(h.Load, map[behavior]string{refusesWithFreeSlots: "1,0,4", refusesWhenFull: "4,2,4", refusesWhenFullAndSlow: "4,2,4,250"}[b])
 		return exchanger.Response{Status: http.StatusServiceUnavailable, Header: header}, nil
 	case refusesOtherUpstream:
 		return exchanger.Response{Status: http.StatusMisdirectedRequest, Header: header}, nil
@@ -381,6 +387,7 @@
 		{"free slots", []behavior{refusesWithFreeSlots}, nil, true},
 		{"free slots and a pause", []behavior{refusesWithFreeSlots}, http.Header{"Retry-After": {"0.02"}}, false},
 		{"full", []behavior{refusesWhenFull}, nil, false},
+		{"full, on a slow host", []behavior{refusesWhenFullAndSlow}, nil, false},
 		{"no load reported", []behavior{refuses}, nil, false},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
