Loads of upstreams approach the mean of their zone, not zero

A report now approaches the mean of what the zone's upstreams reported lately. The log of a send names the load of the primary that was passed over, and the latency that was expected there.

--- /dev/null
+++ b/internal/route/selector/load.go
@@ -0,0 +1,106 @@
+package selector
+
+import (
+	"time"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+)
+
+const (
+	// loadHalfLife is the half-life of the load that an upstream reported. It is as long as
+	// a request takes, after which other VMs' requests there are others.
+	loadHalfLife = 300 * time.Millisecond
+	// meanLoadHalfLife is the half-life of the mean load while no upstream reports any.
+	meanLoadHalfLife = time.Second
+)
+
+type (
+	// loadReport is the load that an upstream reported, and this VM's requests in flight
+	// at that time.
+	loadReport struct {
+		requests float64
+		inFlight int
+		at       time.Time
+	}
+
+	// meanLoad is the recent mean of the requests of other VMs at upstreams, per slot.
+	//
+	// It handles many VMs that each send an upstream a request only now and then: the last
+	// report of most upstreams is older than the requests that it counted.
+	meanLoad struct {
+		sum    float64
+		weight float64
+		at     time.Time
+	}
+
+	// serviceLoad is the mean load of a service's upstreams, in all and by zone.
+	serviceLoad struct {
+		all   meanLoad
+		zones map[namer.Zone]*meanLoad
+	}
+)
+
+func newServiceLoad() *serviceLoad {
+	return &serviceLoad{zones: make(map[namer.Zone]*meanLoad)}
+}
+
+// record adds a report of an upstream of a zone.
+func (l *serviceLoad) record(now time.Time, zone namer.Zone, othersPerSlot float64) {
+	l.all.record(now, othersPerSlot)
+	if l.zones[zone] == nil {
+		l.zones[zone] = &meanLoad{}
+	}
+	l.zones[zone].record(now, othersPerSlot)
+}
+
+// othersPerSlot returns the expected number of requests of other VMs at an upstream of a zone,
+// per slot. Where there are few reports of the zone it is close to the mean of all zones.
+func (l *serviceLoad) othersPerSlot(now time.Time, zone namer.Zone) float64 {
+	if l.all.weight == 0 {
+		return 0
+	}
+	all := l.all.sum / l.all.weight
+	sum, weight := all, 1.0
+	if z := l.zones[zone]; z != nil {
+		left := decayFactor(now.Sub(z.at), loadHalfLife)
+		sum += z.sum * left
+		weight += z.weight * left
+	}
+	return sum / weight * decayFactor(now.Sub(l.all.at), meanLoadHalfLife)
+}
+
+func (m *meanLoad) record(now time.Time, othersPerSlot float64) {
+	left := decayFactor(now.Sub(m.at), loadHalfLife)
+	m.sum = m.sum*left + othersPerSlot
+	m.weight = m.weight*left + 1
+	m.at = now
+}
+
+// others returns the requests of other VMs that the report counted.
+func (r loadReport) others() float64 {
+	return max(0, r.requests-float64(r.inFlight))
+}
+
+// estimatedLoad estimates the number of requests at the upstream: this VM's own, and those of
+// others by the last report, which approaches the mean of all upstreams as it gets older.
+func (u *upstreamState) estimatedLoad(now time.Time) float64 {
+	mean := u.load.othersPerSlot(now, u.Zone) * float64(u.Slots)
+	if u.reported.at.IsZero() {
+		return mean + float64(u.inFlight)
+	}
+	left := decayFactor(now.Sub(u.reported.at), loadHalfLife)
+	return mean + (u.reported.others()-mean)*left + float64(u.inFlight)
+}
+
+// loadAge returns the age of the last reported load, and -1 when there is none.
+func (u *upstreamState) loadAge(now time.Time) time.Duration {
+	if u.reported.at.IsZero() {
+		return -1
+	}
+	return now.Sub(u.reported.at).Round(time.Millisecond)
+}
+
+// maxLoad returns the load from which on requests wait on this VM.
+func (u *upstreamState) maxLoad() float64 {
+	return float64(u.Slots) * (1 + upstreamQueueFraction)
+}
--- a/internal/route/selector/order.go
+++ b/internal/route/selector/order.go
@@ -49,6 +49,7 @@
 			continue
 		}
 		state := s.stateOf(u)
+		state.load = s.loadOf(u.Service)
 		state.region = s.self.Regions[u.Zone]
 		state.maxIdleConns = max(1, svc.MaxConns/s.vms)
 		state.coldRate = svc.MaxColdRate
@@ -67,6 +68,17 @@
 	}
 }
 
+// loadOf returns the mean load of a service's upstreams. It is kept while a document lacks the
+// service.
+func (s *Selector) loadOf(name namer.Service) *serviceLoad {
+	l := s.loads[name]
+	if l == nil {
+		l = newServiceLoad()
+		s.loads[name] = l
+	}
+	return l
+}
+
 // countSlots counts the slots of a service in each zone that gets new work.
 func (s *Selector) countSlots(svc *service) {
 	clear(svc.slots)
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -97,6 +97,11 @@
 		ColdLeft time.Duration
 		// Zone is the upstream's zone.
 		Zone namer.Zone
+		// PrimaryLoad and PrimaryLatency are the estimated load of the object's primary, and
+		// the latency that was expected there, where another upstream was chosen. They are
+		// 0 otherwise.
+		PrimaryLoad    float64
+		PrimaryLatency time.Duration
 
 		id       pacer.ID
 		upstream *upstreamState
@@ -116,6 +121,7 @@
 		self      Self
 		services  map[namer.Service]*service
 		upstreams map[namer.Upstream]*upstreamState
+		loads     map[namer.Service]*serviceLoad
 		// processingTimes holds each route's usual processing time of a warm
 		// request, without queueing and RTT.
 		processingTimes map[namer.Route]time.Duration
@@ -154,6 +160,7 @@
 		self:            self,
 		services:        make(map[namer.Service]*service),
 		upstreams:       make(map[namer.Upstream]*upstreamState),
+		loads:           make(map[namer.Service]*serviceLoad),
 		processingTimes: make(map[namer.Route]time.Duration),
 		rtts:            zoneRTTs{smoothed: make(map[namer.Zone]time.Duration), lowest: make(map[namer.Zone]time.Duration)},
 		regionZones:     zonesOfRegion(self),
@@ -208,11 +215,15 @@
 	usual := s.processingTime(r.Route)
 	best := Decision{Action: Refuse, Reason: ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter}
 	bestInRegion := best
+	var primary Decision
 	var bestCost, inRegionCost time.Duration
 	candidates := s.candidates(now, svc, r)
 	for i, c := range candidates {
 		d := s.evaluate(now, c, i, usual)
 		d.crossRegion = c.region != candidates[0].region
+		if i == 0 {
+			primary = d
+		}
 		cost := d.ExpectedLatency + affinityPenalty(i, usual, r.Object != "")
 		if best.upstream == nil || cost < bestCost {
 			best, bestCost = d, cost
@@ -227,6 +238,9 @@
 	if best.crossRegion && r.Object != "" && !s.crossRegion.allow(now) {
 		best = bestInRegion
 	}
+	if best.upstream != primary.upstream {
+		best.PrimaryLoad, best.PrimaryLatency = primary.Load, primary.ExpectedLatency
+	}
 	best.route = r.Route.Name
 	best.target = best.upstream.target()
 	best.target.RTT = s.rtt(best.upstream)
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -27,8 +27,6 @@
 	// overtake them.
 	upstreamQueueFraction = 0.5
 
-	// loadHalfLife is the half-life of the load that an upstream reported.
-	loadHalfLife = 300 * time.Millisecond
 	// The smoothing factors are the weights of a new sample in a moving average.
 	latencySmoothingFactor  = 0.1
 	slownessSmoothingFactor = 0.2
@@ -68,6 +66,8 @@
 	// inFlight counts this VM's own requests at the upstream.
 	inFlight int
 	reported loadReport
+	// load is the mean load of the upstreams of its service.
+	load *serviceLoad
 	// slowness is the processing time as a multiple of the route's usual one.
 	slowness    float64
 	successRate float64
@@ -83,14 +83,6 @@
 	pacer  *pacer.Pacer
 }
 
-// loadReport is the load that an upstream reported, and this VM's requests in flight
-// at that time.
-type loadReport struct {
-	requests float64
-	inFlight int
-	at       time.Time
-}
-
 // Report describes the outcome of a request for which Begin was called.
 type Report struct {
 	// Unsent means that nothing was sent.
@@ -126,6 +118,7 @@
 	u.inFlight--
 	if r.Load >= 0 {
 		u.reported = loadReport{requests: float64(r.Load), inFlight: u.inFlight, at: now}
+		u.load.record(now, u.Zone, u.reported.others()/float64(max(u.Slots, 1)))
 	}
 	if r.Unsent {
 		u.pacer.Cancel(d.id)
@@ -227,29 +220,6 @@
 	return time.Duration(float64(usual) * max(u.slowness, 0.5) / u.successRate)
 }
 
-// estimatedLoad estimates the number of requests at the upstream: this VM's own, and
-// those of others by the last report, with exponential decay.
-func (u *upstreamState) estimatedLoad(now time.Time) float64 {
-	if u.reported.at.IsZero() {
-		return float64(u.inFlight)
-	}
-	others := max(0, u.reported.requests-float64(u.reported.inFlight))
-	return others*decayFactor(now.Sub(u.reported.at), loadHalfLife) + float64(u.inFlight)
-}
-
-// loadAge returns the age of the last reported load, and -1 when there is none.
-func (u *upstreamState) loadAge(now time.Time) time.Duration {
-	if u.reported.at.IsZero() {
-		return -1
-	}
-	return now.Sub(u.reported.at).Round(time.Millisecond)
-}
-
-// maxLoad returns the load from which on requests wait on this VM.
-func (u *upstreamState) maxLoad() float64 {
-	return float64(u.Slots) * (1 + upstreamQueueFraction)
-}
-
 func (u *upstreamState) isCold(now time.Time) bool {
 	return u.lost || now.Before(u.ColdUntil)
 }
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -442,5 +442,5 @@
 	}
 	s.log.Info("sent", "attempt", a.request.AttemptID, "request", request, "caller", caller, "route", string(a.route.Name), "service", string(a.service),
 		"upstream", string(d.Target().Upstream), "zone", string(d.Zone), "by", string(d.Reason), "load", math.Round(10*d.Load)/10, "loadage", d.LoadAge,
-		"expected", d.ExpectedLatency, "born", d.Target().StartedMs, "coldleft", d.ColdLeft, "viewage", s.viewAge().Round(time.Millisecond), "outcome", outcome, "status", status, "took", took, "reason", reason)
+		"expected", d.ExpectedLatency, "primaryload", math.Round(10*d.PrimaryLoad)/10, "primaryexpected", d.PrimaryLatency, "born", d.Target().StartedMs, "coldleft", d.ColdLeft, "viewage", s.viewAge().Round(time.Millisecond), "outcome", outcome, "status", status, "took", took, "reason", reason)
 }
