A scheduler decides which requests of a service are sent, wait or are refused

A burst left queues of requests that came too late to be of use, at the upstreams and on the VMs, while others became late behind them. route/scheduler takes over the order from steerer's queue: rank, then what can still meet its target, then classes and accounts in turn by their work, and a share for lower ranks. The VM's requests in flight are limited by the load that upstreams report, so that all VMs together keep them near one and a half requests per slot. A request whose target is lost and that can't be answered by its deadline behind what comes first is refused at once. A report of load no longer counts the request that it answers, and reports of busy upstreams, which are more frequent, weigh less.

--- a/internal/route/selector/load.go
+++ b/internal/route/selector/load.go
@@ -12,6 +12,9 @@
 	loadHalfLife = 300 * time.Millisecond
 	// meanLoadHalfLife is the half-life of the mean load while no upstream reports any.
 	meanLoadHalfLife = time.Second
+	// priorWeight is the weight of the mean of all zones in the mean of one, as the report of
+	// an upstream with few requests.
+	priorWeight = 0.25
 )
 
 type (
@@ -44,13 +47,16 @@
 	return &serviceLoad{zones: make(map[namer.Zone]*meanLoad)}
 }
 
-// record adds a report of an upstream of a zone.
-func (l *serviceLoad) record(now time.Time, zone namer.Zone, othersPerSlot float64) {
-	l.all.record(now, othersPerSlot)
-	if l.zones[zone] == nil {
-		l.zones[zone] = &meanLoad{}
+// record adds the report of an upstream. A busy upstream sends more responses than another
+// one, so its reports weigh less.
+func (l *serviceLoad) record(now time.Time, u *upstreamState) {
+	slots := float64(max(u.Slots, 1))
+	weight := 1 / min(u.reported.requests+1, slots)
+	l.all.record(now, u.reported.others()/slots, weight)
+	if l.zones[u.Zone] == nil {
+		l.zones[u.Zone] = &meanLoad{}
 	}
-	l.zones[zone].record(now, othersPerSlot)
+	l.zones[u.Zone].record(now, u.reported.others()/slots, weight)
 }
 
 // othersPerSlot returns the expected number of requests of other VMs at an upstream of a zone,
@@ -60,7 +66,7 @@
 		return 0
 	}
 	all := l.all.sum / l.all.weight
-	sum, weight := all, 1.0
+	sum, weight := all*priorWeight, priorWeight
 	if z := l.zones[zone]; z != nil {
 		left := decayFactor(now.Sub(z.at), loadHalfLife)
 		sum += z.sum * left
@@ -69,10 +75,10 @@
 	return sum / weight * decayFactor(now.Sub(l.all.at), meanLoadHalfLife)
 }
 
-func (m *meanLoad) record(now time.Time, othersPerSlot float64) {
+func (m *meanLoad) record(now time.Time, othersPerSlot, weight float64) {
 	left := decayFactor(now.Sub(m.at), loadHalfLife)
-	m.sum = m.sum*left + othersPerSlot
-	m.weight = m.weight*left + 1
+	m.sum = m.sum*left + othersPerSlot*weight
+	m.weight = m.weight*left + weight
 	m.at = now
 }
 
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -73,9 +73,11 @@
 	// when the request is about no object that upstreams keep warm. Deadline is the
 	// time by which it must be answered, TargetTime the time by which it should be.
 	Request struct {
-		Route      *parser.Route
-		Service    namer.Service
-		Object     string
+		Route   *parser.Route
+		Service namer.Service
+		Object  string
+		// Priority 0 is the most urgent.
+		Priority   int
 		TargetTime time.Time
 		Deadline   time.Time
 		// Tried lists the upstreams that earlier attempts were sent to.
@@ -300,6 +302,24 @@
 	return time.Duration(overflowPenaltyFactor * float64(usual))
 }
 
+// ProcessingTime returns the usual processing time of a warm request of a route.
+func (s *Selector) ProcessingTime(r *parser.Route) time.Duration {
+	return s.processingTime(r)
+}
+
+// SlotsPerVM returns the slots of a service's upstreams for each VM.
+func (s *Selector) SlotsPerVM(name namer.Service) float64 {
+	svc := s.services[name]
+	if svc == nil {
+		return 0
+	}
+	slots := 0.0
+	for _, n := range svc.slots {
+		slots += n
+	}
+	return slots / float64(s.vms)
+}
+
 // processingTime returns the usual processing time of a warm request of a route at an
 // upstream with a free slot. Before the first sample that is half of the route's target.
 func (s *Selector) processingTime(r *parser.Route) time.Duration {
@@ -356,3 +376,8 @@
 func (d Decision) Target() cataloger.Target {
 	return d.target
 }
+
+// Slots returns the number of requests that the upstream processes at a time.
+func (d Decision) Slots() int {
+	return d.upstream.Slots
+}
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -111,14 +111,23 @@
 	RetryAfter time.Duration
 }
 
+// RequestsLeft returns the reported load without the request that was answered. A request
+// that was refused isn't counted in it.
+func (r Report) RequestsLeft() int {
+	if r.Refused {
+		return r.Load
+	}
+	return max(0, r.Load-1)
+}
+
 // End records the outcome of a request and counts it as no longer in flight. An upstream
 // that refused a request counts as full, unless it reported a free slot.
 func (s *Selector) End(now time.Time, d Decision, r Report) {
 	u := d.upstream
 	u.inFlight--
 	if r.Load >= 0 {
-		u.reported = loadReport{requests: float64(r.Load), inFlight: u.inFlight, at: now}
-		u.load.record(now, u.Zone, u.reported.others()/float64(max(u.Slots, 1)))
+		u.reported = loadReport{requests: float64(r.RequestsLeft()), inFlight: u.inFlight, at: now}
+		u.load.record(now, u)
 	}
 	if r.Unsent {
 		u.pacer.Cancel(d.id)
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/quarantiner"
+	"github.com/waxwingloom/waxwingloom/internal/route/scheduler"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
 )
@@ -71,6 +72,8 @@
 		// had free slots and did not ask for a pause.
 		refusedWithFreeSlots bool
 		lastResult           Result
+		// scheduled is the current attempt, nil before the first one.
+		scheduled *scheduler.Request
 		// cachedFingerprints is nil until they are needed.
 		cachedFingerprints *quarantiner.Fingerprints
 	}
@@ -108,7 +111,7 @@
 		d := s.acquireUpstream(ctx, a)
 		if ctx.Err() != nil {
 			if d.Action == selector.Send {
-				s.release(d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
+				s.release(a, d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
 			}
 			return failure(http.StatusServiceUnavailable, CodeCallerGone, "the caller has gone", 0)
 		}
@@ -231,7 +234,7 @@
 		return admitted
 	}
 	if timeLeft < minSendTime {
-		s.release(d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
+		s.release(a, d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
 		return failure(http.StatusServiceUnavailable, CodeDeadlineExceeded, "no time is left", s.retryAfter(a)), outcomeUnsent
 	}
 	resp, err := s.upstreams.Exchange(ctx,
@@ -256,7 +259,7 @@
 		// drained or found to be cold meanwhile, the error does not show that the upstream is
 		// unreachable.
 		inconclusive := a.callerGone(ctx) || !admitted || s.isQuarantined(a) || !s.usable(d)
-		s.release(d, selector.Report{Unsent: true, ConnectFailed: !inconclusive, Inconclusive: inconclusive, Load: -1})
+		s.release(a, d, selector.Report{Unsent: true, ConnectFailed: !inconclusive, Inconclusive: inconclusive, Load: -1})
 		s.logAttempt(a, d, 0, "unreached", took, err)
 		if a.callerGone(ctx) {
 			return Result{}, outcomeCanceled
@@ -296,7 +299,7 @@
 	ctx context.Context, a *activeRequest, d selector.Decision, took time.Duration, err error,
 ) (Result, attemptOutcome) {
 	canceled := ctx.Err() != nil && !a.route.Once
-	s.release(d, selector.Report{Failed: !canceled, Inconclusive: canceled, Load: -1})
+	s.release(a, d, selector.Report{Failed: !canceled, Inconclusive: canceled, Load: -1})
 	s.logAttempt(a, d, 0, "broken", took, err)
 	if canceled {
 		return Result{}, outcomeCanceled
@@ -322,26 +325,26 @@
 		report.Refused = true
 		report.Latency = 0
 		a.refusedWithFreeSlots = load.hasFreeSlot() && report.RetryAfter == 0
-		s.release(d, report)
+		s.release(a, d, report)
 		s.logAttempt(a, d, resp.Status, "refused", took, nil)
 		closeRest(resp)
 		return failure(http.StatusServiceUnavailable, CodeRefused, "the upstream refused the request", 0), outcomeRefused
 	case resp.Header.Get("Content-Encoding") != "" || resp.Status < 300 && resp.Header.Get(s.headers.Signature) == "":
 		report.Failed = true
-		s.release(d, report)
+		s.release(a, d, report)
 		s.logAttempt(a, d, resp.Status, "spoiled", took, nil)
 		closeRest(resp)
 		return failure(http.StatusBadGateway, CodeOutcomeUnknown, "the answer is not the upstream's own", 0), outcomeUnknown
 	case resp.Status >= http.StatusInternalServerError:
 		report.Failed = true
-		s.release(d, report)
+		s.release(a, d, report)
 		s.logAttempt(a, d, resp.Status, "failed", took, nil)
 		if a.route.Once || resp.Rest != nil {
 			return result, outcomeFinal
 		}
 		return result, outcomeUnknown
 	}
-	s.release(d, report)
+	s.release(a, d, report)
 	if result.Rest != nil {
 		result.Rest = &observedRest{ReadCloser: result.Rest, steerer: s, request: a, decision: d}
 	} else if resp.Header.Get(s.headers.Signature) != "" {
--- a/internal/route/steerer/queue.go
+++ b/internal/route/steerer/queue.go
@@ -7,55 +7,60 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/route/scheduler"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 )
 
-const (
-	// maxQueueLength bounds the queue of one service on one VM. At the request rates of
-	// a small VM, a longer queue could not be served within any deadline.
-	maxQueueLength = 512
-	// queueCheckInterval is how often queued requests are reconsidered when this VM sees
-	// no event. Requests of other VMs free slots without this VM being told.
-	queueCheckInterval = 10 * time.Millisecond
-)
+// queueCheckInterval is how often queued requests are reconsidered when this VM sees no
+// event. Requests of other VMs free slots without this VM being told.
+const queueCheckInterval = 10 * time.Millisecond
 
 type (
-	// queue holds the requests that wait for a service, the most urgent first.
+	// queue holds the requests for a service that wait, and the schedule of all of them.
 	queue struct {
-		waiters []*waiter
+		*scheduler.Scheduler
+		waiters map[*scheduler.Request]*waiter
 	}
 
 	// waiter is a queued request. Its decision channel has a buffer of one, so that
 	// sending a decision never blocks.
 	waiter struct {
 		request  selector.Request
-		queuedAt time.Time
 		decision chan selector.Decision
 	}
 )
 
-// acquireUpstream returns the selector's decision on a request. The request is queued
-// while the chosen upstream is full, or behind requests of the service that come first.
+// acquireUpstream returns the decision on a request. The request is queued while the chosen
+// upstream is full, while this VM has as many requests in flight as it may, or behind
+// requests of the service that come first.
 func (s *Steerer) acquireUpstream(ctx context.Context, a *activeRequest) selector.Decision {
 	s.mu.Lock()
 	now := s.clock.Now()
-	w := &waiter{request: s.selectorRequest(a), queuedAt: now, decision: make(chan selector.Decision, 1)}
+	request := s.selectorRequest(a)
 	q := s.queueFor(a.service)
-	if !q.hasEarlier(w) {
-		d := s.selector.Decide(now, w.request)
-		if d.Action == selector.Send {
-			s.selector.Begin(now, d)
-		}
-		if d.Action != selector.Wait {
-			s.mu.Unlock()
-			return d
-		}
+	first := a.scheduled == nil
+	a.scheduled = s.scheduledRequest(a, request)
+	if first {
+		q.RecordArrival(now, a.scheduled)
 	}
-	if len(q.waiters) >= maxQueueLength {
+	q.SetCapacity(s.selector.SlotsPerVM(a.service))
+	d := s.selector.Decide(now, request)
+	a.scheduled.Need = d.ExpectedLatency
+	if d.Action == selector.Send && q.ComesFirst(now, a.scheduled) && q.MaySend(now, a.scheduled) {
+		s.begin(now, q, a.scheduled, d)
+		s.mu.Unlock()
+		return d
+	}
+	if d.Action == selector.Refuse {
+		s.mu.Unlock()
+		return d
+	}
+	if !q.Add(now, a.scheduled) {
 		s.mu.Unlock()
 		return selector.Decision{Action: selector.Refuse, Reason: selector.ReasonFull, RetryAfter: s.retryAfter(a)}
 	}
-	q.add(w)
+	w := &waiter{request: request, decision: make(chan selector.Decision, 1)}
+	q.waiters[a.scheduled] = w
 	s.counts.Waited++
 	s.scheduleCheck()
 	s.mu.Unlock()
@@ -69,12 +74,25 @@
 		Route:      a.route,
 		Service:    a.service,
 		Object:     affinityObject(a.route, a.request),
+		Priority:   a.route.Priority,
 		TargetTime: a.request.ReceivedAt.Add(a.route.LatencyTarget),
 		Deadline:   s.capAtShutdown(a.deadline),
 		Tried:      a.tried,
 	}
 }
 
+// scheduledRequest returns what the scheduler needs to know of a request. The caller holds
+// s.mu.
+func (s *Steerer) scheduledRequest(a *activeRequest, r selector.Request) *scheduler.Request {
+	return &scheduler.Request{
+		Route:      a.route.Name,
+		Rank:       scheduler.Rank(r.Priority),
+		TargetTime: r.TargetTime,
+		Deadline:   r.Deadline,
+		Work:       s.selector.ProcessingTime(a.route),
+	}
+}
+
 // affinityObject returns the object of a request, or "" for a route without affinity.
 func affinityObject(route *parser.Route, r Request) string {
 	if !route.Affinity {
@@ -95,7 +113,9 @@
 	case <-ctx.Done():
 	}
 	s.mu.Lock()
-	removed := s.queueFor(a.service).remove(w)
+	q := s.queueFor(a.service)
+	removed := q.Remove(a.scheduled)
+	delete(q.waiters, a.scheduled)
 	s.mu.Unlock()
 	if !removed {
 		// The decision was made at the same moment.
@@ -104,31 +124,64 @@
 	return selector.Decision{Action: selector.Refuse, Reason: selector.ReasonLate, RetryAfter: s.retryAfter(a)}
 }
 
-// release reports the result of an attempt to the selector, and decides on the queued
-// requests again, since an upstream may have a free slot now.
-func (s *Steerer) release(d selector.Decision, r selector.Report) {
+// begin counts a request as sent. The caller holds s.mu.
+func (s *Steerer) begin(now time.Time, q *queue, r *scheduler.Request, d selector.Decision) {
+	s.selector.Begin(now, d)
+	q.Begin(now, r)
+}
+
+// release reports the result of an attempt to the selector and the scheduler, and decides on
+// the queued requests of the service again, since an upstream may have a free slot now.
+func (s *Steerer) release(a *activeRequest, d selector.Decision, r selector.Report) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.selector.End(s.clock.Now(), d, r)
-	s.serveQueues()
+	now := s.clock.Now()
+	s.selector.End(now, d, r)
+	q := s.queueFor(a.service)
+	q.End(now, a.scheduled)
+	if r.Load >= 0 {
+		q.ReportLoad(now, r.RequestsLeft(), d.Slots())
+	}
+	s.serveQueue(now, a.service, q)
 }
 
-// serveQueues decides on every queued request again, in queue order, and removes those
-// that are sent or refused. The caller holds s.mu.
+// serveQueues decides on all queued requests again. The caller holds s.mu.
 func (s *Steerer) serveQueues() {
 	now := s.clock.Now()
-	for _, q := range s.queues {
-		q.waiters = slices.DeleteFunc(q.waiters, func(w *waiter) bool {
-			d := s.selector.Decide(now, w.request)
-			if d.Action == selector.Wait {
-				return false
-			}
-			if d.Action == selector.Send {
-				s.selector.Begin(now, d)
-			}
-			w.decision <- d
-			return true
-		})
+	for service, q := range s.queues {
+		s.serveQueue(now, service, q)
+	}
+}
+
+// serveQueue decides on the queued requests of a service again, in their order, and removes
+// those that are sent or refused. The caller holds s.mu.
+func (s *Steerer) serveQueue(now time.Time, service namer.Service, q *queue) {
+	if q.Len() == 0 {
+		return
+	}
+	q.SetCapacity(s.selector.SlotsPerVM(service))
+	ordered := q.Ordered(now)
+	for i := 0; i < len(ordered); {
+		r := ordered[i]
+		w := q.waiters[r]
+		d := selector.Decision{Action: selector.Wait}
+		if late := q.Late(now, ordered, i); late > 0 {
+			d = selector.Decision{Action: selector.Refuse, Reason: selector.ReasonLate, RetryAfter: late}
+		} else if q.MaySend(now, r) {
+			d = s.selector.Decide(now, w.request)
+			r.Need = d.ExpectedLatency
+		}
+		if d.Action == selector.Wait {
+			i++
+			continue
+		}
+		q.Remove(r)
+		delete(q.waiters, r)
+		ordered = slices.Delete(ordered, i, i+1)
+		if d.Action == selector.Send {
+			s.begin(now, q, r, d)
+		}
+		w.decision <- d
 	}
 }
 
@@ -148,7 +201,7 @@
 	s.checkScheduled = false
 	s.serveQueues()
 	for _, q := range s.queues {
-		if len(q.waiters) > 0 {
+		if q.Len() > 0 {
 			s.scheduleCheck()
 			return
 		}
@@ -158,41 +211,8 @@
 func (s *Steerer) queueFor(service namer.Service) *queue {
 	q := s.queues[service]
 	if q == nil {
-		q = &queue{}
+		q = &queue{Scheduler: scheduler.New(), waiters: make(map[*scheduler.Request]*waiter)}
 		s.queues[service] = q
 	}
 	return q
 }
-
-// hasEarlier reports whether a queued request comes before w, or is of equal order.
-func (q *queue) hasEarlier(w *waiter) bool {
-	return len(q.waiters) > 0 && !w.before(q.waiters[0])
-}
-
-func (q *queue) add(w *waiter) {
-	at, _ := slices.BinarySearchFunc(q.waiters, w, func(x, y *waiter) int {
-		if y.before(x) {
-			return 1
-		}
-		return -1
-	})
-	q.waiters = slices.Insert(q.waiters, at, w)
-}
-
-func (q *queue) remove(w *waiter) bool {
-	at := slices.Index(q.waiters, w)
-	if at < 0 {
-		return false
-	}
-	q.waiters = slices.Delete(q.waiters, at, at+1)
-	return true
-}
-
-// before reports whether w is served before o: the route with the lower Priority first,
-// and within a priority the request with the earlier target time.
-func (w *waiter) before(o *waiter) bool {
-	if w.request.Route.Priority != o.request.Route.Priority {
-		return w.request.Route.Priority < o.request.Route.Priority
-	}
-	return w.request.TargetTime.Before(o.request.TargetTime)
-}
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -259,8 +259,9 @@
 	defer s.mu.Unlock()
 	s.shutdownTime = end
 	for _, q := range s.queues {
-		for _, w := range q.waiters {
+		for r, w := range q.waiters {
 			w.request.Deadline = s.capAtShutdown(w.request.Deadline)
+			r.Deadline = w.request.Deadline
 		}
 	}
 	s.serveQueues()
