Slow hosts, long requests and cold secondaries are told apart

A sample's median of three counts as slowness. The slowness of the host that an upstream reports goes into the expected latency, fades within a second, and is taken out of the samples. How much longer secondaries take is learned by route; their samples no longer change the usual time.

--- a/internal/route/selector/notice.go
+++ b/internal/route/selector/notice.go
@@ -95,14 +95,14 @@
 // decideAfterPause decides on a request that would be refused by the upstreams that take
 // requests now. It waits if a paused upstream can answer it in time after the pause.
 func (s *Selector) decideAfterPause(now time.Time, svc *service, r Request, refusal Decision) Decision {
-	usual := s.processingTime(r.Route)
+	times := s.timesOf(r.Route)
 	for _, u := range svc.upstreams {
 		pause := u.notice.pauseLeft(now)
 		if pause == 0 || s.isDraining(u) || !r.Route.AllowsRegion(u.region) || slices.Contains(r.Tried, u.Upstream.Upstream) {
 			continue
 		}
 		// The queue at the upstream shortens during the pause.
-		expected := max(s.evaluate(now, u, 0, usual).ExpectedLatency, pause+u.expectedProcessingTime(now, usual)+s.rtt(u))
+		expected := max(s.evaluate(now, u, 0, times).ExpectedLatency, pause+u.expectedProcessingTime(now, times.usual)+s.rtt(u))
 		if expected <= r.Deadline.Sub(now) {
 			return Decision{Action: Wait, Reason: ReasonPaused}
 		}
--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -127,7 +127,10 @@
 		// processingTimes holds each route's usual processing time of a warm
 		// request, without queueing and RTT.
 		processingTimes map[namer.Route]time.Duration
-		rtts            zoneRTTs
+		// secondaryFactors holds how much longer each route's requests take at secondary
+		// upstreams.
+		secondaryFactors map[namer.Route]float64
+		rtts             zoneRTTs
 		// regionZones lists the zones of the region in the order of their names.
 		regionZones []namer.Zone
 		stats       map[statsKey]*routeStats
@@ -159,20 +162,21 @@
 // New returns a selector without upstreams.
 func New(self Self) *Selector {
 	return &Selector{
-		self:            self,
-		services:        make(map[namer.Service]*service),
-		upstreams:       make(map[namer.Upstream]*upstreamState),
-		loads:           make(map[namer.Service]*serviceLoad),
-		processingTimes: make(map[namer.Route]time.Duration),
-		rtts:            zoneRTTs{smoothed: make(map[namer.Zone]time.Duration), lowest: make(map[namer.Zone]time.Duration)},
-		regionZones:     zonesOfRegion(self),
-		stats:           make(map[statsKey]*routeStats),
-		notices:         make(map[namer.Upstream]*notice),
-		missing:         make(map[namer.Upstream]missingUpstream),
-		spreaders:       make(map[namer.Service]*spreader.Spreader),
-		vms:             1,
-		zoneVMs:         1,
-		rank:            func(namer.Upstream) int { return 0 },
+		self:             self,
+		services:         make(map[namer.Service]*service),
+		upstreams:        make(map[namer.Upstream]*upstreamState),
+		loads:            make(map[namer.Service]*serviceLoad),
+		processingTimes:  make(map[namer.Route]time.Duration),
+		secondaryFactors: make(map[namer.Route]float64),
+		rtts:             zoneRTTs{smoothed: make(map[namer.Zone]time.Duration), lowest: make(map[namer.Zone]time.Duration)},
+		regionZones:      zonesOfRegion(self),
+		stats:            make(map[statsKey]*routeStats),
+		notices:          make(map[namer.Upstream]*notice),
+		missing:          make(map[namer.Upstream]missingUpstream),
+		spreaders:        make(map[namer.Service]*spreader.Spreader),
+		vms:              1,
+		zoneVMs:          1,
+		rank:             func(namer.Upstream) int { return 0 },
 	}
 }
 
@@ -214,19 +218,19 @@
 
 // decideNow decides by the upstreams that take requests now.
 func (s *Selector) decideNow(now time.Time, svc *service, r Request) Decision {
-	usual := s.processingTime(r.Route)
+	times := s.timesOf(r.Route)
 	best := Decision{Action: Refuse, Reason: ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter}
 	bestInRegion := best
 	var primary Decision
 	var bestCost, inRegionCost time.Duration
 	candidates := s.candidates(now, svc, r)
 	for i, c := range candidates {
-		d := s.evaluate(now, c, i, usual)
+		d := s.evaluate(now, c, i, times)
 		d.crossRegion = c.region != candidates[0].region
 		if i == 0 {
 			primary = d
 		}
-		cost := d.ExpectedLatency + affinityPenalty(i, usual, r.Object != "")
+		cost := d.ExpectedLatency + affinityPenalty(i, times.usual, r.Object != "")
 		if best.upstream == nil || cost < bestCost {
 			best, bestCost = d, cost
 		}
@@ -271,14 +275,15 @@
 }
 
 // evaluate returns the expected latency of a request at a candidate. Position is the
-// candidate's position in the object's order, usual the route's usual processing time.
-func (s *Selector) evaluate(now time.Time, u *upstreamState, position int, usual time.Duration) Decision {
+// candidate's position in the object's order.
+func (s *Selector) evaluate(now time.Time, u *upstreamState, position int, times routeTimes) Decision {
 	load := u.estimatedLoad(now)
 	d := Decision{upstream: u, Zone: u.Zone, Load: load, LoadAge: u.loadAge(now), ColdLeft: u.coldLeft(now), Reason: ReasonPrimary, warm: position < warmCopies}
-	processing := u.expectedProcessingTime(now, usual)
+	processing := u.expectedProcessingTime(now, times.usual)
 	switch {
 	case position == 1:
 		d.Reason = ReasonSecondary
+		processing = time.Duration(float64(processing) * times.secondaryFactor)
 	case position >= warmCopies:
 		d.Reason = ReasonOverflow
 		processing = time.Duration(float64(processing) * coldFactor)
@@ -286,7 +291,7 @@
 	slots := float64(u.Slots)
 	d.freeSlot = load < slots
 	queued := max(0, load+1-slots)
-	d.ExpectedLatency = time.Duration(queued/slots*float64(u.expectedProcessingTime(now, usual))) + processing + s.rtt(u)
+	d.ExpectedLatency = time.Duration(queued/slots*float64(u.expectedProcessingTime(now, times.usual))) + processing + s.rtt(u)
 	return d
 }
 
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -70,6 +70,8 @@
 	load *serviceLoad
 	// slowness is the processing time as a multiple of the route's usual one.
 	slowness    float64
+	recent      recentRatios
+	host        hostReport
 	successRate float64
 	// updated is when slowness and successRate were last decayed.
 	updated         time.Time
@@ -103,6 +105,9 @@
 	// Load is the number of running and queued requests that the upstream reported,
 	// negative when it reported none.
 	Load int
+	// HostSlowness is how slow the upstream's host is, as a multiple of its usual time, 0
+	// when it reported nothing.
+	HostSlowness float64
 	// Bytes is the size of the request and its response, 0 when it is unknown.
 	Bytes int
 	// Leaving means that the response announced the upstream's shutdown.
@@ -129,6 +134,9 @@
 		u.reported = loadReport{requests: float64(r.RequestsLeft()), inFlight: u.inFlight, at: now}
 		u.load.record(now, u)
 	}
+	if r.HostSlowness > 0 {
+		u.host = hostReport{slowness: min(r.HostSlowness, maxSlowness), at: now}
+	}
 	if r.Unsent {
 		u.pacer.Cancel(d.id)
 	}
@@ -170,25 +178,6 @@
 	}
 }
 
-// recordProcessingTime updates the route's usual processing time and the upstream's
-// slowness. It leaves out requests that had to queue or that met a cold object or a cold
-// upstream. A sample of three times the usual or more counts against the upstream only.
-func (s *Selector) recordProcessingTime(now time.Time, d Decision, sample time.Duration) {
-	if sample <= 0 || !d.warm || !d.freeSlot || d.upstream.isCold(now) {
-		return
-	}
-	usual, ok := s.processingTimes[d.route]
-	if !ok {
-		s.processingTimes[d.route] = sample
-		return
-	}
-	ratio := min(float64(sample)/float64(max(usual, time.Millisecond)), maxSlowness)
-	d.upstream.slowness += slownessSmoothingFactor * (ratio - d.upstream.slowness)
-	if ratio < 3 {
-		s.processingTimes[d.route] = usual + time.Duration(latencySmoothingFactor*float64(sample-usual))
-	}
-}
-
 // recordConnectFailure starts an exponential backoff.
 func (u *upstreamState) recordConnectFailure(now time.Time) {
 	pause := initialBackoff << min(u.connectFailures, 10)
@@ -223,10 +212,10 @@
 
 // expectedProcessingTime returns the expected processing time at this upstream for a
 // request whose usual processing time is given. An upstream that fails requests counts
-// as slower.
+// as slower, as does one whose host is slow at this moment.
 func (u *upstreamState) expectedProcessingTime(now time.Time, usual time.Duration) time.Duration {
 	u.decay(now)
-	return time.Duration(float64(usual) * max(u.slowness, 0.5) / u.successRate)
+	return time.Duration(float64(usual) * max(u.slowness, 0.5) * u.host.expected(now) / u.successRate)
 }
 
 func (u *upstreamState) isCold(now time.Time) bool {
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -315,7 +315,7 @@
 	a *activeRequest, d selector.Decision, took time.Duration, resp exchanger.Response,
 ) (Result, attemptOutcome) {
 	load := parseLoad(resp.Header.Get(s.headers.Load))
-	report := selector.Report{Latency: took, ConnectTime: resp.ConnectTime, Load: load.requests, Bytes: transferSize(a, resp)}
+	report := selector.Report{Latency: took, ConnectTime: resp.ConnectTime, Load: load.requests, HostSlowness: load.hostSlowness, Bytes: transferSize(a, resp)}
 	s.readNotice(&report, d, resp)
 	result := Result{
 		Status: resp.Status, Header: resp.Header, Body: resp.Body, Rest: resp.Rest, ContentLength: resp.ContentLength,
