--- a/internal/route/selector/selector.go
+++ b/internal/route/selector/selector.go
@@ -103,6 +103,11 @@
 		ColdLeft time.Duration
 		// Zone is the upstream's zone.
 		Zone namer.Zone
+		// PrimaryLoad and PrimaryLatency are the estimated load of the object's primary, and
+		// the latency that was expected there, where another upstream was chosen. They are
+		// 0 otherwise.
+		PrimaryLoad    float64
+		PrimaryLatency time.Duration
 
 		id       pacer.ID
 		upstream *upstreamState
@@ -124,10 +129,14 @@
 		self      Self
 		services  map[namer.Service]*service
 		upstreams map[namer.Upstream]*upstreamState
+		loads     map[namer.Service]*serviceLoad
 		// processingTimes holds each route's usual processing time of a warm
 		// request, without queueing and RTT.
 		processingTimes map[namer.Route]time.Duration
-		rtts            zoneRTTs
+		// secondaryFactors holds how much longer each route's requests take at secondary
+		// upstreams.
+		secondaryFactors map[namer.Route]float64
+		rtts             zoneRTTs
 		// regionZones lists the zones of the region in the order of their names.
 		regionZones []namer.Zone
 		stats       map[statsKey]*routeStats
@@ -166,19 +175,21 @@
 // New returns a selector without upstreams.
 func New(self Self) *Selector {
 	return &Selector{
-		self:            self,
-		services:        make(map[namer.Service]*service),
-		upstreams:       make(map[namer.Upstream]*upstreamState),
-		processingTimes: make(map[namer.Route]time.Duration),
-		rtts:            zoneRTTs{smoothed: make(map[namer.Zone]time.Duration), lowest: make(map[namer.Zone]time.Duration)},
-		regionZones:     zonesOfRegion(self),
-		stats:           make(map[statsKey]*routeStats),
-		notices:         make(map[namer.Upstream]*notice),
-		missing:         make(map[namer.Upstream]missingUpstream),
-		spreaders:       make(map[namer.Service]*spreader.Spreader),
-		vms:             1,
-		zoneVMs:         1,
-		rank:            func(namer.Upstream, namer.Zone) int { return 0 },
+		self:             self,
+		services:         make(map[namer.Service]*service),
+		upstreams:        make(map[namer.Upstream]*upstreamState),
+		loads:            make(map[namer.Service]*serviceLoad),
+		processingTimes:  make(map[namer.Route]time.Duration),
+		secondaryFactors: make(map[namer.Route]float64),
+		rtts:             zoneRTTs{smoothed: make(map[namer.Zone]time.Duration), lowest: make(map[namer.Zone]time.Duration)},
+		regionZones:      zonesOfRegion(self),
+		stats:            make(map[statsKey]*routeStats),
+		notices:          make(map[namer.Upstream]*notice),
+		missing:          make(map[namer.Upstream]missingUpstream),
+		spreaders:        make(map[namer.Service]*spreader.Spreader),
+		vms:              1,
+		zoneVMs:          1,
+		rank:             func(namer.Upstream, namer.Zone) int { return 0 },
 	}
 }
 
@@ -220,15 +231,19 @@
 
 // decideNow decides by the upstreams that take requests now.
 func (s *Selector) decideNow(now time.Time, svc *service, r Request) Decision {
-	usual := s.processingTime(r.Route)
+	times := s.timesOf(r.Route)
 	best := Decision{Action: Refuse, Reason: ReasonNoUpstream, RetryAfter: noUpstreamRetryAfter}
 	bestInRegion := best
+	var primary Decision
 	var bestCost, inRegionCost time.Duration
 	candidates := s.candidates(now, svc, r)
 	for i, c := range candidates {
-		d := s.evaluate(now, c, i, usual)
+		d := s.evaluate(now, c, i, times)
 		d.crossRegion = c.region != candidates[0].region
-		cost := d.ExpectedLatency + affinityPenalty(i, usual, r.Object != "")
+		if i == 0 {
+			primary = d
+		}
+		cost := d.ExpectedLatency + affinityPenalty(i, times.usual, r.Object != "")
 		if best.upstream == nil || cost < bestCost {
 			best, bestCost = d, cost
 		}
@@ -242,6 +257,9 @@
 	if best.crossRegion && r.Object != "" && !s.crossRegion.allow(now) {
 		best = bestInRegion
 	}
+	if best.upstream != primary.upstream {
+		best.PrimaryLoad, best.PrimaryLatency = primary.Load, primary.ExpectedLatency
+	}
 	best.route = r.Route.Name
 	best.target = best.upstream.target()
 	best.target.RTT = s.rtt(best.upstream)
@@ -270,14 +288,15 @@
 }
 
 // evaluate returns the expected latency of a request at a candidate. Position is the
-// candidate's position in the object's order, usual the route's usual processing time.
-func (s *Selector) evaluate(now time.Time, u *upstreamState, position int, usual time.Duration) Decision {
+// candidate's position in the object's order.
+func (s *Selector) evaluate(now time.Time, u *upstreamState, position int, times routeTimes) Decision {
 	load := u.estimatedLoad(now)
-	d := Decision{upstream: u, usual: usual, Zone: u.Zone, Load: load, LoadAge: u.loadAge(now), ColdLeft: u.coldLeft(now), Reason: ReasonPrimary, warm: position < warmCopies}
-	processing := u.expectedProcessingTime(now, usual)
+	d := Decision{upstream: u, usual: times.usual, Zone: u.Zone, Load: load, LoadAge: u.loadAge(now), ColdLeft: u.coldLeft(now), Reason: ReasonPrimary, warm: position < warmCopies}
+	processing := u.expectedProcessingTime(now, times.usual)
 	switch {
 	case position == 1:
 		d.Reason = ReasonSecondary
+		processing = time.Duration(float64(processing) * times.secondaryFactor)
 	case position >= warmCopies:
 		d.Reason = ReasonOverflow
 		processing = time.Duration(float64(processing) * coldFactor)
@@ -285,7 +304,7 @@
 	slots := float64(u.Slots)
 	d.freeSlot = load < slots
 	queued := max(0, load+1-slots)
-	d.ExpectedLatency = time.Duration(queued/slots*float64(u.expectedProcessingTime(now, usual))) + processing + s.rtt(u)
+	d.ExpectedLatency = time.Duration(queued/slots*float64(u.expectedProcessingTime(now, times.usual))) + processing + s.rtt(u)
 	return d
 }
 
@@ -301,6 +320,24 @@
 	return time.Duration(overflowPenaltyFactor * float64(usual))
 }
 
+// ProcessingTime returns the usual processing time of a warm request of a route.
+func (s *Selector) ProcessingTime(r *parser.Route) time.Duration {
+	return s.processingTime(r)
+}
+
+// SlotsPerVM returns the slots of a service's upstreams for each VM.
+func (s *Selector) SlotsPerVM(name namer.Service) float64 {
+	svc := s.services[name]
+	if svc == nil {
+		return 0
+	}
+	slots := 0.0
+	for _, n := range svc.slots {
+		slots += n
+	}
+	return slots / float64(s.vms)
+}
+
 // processingTime returns the usual processing time of a warm request of a route at an
 // upstream with a free slot. Before the first sample that is half of the route's target.
 func (s *Selector) processingTime(r *parser.Route) time.Duration {
@@ -357,3 +394,8 @@
 func (d Decision) Target() cataloger.Target {
 	return d.target
 }
+
+// Slots returns the number of requests that the upstream processes at a time.
+func (d Decision) Slots() int {
+	return d.upstream.Slots
+}
--- a/internal/route/selector/upstream.go
+++ b/internal/route/selector/upstream.go
@@ -28,8 +28,6 @@
 	// overtake them.
 	upstreamQueueFraction = 0.5
 
-	// loadHalfLife is the half-life of the load that an upstream reported.
-	loadHalfLife = 300 * time.Millisecond
 	// The smoothing factors are the weights of a new sample in a moving average.
 	latencySmoothingFactor  = 0.1
 	slownessSmoothingFactor = 0.2
@@ -69,8 +67,12 @@
 	// inFlight counts this VM's own requests at the upstream.
 	inFlight int
 	reported loadReport
+	// load is the mean load of the upstreams of its service.
+	load *serviceLoad
 	// slowness is the processing time as a multiple of the route's usual one.
 	slowness    float64
+	recent      recentRatios
+	host        hostReport
 	successRate float64
 	// updated is when slowness and successRate were last decayed.
 	updated         time.Time
@@ -90,14 +92,6 @@
 	pacing  bool
 }
 
-// loadReport is the load that an upstream reported, and this VM's requests in flight
-// at that time.
-type loadReport struct {
-	requests float64
-	inFlight int
-	at       time.Time
-}
-
 // Report describes the outcome of a request for which Begin was called.
 type Report struct {
 	// Unsent means that nothing was sent.
@@ -118,6 +112,9 @@
 	// Load is the number of running and queued requests that the upstream reported,
 	// negative when it reported none.
 	Load int
+	// HostSlowness is how slow the upstream's host is, as a multiple of its usual time, 0
+	// when it reported nothing.
+	HostSlowness float64
 	// Bytes is the size of the request and its response, 0 when it is unknown.
 	Bytes int
 	// Leaving means that the response announced the upstream's shutdown.
@@ -126,13 +123,26 @@
 	RetryAfter time.Duration
 }
 
+// RequestsLeft returns the reported load without the request that was answered. A request
+// that was refused isn't counted in it.
+func (r Report) RequestsLeft() int {
+	if r.Refused {
+		return r.Load
+	}
+	return max(0, r.Load-1)
+}
+
 // End records the outcome of a request and counts it as no longer in flight. An upstream
 // that refused a request counts as full, unless it reported a free slot.
 func (s *Selector) End(now time.Time, d Decision, r Report) {
 	u := d.upstream
 	u.inFlight--
 	if r.Load >= 0 {
-		u.reported = loadReport{requests: float64(r.Load), inFlight: u.inFlight, at: now}
+		u.reported = loadReport{requests: float64(r.RequestsLeft()), inFlight: u.inFlight, at: now}
+		u.load.record(now, u)
+	}
+	if r.HostSlowness > 0 {
+		u.host = hostReport{slowness: min(r.HostSlowness, maxSlowness), at: now}
 	}
 	if r.Unsent {
 		u.pacer.Cancel(d.id)
@@ -176,25 +186,6 @@
 	}
 }
 
-// recordProcessingTime updates the route's usual processing time and the upstream's
-// slowness. It leaves out requests that had to queue or that met a cold object or a cold
-// upstream. A sample of three times the usual or more counts against the upstream only.
-func (s *Selector) recordProcessingTime(now time.Time, d Decision, sample time.Duration) {
-	if sample <= 0 || !d.warm || !d.freeSlot || d.upstream.isCold(now) {
-		return
-	}
-	usual, ok := s.processingTimes[d.route]
-	if !ok {
-		s.processingTimes[d.route] = sample
-		return
-	}
-	ratio := min(float64(sample)/float64(max(usual, time.Millisecond)), maxSlowness)
-	d.upstream.slowness += slownessSmoothingFactor * (ratio - d.upstream.slowness)
-	if ratio < 3 {
-		s.processingTimes[d.route] = usual + time.Duration(latencySmoothingFactor*float64(sample-usual))
-	}
-}
-
 // recordConnectFailure starts an exponential backoff.
 func (u *upstreamState) recordConnectFailure(now time.Time) {
 	pause := initialBackoff << min(u.connectFailures, 10)
@@ -229,33 +220,10 @@
 
 // expectedProcessingTime returns the expected processing time at this upstream for a
 // request whose usual processing time is given. An upstream that fails requests counts
-// as slower.
+// as slower, as does one whose host is slow at this moment.
 func (u *upstreamState) expectedProcessingTime(now time.Time, usual time.Duration) time.Duration {
 	u.decay(now)
-	return time.Duration(float64(usual) * max(u.slowness, 0.5) / u.successRate)
-}
-
-// estimatedLoad estimates the number of requests at the upstream: this VM's own, and
-// those of others by the last report, with exponential decay.
-func (u *upstreamState) estimatedLoad(now time.Time) float64 {
-	if u.reported.at.IsZero() {
-		return float64(u.inFlight)
-	}
-	others := max(0, u.reported.requests-float64(u.reported.inFlight))
-	return others*decayFactor(now.Sub(u.reported.at), loadHalfLife) + float64(u.inFlight)
-}
-
-// loadAge returns the age of the last reported load, and -1 when there is none.
-func (u *upstreamState) loadAge(now time.Time) time.Duration {
-	if u.reported.at.IsZero() {
-		return -1
-	}
-	return now.Sub(u.reported.at).Round(time.Millisecond)
-}
-
-// maxLoad returns the load from which on requests wait on this VM.
-func (u *upstreamState) maxLoad() float64 {
-	return float64(u.Slots) * (1 + upstreamQueueFraction)
+	return time.Duration(float64(usual) * max(u.slowness, 0.5) * u.host.expected(now) / u.successRate)
 }
 
 func (u *upstreamState) isCold(now time.Time) bool {
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -14,6 +14,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/quarantiner"
+	"github.com/waxwingloom/waxwingloom/internal/route/scheduler"
 	"github.com/waxwingloom/waxwingloom/internal/route/selector"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
 )
@@ -33,9 +34,6 @@
 	// maxUnsentAttempts is how many attempts of a request may end without anything sent,
 	// such as when an upstream can't be reached. One more ends the request.
 	maxUnsentAttempts = 4
-	// maxLoadField is the largest number in an upstream's load header. The latency that is
-	// expected from a load must not overflow.
-	maxLoadField = 1_000_000
 	// leavingValue is the value of the leaving header of an upstream that shuts down.
 	leavingValue = "1"
 	// maxUpstreamPause is the longest time for which an upstream gets no requests because
@@ -74,6 +72,8 @@
 		// had free slots and did not ask for a pause.
 		refusedWithFreeSlots bool
 		lastResult           Result
+		// scheduled is the current attempt, nil before the first one.
+		scheduled *scheduler.Request
 		// cachedFingerprints is nil until they are needed.
 		cachedFingerprints *quarantiner.Fingerprints
 		// account is nil where requests need none.
@@ -125,7 +125,7 @@
 		d := s.acquireUpstream(ctx, a)
 		if ctx.Err() != nil {
 			if d.Action == selector.Send {
-				s.release(d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
+				s.release(a, d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
 			}
 			return failure(http.StatusServiceUnavailable, CodeCallerGone, "the caller has gone", 0)
 		}
@@ -248,7 +248,7 @@
 		return admitted
 	}
 	if timeLeft < minSendTime {
-		s.release(d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
+		s.release(a, d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
 		return failure(http.StatusServiceUnavailable, CodeDeadlineExceeded, "no time is left", s.retryAfter(a)), outcomeUnsent
 	}
 	resp, err := s.upstreams.Exchange(ctx,
@@ -273,7 +273,7 @@
 		// drained or found to be cold meanwhile, the error does not show that the upstream is
 		// unreachable.
 		inconclusive := a.callerGone(ctx) || !admitted || s.isQuarantined(a) || !s.usable(d)
-		s.release(d, selector.Report{Unsent: true, ConnectFailed: !inconclusive, Inconclusive: inconclusive, Load: -1})
+		s.release(a, d, selector.Report{Unsent: true, ConnectFailed: !inconclusive, Inconclusive: inconclusive, Load: -1})
 		s.logAttempt(a, d, 0, "unreached", took, err)
 		if a.callerGone(ctx) {
 			return Result{}, outcomeCanceled
@@ -313,7 +313,7 @@
 	ctx context.Context, a *activeRequest, d selector.Decision, took time.Duration, err error,
 ) (Result, attemptOutcome) {
 	canceled := ctx.Err() != nil && !a.route.Once
-	s.release(d, selector.Report{Failed: !canceled, Inconclusive: canceled, Load: -1})
+	s.release(a, d, selector.Report{Failed: !canceled, Inconclusive: canceled, Load: -1})
 	s.logAttempt(a, d, 0, "broken", took, err)
 	if canceled {
 		return Result{}, outcomeCanceled
@@ -328,8 +328,8 @@
 func (s *Steerer) handleResponse(
 	a *activeRequest, d selector.Decision, took time.Duration, resp exchanger.Response,
 ) (Result, attemptOutcome) {
-	requests, slots := parseLoad(resp.Header.Get(s.headers.Load))
-	report := selector.Report{Latency: took, ConnectTime: resp.ConnectTime, Load: requests, Bytes: transferSize(a, resp)}
+	load := parseLoad(resp.Header.Get(s.headers.Load))
+	report := selector.Report{Latency: took, ConnectTime: resp.ConnectTime, Load: load.requests, HostSlowness: load.hostSlowness, Bytes: transferSize(a, resp)}
 	s.readNotice(&report, d, resp)
 	result := Result{
 		Status: resp.Status, Header: resp.Header, Body: resp.Body, Rest: resp.Rest, ContentLength: resp.ContentLength,
@@ -338,27 +338,27 @@
 	case resp.Header.Get(s.headers.NotRun) != "" || resp.Status == http.StatusMisdirectedRequest:
 		report.Refused = true
 		report.Latency = 0
-		a.refusedWithFreeSlots = requests >= 0 && requests < slots && report.RetryAfter == 0
-		s.release(d, report)
+		a.refusedWithFreeSlots = load.hasFreeSlot() && report.RetryAfter == 0
+		s.release(a, d, report)
 		s.logAttempt(a, d, resp.Status, "refused", took, nil)
 		closeRest(resp)
 		return failure(http.StatusServiceUnavailable, CodeRefused, "the upstream refused the request", 0), outcomeRefused
 	case resp.Header.Get("Content-Encoding") != "" || resp.Status < 300 && resp.Header.Get(s.headers.Signature) == "":
 		report.Failed = true
-		s.release(d, report)
+		s.release(a, d, report)
 		s.logAttempt(a, d, resp.Status, "spoiled", took, nil)
 		closeRest(resp)
 		return failure(http.StatusBadGateway, CodeOutcomeUnknown, "the answer is not the upstream's own", 0), outcomeUnknown
 	case resp.Status >= http.StatusInternalServerError:
 		report.Failed = true
-		s.release(d, report)
+		s.release(a, d, report)
 		s.logAttempt(a, d, resp.Status, "failed", took, nil)
 		if a.route.Once || resp.Rest != nil {
 			return result, outcomeFinal
 		}
 		return result, outcomeUnknown
 	}
-	s.release(d, report)
+	s.release(a, d, report)
 	if result.Rest != nil {
 		result.Rest = &observedRest{ReadCloser: result.Rest, steerer: s, request: a, decision: d}
 	} else if resp.Header.Get(s.headers.Signature) != "" {
@@ -425,28 +425,6 @@
 	return b.Bytes()
 }
 
-// parseLoad parses an upstream's load header: running requests, waiting requests and
-// slots, separated by commas. It returns the sum of running and waiting requests, or
-// -1 if the header is missing, malformed or out of range.
-func parseLoad(text string) (requests, slots int) {
-	fields := strings.Split(text, ",")
-	if len(fields) < 2 {
-		return -1, 0
-	}
-	for i, field := range fields {
-		n, err := strconv.Atoi(strings.TrimSpace(field))
-		switch {
-		case err != nil || n < 0 || n > maxLoadField:
-			return -1, 0
-		case i < 2:
-			requests += n
-		default:
-			slots = n
-		}
-	}
-	return requests, slots
-}
-
 // parseRetryAfter parses a Retry-After header of a number of seconds, which may have a
 // fraction. It returns 0 if the header is missing or malformed, or is a date: the clocks of
 // the VM and the upstream may differ.
@@ -484,5 +462,5 @@
 	}
 	s.log.Info("sent", "attempt", a.request.AttemptID, "request", request, "caller", caller, "route", string(a.route.Name), "service", string(a.service),
 		"upstream", string(d.Target().Upstream), "zone", string(d.Zone), "by", string(d.Reason), "load", math.Round(10*d.Load)/10, "loadage", d.LoadAge,
-		"expected", d.ExpectedLatency, "born", d.Target().StartedMs, "coldleft", d.ColdLeft, "viewage", s.viewAge().Round(time.Millisecond), "outcome", outcome, "status", status, "took", took, "reason", reason)
+		"expected", d.ExpectedLatency, "primaryload", math.Round(10*d.PrimaryLoad)/10, "primaryexpected", d.PrimaryLatency, "born", d.Target().StartedMs, "coldleft", d.ColdLeft, "viewage", s.viewAge().Round(time.Millisecond), "outcome", outcome, "status", status, "took", took, "reason", reason)
 }
