starter: objects that have to be loaded don't hold a pace back, and it doubles each 0.5 s after the cold time

The first answers of an empty upstream are slow because it loads the objects; they counted as slow or bad, so the pace stayed at one and an upstream of the poorest region was left idle for seconds after its cold time.

--- a/internal/route/selector/pace.go
+++ b/internal/route/selector/pace.go
@@ -90,7 +90,8 @@
 	case r.ConnectFailed, r.Refused, r.Failed:
 		u.pace.Record(now, starter.Bad, &s.paceCounts)
 	case !r.Inconclusive:
-		u.pace.Record(now, starter.Judge(r.Latency-r.ConnectTime-s.rtt(u), d.usual), &s.paceCounts)
+		expected := time.Duration(coldFactor * float64(d.usual))
+		u.pace.Record(now, starter.Judge(r.Latency-r.ConnectTime-s.rtt(u), expected), &s.paceCounts)
 	}
 	if u.pacing && !u.pace.IsActive(now) {
 		u.pacing = false
--- a/internal/share/starter/starter.go
+++ b/internal/share/starter/starter.go
@@ -5,7 +5,7 @@
 // others at once, all that waits is sent to it and comes late; if it is kept away for a fixed time,
 // it is idle while others are full. The pace is this VM's limit on requests in flight there. It
 // begins at one request and doubles with each good response, up to the upstream's slots, and then
-// ends. A refusal, a failure or a response that is far slower than usual halves it, but never to
+// ends. A refusal, a failure or a response that is far slower than expected halves it, but never to
 // less than one request, so that the upstream isn't left idle. Without responses the pace rises
 // with time.
 //
@@ -17,7 +17,7 @@
 //	p.Begin(coldUntil, slots, &counts)
 //	if p.Allows(now, inFlight) {
 //		// Send.
-//		p.Record(now, starter.Judge(latency, usual), &counts)
+//		p.Record(now, starter.Judge(latency, expected), &counts)
 //	}
 package starter
 
@@ -28,11 +28,11 @@
 
 // The outcomes of a request.
 const (
-	// Good is a response about as fast as usual.
+	// Good is a response about as fast as expected.
 	Good Outcome = iota
-	// Slow is a response that is explained by an object that the upstream had to load.
+	// Slow is a response that is slower, but no sign that the upstream is overloaded.
 	Slow
-	// Bad is a refusal, a failure, or a response that is far slower than usual.
+	// Bad is a refusal, a failure, or a response that is far slower than expected.
 	Bad
 )
 
@@ -43,12 +43,12 @@
 	// stepFactor is by which a good response raises, and a bad one lowers, the limit.
 	stepFactor = 2.0
 	// doublingTime is how long the limit takes to double without responses.
-	doublingTime = 1500 * time.Millisecond
+	doublingTime = 500 * time.Millisecond
 	// goodRatio and badRatio bound the latency of a good response, and that of one that is not
-	// bad, as multiples of the usual one. An object that has to be loaded takes up to badRatio
-	// where the process itself is at its usual speed.
+	// bad, as multiples of the expected one. A process that has just started may be slower for
+	// some seconds.
 	goodRatio = 2.0
-	badRatio  = 5.0
+	badRatio  = 4.0
 )
 
 type (
@@ -72,9 +72,10 @@
 	}
 )
 
-// Judge returns the outcome of a response by its latency and the usual one of a warm object.
-func Judge(latency, usual time.Duration) Outcome {
-	switch ratio := float64(latency) / float64(max(usual, time.Millisecond)); {
+// Judge returns the outcome of a response by its latency and the expected one, which is that of an
+// object that the upstream has to load.
+func Judge(latency, expected time.Duration) Outcome {
+	switch ratio := float64(latency) / float64(max(expected, time.Millisecond)); {
 	case ratio < goodRatio:
 		return Good
 	case ratio < badRatio:
