--- a/internal/account/lender/lender.go
+++ b/internal/account/lender/lender.go
@@ -364,7 +364,7 @@
 	}
 }
 
-// zoneLimit returns the part of the limit that this VM's zone generates.
+// zoneLimit returns the share of the limit that this VM's zone generates.
 func (a *account) zoneLimit() limiter.Limit {
 	if !a.generates {
 		return limiter.Limit{Generators: a.limit.Generators, Life: a.limit.Life}
--- a/internal/account/lender/lender_test.go
+++ b/internal/account/lender/lender_test.go
@@ -41,7 +41,7 @@
 // TestFleetServesWithinLimits guards against refusals below the limit, and against calls that
 // cost a VM too much: 75 accounts, of which one is hot in the middle of the time.
 func TestFleetServesWithinLimits(t *testing.T) {
-	for _, hot := range []float64{4, 7} {
+	for _, hot := range []float64{1, 4, 7} {
 		t.Run(fmt.Sprintf("hot %gx", hot), func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				const seconds = 6
--- a/internal/account/limiter/keeper.go
+++ b/internal/account/limiter/keeper.go
@@ -23,8 +23,8 @@
 	level          float64
 	at             time.Time
 	confirmedUntil time.Time
-	// part is the part of the zone's rate and depth that the confirmation is for.
-	part   float64
+	// share is the share of the zone's rate and depth that the confirmation is for.
+	share  float64
 	tenure tenure
 }
 
@@ -42,11 +42,11 @@
 
 // Confirm lets the level rise until the given time, because this VM is the only keeper of the
 // account in a part of its zone.
-func (k *Keeper) Confirm(now, until time.Time, part float64) {
+func (k *Keeper) Confirm(now, until time.Time, share float64) {
 	k.advance(now)
 	k.confirmedUntil = namer.Later(k.confirmedUntil, until)
-	k.part = part
-	k.level = min(k.level, part*k.limit.Depth)
+	k.share = share
+	k.level = min(k.level, share*k.limit.Depth)
 }
 
 // Revoke lets the level fall from now on, because another VM may be the keeper.
@@ -76,10 +76,10 @@
 	switch {
 	case missing <= 0:
 		return 0
-	case k.limit.Rate <= 0 || k.part <= 0 || !k.confirmedUntil.After(k.at):
+	case k.limit.Rate <= 0 || k.share <= 0 || !k.confirmedUntil.After(k.at):
 		return unconfirmedWait
 	}
-	return time.Duration(missing / (k.part * k.limit.Rate) * float64(time.Second))
+	return time.Duration(missing / (k.share * k.limit.Rate) * float64(time.Second))
 }
 
 // Level returns the number of tokens, of which only whole ones are given.
@@ -96,7 +96,7 @@
 		if k.confirmedUntil.Before(end) {
 			end = k.confirmedUntil
 		}
-		k.level = min(k.part*k.limit.Depth, k.level+k.part*k.limit.Rate*end.Sub(k.at).Seconds())
+		k.level = min(k.share*k.limit.Depth, k.level+k.share*k.limit.Rate*end.Sub(k.at).Seconds())
 		k.at = end
 	}
 	if now.After(k.at) {
--- a/internal/account/limiter/limiter.go
+++ b/internal/account/limiter/limiter.go
@@ -3,10 +3,10 @@
 // It is pure: time is an argument, and there is no I/O and no goroutine.
 //
 // The load that it answers: accounts of very different size, most of which send less than
-// one request a second to each VM, so that a fixed part of the limit for each VM would be
+// one request a second to each VM, so that a fixed share of the limit for each VM would be
 // below one request.
 //
-// A token is the permission to send one request. Each zone generates a part of an account's
+// A token is the permission to send one request. Each zone generates a share of an account's
 // tokens at one VM, the zone's Keeper of the account. A VM that takes tokens holds them in a
 // Stock, where they expire. Terms derives the rate, the depth of a keeper's level and the life
 // of a token from the limit and the bound.
@@ -15,8 +15,8 @@
 //
 // The potential of a zone is the sum of the levels that all its VMs hold for an account. While
 // all of the zone's VMs hear each other, one of them is confirmed as keeper, and its level rises
-// at the zone's rate up to the zone's depth. If the zone is divided, there is a keeper in each
-// part, with a part of the rate and of the depth by the VMs that it hears; the parts add up to
+// at the zone's rate up to the zone's depth. If the zone is divided, there is a keeper on each
+// side, with a share of the rate and of the depth by the VMs that it hears; the shares add up to
 // at most 1. The level of a VM that isn't confirmed falls at the whole rate. So the potential
 // doesn't rise while such a level is above 0, and is at most the depth otherwise: it never
 // exceeds the depth, and in any time t the zone gives out at most depth + rate*t tokens. A token
@@ -74,7 +74,7 @@
 		SendTime time.Duration
 	}
 
-	// Limit is the part of an account's limit that each of Generators zones generates. Rate
+	// Limit is the share of an account's limit that each of Generators zones generates. Rate
 	// is in tokens per second, Depth is the largest number of unspent tokens.
 	Limit struct {
 		Rate       float64
@@ -90,7 +90,7 @@
 	return (float64(rate)*t.Window.Seconds()+float64(burst))*(1+t.Overage) + float64(t.Slack)
 }
 
-// Limit returns the part of an account's limit that each zone generates. If the depth would
+// Limit returns the share of an account's limit that each zone generates. If the depth would
 // be less than minDepth for each zone, fewer zones generate. If the bound leaves too little
 // for one token beside the rate, the rate is reduced.
 func (t Terms) Limit(rate, burst int) Limit {
--- a/internal/account/limiter/tenure.go
+++ b/internal/account/limiter/tenure.go
@@ -46,8 +46,8 @@
 // until its predecessor's confirmation has run out: one that is alive hears of this VM within a
 // heartbeat, and one that is cut off finds that out as other VMs find it silent. A VM that
 // didn't look for longer than others take to find it silent begins anew. A keeper that hears a
-// part of its zone generates that part, so that the parts of a divided zone generate no more
-// than the zone.
+// fraction of its zone generates that share, so that the VMs of a divided zone generate no
+// more than the zone.
 func (k *Keeper) Look(now time.Time, s Sight, t Timing) {
 	paused := now.Sub(k.tenure.lookedAt) > t.SuspectTimeout
 	k.tenure.lookedAt = namer.Later(k.tenure.lookedAt, now)
