--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -52,8 +52,6 @@
 		// hidden is whether bytes that follow the request in progress hide the caller's
 		// close from net/http.
 		hidden bool
-		// pipelined is whether a request has come before the response to the one before it.
-		pipelined bool
 		// responding is whether bytes of the response to the request in progress were
 		// written, and writeFailed whether a write of it failed.
 		responding  bool
@@ -139,7 +137,6 @@
 	defer c.mu.Unlock()
 	if c.state == stateBusy {
 		c.hidden = c.hidden || besideHandler
-		c.pipelined = c.pipelined || besideHandler && !c.responding
 	} else {
 		c.state, c.since = stateReading, now
 		c.responding, c.writeFailed = false, false
@@ -152,7 +149,6 @@
 func (c *conn) setBusy() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.pipelined = c.pipelined || c.state == stateIdle
 	c.state, c.hidden = stateBusy, false
 	c.responding, c.writeFailed = false, false
 	c.revive()
@@ -199,18 +195,6 @@
 	return c.expired
 }
 
-func (c *conn) isPipelined() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return c.pipelined
-}
-
-func (c *conn) hide() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.hidden = true
-}
-
 func (c *conn) isHidden() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -130,31 +130,6 @@
 	return c.peerClosed
 }
 
-// Pipelines reports whether the caller of a request has sent another request before the
-// response to the one before it on the same connection, from the request's context.
-func Pipelines(ctx context.Context) bool {
-	c, ok := ctx.Value(connKey{}).(*conn)
-	return ok && c.isPipelined()
-}
-
-// WithCaller returns a context from which CallerGone finds a connection that a sweeper
-// tracks. Unlike WithConn, it does not end with the connection.
-func WithCaller(ctx context.Context, accepted net.Conn) context.Context {
-	c, ok := accepted.(*conn)
-	if !ok {
-		return ctx
-	}
-	return context.WithValue(ctx, connKey{}, c)
-}
-
-// Hide makes a sweeper look at intervals whether the caller of a busy connection has left,
-// because nobody may be reading it.
-func Hide(accepted net.Conn) {
-	if c, ok := accepted.(*conn); ok {
-		c.hide()
-	}
-}
-
 // Counts returns the numbers of connections since the process started.
 func (s *Sweeper) Counts() Counts {
 	s.mu.Lock()
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -18,7 +18,6 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/importer"
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
 	"github.com/waxwingloom/waxwingloom/internal/front/locator"
-	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
@@ -56,7 +55,6 @@
 	lookupServerName registrar.Name = "directory"
 	readyName        registrar.Name = "ready"
 	sweepName        registrar.Name = "sweep"
-	pipelineName     registrar.Name = "pipeline"
 )
 
 // followerNames are the names of the followers of the store's records.
@@ -277,25 +275,19 @@
 		}
 		return sweeper.New(idleTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	r.Register(pipelineName, []registrar.Name{callersName, sweepName, steerName}, func(f registrar.Finder) (any, func(), error) {
-		p, cleanup := pipeliner.New(f.Find(callersName).(*receiver.Receiver), f.Find(steerName).(*steerer.Steerer),
-			f.Find(sweepName).(*sweeper.Sweeper), s.Limits.ReadTimeout, log)
-		return p, cleanup, nil
-	})
-	r.Register(frontName, []registrar.Name{portsName, callersName, pipelineName, sweepName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(frontName, []registrar.Name{portsName, callersName, sweepName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
 		sweep := f.Find(sweepName).(*sweeper.Sweeper)
 		front := f.Find(callersName).(*receiver.Receiver)
-		pipeline := f.Find(pipelineName).(*pipeliner.Pipeliner)
 		server := &http.Server{
-			Handler:           pipeline,
+			Handler:           front,
 			ReadHeaderTimeout: s.Limits.ReadTimeout,
-			ConnState:         pipeline.Track,
-			ConnContext:       pipeline.WithConn,
+			ConnState:         sweep.Track,
+			ConnContext:       sweep.WithConn,
 			MaxHeaderBytes:    maxHeadBytes,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelWarn),
 		}
 		return &webServer{
-			server: server, listener: f.Find(portsName).(*listeners).callers, pipelined: pipeline, sweeper: sweep, beginStop: front.RefuseNew,
+			server: server, listener: f.Find(portsName).(*listeners).callers, sweeper: sweep, beginStop: front.RefuseNew,
 			shutdownTimeout: f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock: f.Find(clockName).(clockwork.Clock), log: log,
 		}, nil, nil
 	})
@@ -315,7 +307,7 @@
 		ready := func() bool { return st.Ready() && !front.ShuttingDown() }
 		return newAdminServer(f, s.Routing.ReadyAddress, platform.ReadyHandler(ready), log)
 	})
-	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, pipelineName, quarantineName, accountsName, talliesName, limitsName, graceName}, followerNames...)
+	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, accountsName, talliesName, limitsName, graceName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeadTimeout}
 		return newWebServer(server, f.Find(portsName).(*listeners).operators, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
@@ -353,8 +345,6 @@
 	m.Set("busy", expvar.Func(func() any { return front.InFlight() }))
 	sweep := f.Find(sweepName).(*sweeper.Sweeper)
 	m.Set("connections", expvar.Func(func() any { return sweep.Counts() }))
-	pipeline := f.Find(pipelineName).(*pipeliner.Pipeliner)
-	m.Set("pipelined", expvar.Func(func() any { return pipeline.Counts() }))
 	m.Set("cuts", expvar.Func(func() any { return sweep.Cuts() }))
 	m.Set("needs", expvar.Func(func() any { return st.Demand() }))
 	quarantine, clock := f.Find(quarantineName).(*quarantiner.Quarantiner), f.Find(clockName).(clockwork.Clock)
--- a/internal/kernel/runner/webserver.go
+++ b/internal/kernel/runner/webserver.go
@@ -30,10 +30,8 @@
 	// closes connections from outside that net/http reports as idle, on which a request
 	// may be arriving.
 	webServer struct {
-		server   *http.Server
-		listener net.Listener
-		// pipelined has the connections in memory of requests that were read ahead, or is nil.
-		pipelined       net.Listener
+		server          *http.Server
+		listener        net.Listener
 		sweeper         *sweeper.Sweeper
 		beginStop       func()
 		shutdownTimeout func() time.Duration
@@ -71,10 +69,6 @@
 func (s *webServer) Serve(ctx context.Context) error {
 	failed := make(chan error, 1)
 	go func() { failed <- s.server.Serve(s.sweeper.Listen(s.listener)) }()
-	if s.pipelined != nil {
-		// It ends with an error when the server is closed.
-		go func() { _ = s.server.Serve(s.pipelined) }()
-	}
 	select {
 	case err := <-failed:
 		return errors.Wrap(err, "serving HTTP")
