One account of memory for callers' connections and requests

Cause: bodies counted in no limit while they were read, and io.ReadAll took up to twice their size; connections counted in none.

Change: front/accountant holds what connections, heads, bodies as their buffers grow and responses take, against half of the machine's memory, which the settings now name. When it is full, the connection that stood still longest and holds most is closed; three quarters are for large holdings. Bodies are held in buffers of up to 256 KiB, without a copy. A body that announces more than the limit gets 413 at once. Connections are limited in all and by address. The daemon sets the Go runtime's limit from the settings, so GOMEMLIMIT leaves deploy/system.toml. limits bodies is 0 by default, which leaves it to the account.

--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -19,17 +19,16 @@
 	"math/rand/v2"
 	"net"
 	"net/http"
-	"os"
 	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/front/recorder"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
@@ -63,7 +62,8 @@
 		MaxInFlight int64
 		// MaxBufferedBytes limits the total size of the request bodies in memory, and
 		// separately that of the response bodies. Requests over it are refused, responses
-		// streamed, so that an upstream's long responses refuse nobody.
+		// streamed, so that an upstream's long responses refuse nobody. 0 means no limit beside
+		// that of the connections' account.
 		MaxBufferedBytes int64
 	}
 
@@ -91,11 +91,14 @@
 		bodyReads map[*http.ResponseController]time.Time
 	}
 
-	// reservation is the part of a limit in bytes that one request takes.
+	// reservation is what one request takes of a limit in bytes, and of the account of its
+	// connection.
 	reservation struct {
-		total *atomic.Int64
-		limit int64
-		taken int64
+		total  *atomic.Int64
+		limit  int64
+		holder *accountant.Holder
+		clock  clockwork.Clock
+		taken  int64
 	}
 
 	// errorBody is the JSON body of every response that doesn't come from an upstream.
@@ -113,9 +116,9 @@
 	}
 }
 
-// take adds n bytes to the reservation, and reports whether the limit allows that.
+// take adds n bytes to the reservation, and reports whether the limits allow that.
 func (v *reservation) take(n int) bool {
-	if v.total.Add(int64(n)) > v.limit {
+	if v.total.Add(int64(n)) > v.limit && v.limit > 0 || !v.holder.Take(v.clock.Now(), int64(n)) {
 		v.total.Add(-int64(n))
 		return false
 	}
@@ -126,6 +129,8 @@
 // release gives back all bytes of the reservation.
 func (v *reservation) release() {
 	v.total.Add(-v.taken)
+	v.holder.Give(v.taken)
+	v.taken = 0
 }
 
 // BeginShutdown makes every response carry "Connection: close", so that callers
@@ -214,14 +219,16 @@
 		return
 	}
 	defer r.inFlight.Add(-1)
-	request, failed := r.readRequest(w, in, arrived)
-	defer r.bufferedBytes.Add(-int64(len(request.Body)))
+	holder := accountant.HolderOf(in.Context())
+	body := reservation{total: &r.bufferedBytes, limit: r.limits.MaxBufferedBytes, holder: holder, clock: r.clock}
+	defer body.release()
+	request, failed := r.readRequest(w, in, arrived, &body)
 	if failed.Code != "" {
 		w.Header().Set("Connection", "close")
 		r.writeError(w, in, failed)
 		return
 	}
-	response := reservation{total: &r.bufferedResponseBytes, limit: r.limits.MaxBufferedBytes}
+	response := reservation{total: &r.bufferedResponseBytes, limit: r.limits.MaxBufferedBytes, holder: holder, clock: r.clock}
 	defer response.release()
 	request.ReserveBytes = response.take
 	result := r.router.Steer(in.Context(), request)
@@ -233,12 +240,18 @@
 		r.writeError(w, in, result)
 		return
 	}
+	if result.Rest == nil {
+		// The body of the request is not needed while a slow caller reads the response.
+		request.Body, request.BodyRest = nil, nil
+		body.release()
+	}
+	holder.Enter(r.clock.Now(), accountant.Writing)
 	r.writeResponse(w, result)
 }
 
 // readRequest reads a request and its whole body. If the result has a code, the
 // request is refused with that result.
-func (r *Receiver) readRequest(w http.ResponseWriter, in *http.Request, arrived time.Time) (steerer.Request, steerer.Result) {
+func (r *Receiver) readRequest(w http.ResponseWriter, in *http.Request, arrived time.Time, held *reservation) (steerer.Request, steerer.Result) {
 	limits, ok := r.router.Ingress()
 	if !ok {
 		return steerer.Request{}, unavailable(steerer.CodeStarting, "no document is in force yet")
@@ -248,7 +261,13 @@
 			Status: http.StatusRequestHeaderFieldsTooLarge, Code: steerer.CodeMalformed, Reason: "the request's head is over the limit",
 		}
 	}
-	body, failed := r.readBody(w, in, limits)
+	body, failed := r.readBody(w, in, limits, held)
+	if failed.Code != "" {
+		return steerer.Request{}, failed
+	}
+	if body == nil {
+		body = [][]byte{nil}
+	}
 	caller, _, err := net.SplitHostPort(in.RemoteAddr)
 	if err != nil {
 		caller = in.RemoteAddr
@@ -260,7 +279,8 @@
 		Target:     originalTarget(in),
 		Path:       in.URL.EscapedPath(),
 		Header:     r.forwardedHeader(in.Header),
-		Body:       body,
+		Body:       body[0],
+		BodyRest:   body[1:],
 		AttemptID:  in.Header.Get(r.headers.AttemptID),
 		Object:     in.Header.Get(r.headers.AffinityKey),
 		ReceivedAt: arrived,
@@ -269,41 +289,7 @@
 	if ms, err := strconv.ParseInt(in.Header.Get(r.headers.RemainingMs), 10, 64); err == nil && ms > 0 {
 		request.Remaining = time.Duration(min(ms, maxRemainingMs)) * time.Millisecond
 	}
-	return request, failed
-}
-
-// readBody reads a request's body within the limits on size and time. If the result
-// has a code, the request is refused with that result.
-func (r *Receiver) readBody(w http.ResponseWriter, in *http.Request, limits parser.Ingress) ([]byte, steerer.Result) {
-	if in.ContentLength == 0 {
-		return nil, steerer.Result{}
-	}
-	if r.bufferedBytes.Load()+max(in.ContentLength, 0) > r.limits.MaxBufferedBytes {
-		return nil, unavailable(steerer.CodeBusy, "the bodies in progress take all of their memory")
-	}
-	rc := http.NewResponseController(w)
-	r.beginBodyRead(rc, limits.ReadTimeout)
-	body, err := io.ReadAll(http.MaxBytesReader(w, in.Body, limits.MaxRequestBodyBytes))
-	r.endBodyRead(rc)
-	if err == nil {
-		_ = rc.SetReadDeadline(time.Time{})
-		r.bufferedBytes.Add(int64(len(body)))
-		return body, steerer.Result{}
-	}
-	var tooLarge *http.MaxBytesError
-	failed := steerer.Result{Code: steerer.CodeMalformed}
-	switch {
-	case errors.As(err, &tooLarge):
-		failed.Status = http.StatusRequestEntityTooLarge
-		failed.Reason = "the request's body is over the limit"
-	case errors.Is(err, os.ErrDeadlineExceeded):
-		failed.Status = http.StatusRequestTimeout
-		failed.Reason = "the request's body did not come in time"
-	default:
-		failed.Status = http.StatusBadRequest
-		failed.Reason = "the request's body broke off"
-	}
-	return nil, failed
+	return request, steerer.Result{}
 }
 
 // forwardedHeader returns the headers to send to the upstream: all except the
--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -11,6 +11,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 )
 
 // The kernel's states of a connection that the other end has reset or closed.
@@ -41,6 +43,11 @@
 	conn struct {
 		net.Conn
 		sweeper *Sweeper
+		// holder is the connection's entry in the account, or nil.
+		holder *accountant.Holder
+		// headBytes is what the heads that were read take in the account. Only the reader
+		// uses it.
+		headBytes int64
 
 		mu    sync.Mutex
 		state connState
@@ -57,6 +64,8 @@
 		responding  bool
 		writeFailed bool
 		closeOnce   sync.Once
+		// evicted is set when the account closes the connection: reads fail from then on.
+		evicted bool
 		// cancel ends the contexts of the connection's requests.
 		cancel context.CancelFunc
 	}
@@ -64,6 +73,9 @@
 
 // Read implements net.Conn.
 func (c *conn) Read(p []byte) (int, error) {
+	if c.isEvicted() {
+		return 0, os.ErrDeadlineExceeded
+	}
 	n, err := c.Conn.Read(p)
 	if n == 0 && errors.Is(err, os.ErrDeadlineExceeded) && c.isExpired() {
 		n = c.readPending(p)
@@ -74,7 +86,10 @@
 	}
 	if n > 0 {
 		// Beside a handler, net/http reads one byte.
-		c.noteRead(c.sweeper.clock.Now(), len(p) == 1)
+		now := c.sweeper.clock.Now()
+		if inHead := c.noteRead(now, len(p) == 1); inHead && !c.takeHead(now, p[:n]) {
+			return 0, os.ErrDeadlineExceeded
+		}
 	}
 	return n, err
 }
@@ -98,11 +113,11 @@
 	return n, err
 }
 
-// SetReadDeadline implements net.Conn. It does nothing on an expired connection.
+// SetReadDeadline implements net.Conn. It does nothing on an expired or evicted connection.
 func (c *conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.expired {
+	if c.expired || c.evicted {
 		return nil
 	}
 	return c.Conn.SetReadDeadline(t)
@@ -117,7 +132,9 @@
 	})
 	c.sweeper.remove(c)
 	c.cancelRequests()
-	return c.Conn.Close()
+	err := c.Conn.Close()
+	c.holder.Close()
+	return err
 }
 
 // CloseWrite closes the sending side, which net/http does before it closes a connection
@@ -131,17 +148,18 @@
 }
 
 // noteRead notes that the reader has got bytes, and whether it read beside a handler. An
-// expired connection is kept.
-func (c *conn) noteRead(now time.Time, besideHandler bool) {
+// expired connection is kept. It reports whether the bytes belong to the head of a request.
+func (c *conn) noteRead(now time.Time, besideHandler bool) (inHead bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.state == stateBusy {
+	if inHead = c.state != stateBusy; !inHead {
 		c.hidden = c.hidden || besideHandler
 	} else {
 		c.state, c.since = stateReading, now
 		c.responding, c.writeFailed = false, false
 	}
 	c.revive()
+	return inHead
 }
 
 // setBusy notes that a request's head was read, perhaps out of bytes that came together with
@@ -156,7 +174,7 @@
 
 // revive undoes expire. The caller holds c.mu.
 func (c *conn) revive() {
-	if c.expired {
+	if c.expired && !c.evicted {
 		c.expired = false
 		// An error means that the connection is closed, which the next call finds.
 		_ = c.Conn.SetReadDeadline(time.Time{})
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -25,6 +25,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 )
 
 const (
@@ -50,9 +52,13 @@
 		Kept     int64
 	}
 
+	// Option configures a Sweeper.
+	Option func(*Sweeper)
+
 	// Sweeper tracks the connections of one listener.
 	Sweeper struct {
 		idleTimeout IdleTimeoutFunc
+		account     *accountant.Accountant
 		clock       clockwork.Clock
 		log         *slog.Logger
 
@@ -73,9 +79,19 @@
 	connKey struct{}
 )
 
+// WithAccount enters the connections into an account, which refuses or closes some of them
+// when they hold too much.
+func WithAccount(a *accountant.Accountant) Option {
+	return func(s *Sweeper) { s.account = a }
+}
+
 // New returns a sweeper that tracks no connections yet.
-func New(idleTimeout IdleTimeoutFunc, clock clockwork.Clock, log *slog.Logger) *Sweeper {
-	return &Sweeper{idleTimeout: idleTimeout, clock: clock, log: log, conns: make(map[*conn]struct{}), drained: make(chan struct{})}
+func New(idleTimeout IdleTimeoutFunc, clock clockwork.Clock, log *slog.Logger, opts ...Option) *Sweeper {
+	s := &Sweeper{idleTimeout: idleTimeout, clock: clock, log: log, conns: make(map[*conn]struct{}), drained: make(chan struct{})}
+	for _, opt := range opts {
+		opt(s)
+	}
+	return s
 }
 
 // Listen returns a listener whose connections s tracks. Track ignores all others.
@@ -85,11 +101,16 @@
 
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
-	accepted, err := l.Listener.Accept()
-	if err != nil {
-		return nil, err
+	for {
+		accepted, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if c, ok := l.sweeper.add(accepted); ok {
+			return c, nil
+		}
+		_ = accepted.Close()
 	}
-	return l.sweeper.add(accepted), nil
 }
 
 // Track records a connection's new state. Use it as http.Server's ConnState hook.
@@ -101,8 +122,10 @@
 	switch state {
 	case http.StateActive:
 		c.setBusy()
+		c.holder.Enter(s.clock.Now(), accountant.Running)
 	case http.StateIdle:
 		c.setIdle(s.clock.Now())
+		c.releaseHead()
 		if s.isDraining() {
 			s.expire(func() bool { return c.expire(stateIdle) })
 		}
@@ -116,7 +139,8 @@
 	if !ok {
 		return ctx
 	}
-	return context.WithValue(c.withCancel(ctx), connKey{}, c)
+	ctx = context.WithValue(c.withCancel(ctx), connKey{}, c)
+	return accountant.WithHolder(ctx, c.holder)
 }
 
 // CallerGone returns a function that reports whether the caller of a request has closed
@@ -237,13 +261,26 @@
 	return conns
 }
 
-func (s *Sweeper) add(accepted net.Conn) *conn {
+// add tracks a connection, or returns false if the account refuses it.
+func (s *Sweeper) add(accepted net.Conn) (*conn, bool) {
 	c := &conn{Conn: accepted, sweeper: s, state: stateNew}
+	if s.account != nil {
+		caller, _, err := net.SplitHostPort(accepted.RemoteAddr().String())
+		if err != nil {
+			caller = accepted.RemoteAddr().String()
+		}
+		holder, ok := s.account.Open(caller, s.clock.Now(), c.evict)
+		if !ok {
+			s.log.Info("connection refused; too many are open, or the memory for callers is taken", "caller", caller)
+			return nil, false
+		}
+		c.holder = holder
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.conns[c] = struct{}{}
 	s.counts.Accepted++
-	return c
+	return c, true
 }
 
 func (s *Sweeper) remove(c *conn) {
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -14,6 +14,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/follower"
 	"github.com/waxwingloom/waxwingloom/internal/document/importer"
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/front/locator"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
@@ -257,13 +258,14 @@
 		return receiver.New(f.Find(steerName).(*steerer.Steerer), platform.Headers(), limits,
 			f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	r.Register(sweepName, []registrar.Name{clockName, steerName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(sweepName, []registrar.Name{clockName, steerName, accountName}, func(f registrar.Finder) (any, func(), error) {
 		st := f.Find(steerName).(*steerer.Steerer)
 		idleTimeout := func() time.Duration {
 			limits, _ := st.Ingress()
 			return limits.CallerIdleTimeout
 		}
-		return sweeper.New(idleTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
+		account := f.Find(accountName).(*accountant.Accountant)
+		return sweeper.New(idleTimeout, f.Find(clockName).(clockwork.Clock), log, sweeper.WithAccount(account)), nil, nil
 	})
 	r.Register(frontName, []registrar.Name{portsName, callersName, sweepName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
 		sweep := f.Find(sweepName).(*sweeper.Sweeper)
@@ -281,7 +283,7 @@
 			shutdownTimeout: f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock: f.Find(clockName).(clockwork.Clock), log: log,
 		}, nil, nil
 	})
-	r.Register(lookupServerName, []registrar.Name{membersName, steerName, reloadName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(lookupServerName, []registrar.Name{membersName, steerName, reloadName, graceName, clockName, accountName}, func(f registrar.Finder) (any, func(), error) {
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		st := f.Find(steerName).(*steerer.Steerer)
 		locate := func(host string, p locator.Location) []string {
@@ -291,13 +293,13 @@
 		ttl := func() time.Duration { return settings.Current().Routing.LookupTTL }
 		return newAdminServer(f, s.Routing.LookupAddress, platform.LookupHandler(locate, ttl), log)
 	})
-	r.Register(readyName, []registrar.Name{steerName, callersName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(readyName, []registrar.Name{steerName, callersName, graceName, clockName, accountName}, func(f registrar.Finder) (any, func(), error) {
 		st := f.Find(steerName).(*steerer.Steerer)
 		front := f.Find(callersName).(*receiver.Receiver)
 		ready := func() bool { return st.Ready() && !front.ShuttingDown() }
 		return newAdminServer(f, s.Routing.ReadyAddress, platform.ReadyHandler(ready), log)
 	})
-	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, graceName}, followerNames...)
+	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, graceName, accountName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeadTimeout}
 		return newWebServer(server, f.Find(portsName).(*listeners).operators, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
@@ -314,7 +316,7 @@
 }
 
 // newAdminServer returns a server for a handler that is not on callers' request path, and
-// opens its listener.
+// opens its listener. Its connections count in callers' account.
 func newAdminServer(f registrar.Finder, address string, handler http.Handler, log *slog.Logger) (any, func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -322,7 +324,8 @@
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminHeadTimeout}
 	clock := f.Find(clockName).(clockwork.Clock)
-	return newWebServer(server, listener, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock, log), func() { _ = listener.Close() }, nil
+	account := sweeper.WithAccount(f.Find(accountName).(*accountant.Accountant))
+	return newWebServer(server, listener, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock, log, account), func() { _ = listener.Close() }, nil
 }
 
 func routedMetrics(f registrar.Finder) http.Handler {
@@ -335,6 +338,8 @@
 	m.Set("busy", expvar.Func(func() any { return front.InFlight() }))
 	sweep := f.Find(sweepName).(*sweeper.Sweeper)
 	m.Set("connections", expvar.Func(func() any { return sweep.Counts() }))
+	account := f.Find(accountName).(*accountant.Accountant)
+	m.Set("memory", expvar.Func(func() any { return account.Counts() }))
 	m.Set("cuts", expvar.Func(func() any { return sweep.Cuts() }))
 	m.Set("needs", expvar.Func(func() any { return st.Demand() }))
 	quarantine, clock := f.Find(quarantineName).(*quarantiner.Quarantiner), f.Find(clockName).(clockwork.Clock)
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"log/slog"
@@ -14,6 +15,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/editor"
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
 	"github.com/waxwingloom/waxwingloom/internal/document/watcher"
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/front/operator"
 	"github.com/waxwingloom/waxwingloom/internal/front/responder"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
@@ -35,6 +37,7 @@
 // frontName the HTTP server that runs it.
 const (
 	clockName       registrar.Name = "clock"
+	accountName     registrar.Name = "memory"
 	portsName       registrar.Name = "ports"
 	platformName    registrar.Name = "platform"
 	documentsName   registrar.Name = "documents"
@@ -102,6 +105,10 @@
 	r.Register(clockName, nil, func(registrar.Finder) (any, func(), error) {
 		return clockwork.NewRealClock(), nil, nil
 	})
+	r.Register(accountName, nil, func(registrar.Finder) (any, func(), error) {
+		limitHeap(s.Limits, log)
+		return accountant.New(callerLimits(s.Limits, log)), nil, nil
+	})
 	r.Register(portsName, nil, func(registrar.Finder) (any, func(), error) { return openListeners(s, log) })
 	r.Register(documentsName, nil, func(registrar.Finder) (any, func(), error) {
 		return keeper.New(log), nil, nil
@@ -160,7 +167,7 @@
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		self := dispatcher.Self{VM: s.VM, Zone: s.Zone, Region: s.Region}
 		d, cleanup := dispatcher.New(self, f.Find(peersName).(*messenger.Messenger), members,
-			f.Find(clockName).(clockwork.Clock), log, dispatcher.WithMaxBufferedBytes(s.Limits.MaxBufferedBytes))
+			f.Find(clockName).(clockwork.Clock), log, dispatcher.WithMaxBufferedBytes(cmp.Or(s.Limits.MaxBufferedBytes, defaultMaxBufferedBytes)))
 		f.Find(documentsName).(*keeper.Keeper).Subscribe(d.SetDocument)
 		f.Find(tokensName).(*conductor.Conductor).SetDispatcher(d)
 		members.SetFreeCapacity(d.FreeCapacity)
--- a/internal/kernel/runner/webserver.go
+++ b/internal/kernel/runner/webserver.go
@@ -49,8 +49,10 @@
 
 // newWebServer returns a server whose responses end their connections once it stops. The
 // idle timeout is that of server.
-func newWebServer(server *http.Server, l net.Listener, shutdownTimeout func() time.Duration, clock clockwork.Clock, log *slog.Logger) *webServer {
-	sweep := sweeper.New(func() time.Duration { return 0 }, clock, log)
+func newWebServer(
+	server *http.Server, l net.Listener, shutdownTimeout func() time.Duration, clock clockwork.Clock, log *slog.Logger, opts ...sweeper.Option,
+) *webServer {
+	sweep := sweeper.New(func() time.Duration { return 0 }, clock, log, opts...)
 	stopping := &atomic.Bool{}
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/route/quarantiner/fingerprint.go
+++ b/internal/route/quarantiner/fingerprint.go
@@ -18,9 +18,13 @@
 
 // FingerprintsOf returns the fingerprints of a request. Caller identifies the caller, by its
 // credentials or its address without the port.
-func FingerprintsOf(caller, method, host, target string, body []byte) Fingerprints {
-	bodyHash := sha256.Sum256(body)
-	request := hashOf([]byte(method), []byte(host), []byte(target), bodyHash[:])
+func FingerprintsOf(caller, method, host, target string, body ...[]byte) Fingerprints {
+	bodyHash := sha256.New()
+	for _, part := range body {
+		// Writing to a hash never fails.
+		_, _ = bodyHash.Write(part)
+	}
+	request := hashOf([]byte(method), []byte(host), []byte(target), bodyHash.Sum(nil))
 	return Fingerprints{request, hashOf(request[:], []byte(caller))}
 }
 
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -243,6 +243,7 @@
 			Method:        a.request.Method,
 			Head:          s.requestHead(a, target.Upstream, timeLeft),
 			Body:          a.request.Body,
+			BodyRest:      a.request.BodyRest,
 			AttemptHeader: s.headers.AttemptID,
 			AttemptID:     a.request.AttemptID,
 			Deadline:      a.deadline,
@@ -375,7 +376,7 @@
 
 // transferSize returns the approximate size of a request and its response in bytes.
 func transferSize(a *activeRequest, resp exchanger.Response) int {
-	size := len(a.request.Target) + len(a.request.Body) + max(len(resp.Body), int(resp.ContentLength))
+	size := len(a.request.Target) + a.request.bodyBytes() + max(len(resp.Body), int(resp.ContentLength))
 	for _, header := range []http.Header{a.request.Header, resp.Header} {
 		for name, values := range header {
 			for _, v := range values {
@@ -386,6 +387,15 @@
 	return size
 }
 
+// bodyBytes returns the length of the request's body.
+func (r *Request) bodyBytes() int {
+	n := len(r.Body)
+	for _, part := range r.BodyRest {
+		n += len(part)
+	}
+	return n
+}
+
 func closeRest(resp exchanger.Response) {
 	if resp.Rest != nil {
 		_ = resp.Rest.Close()
@@ -401,8 +411,8 @@
 	_ = r.Header.Write(&b)
 	b.WriteString(s.headers.RemainingMs + ": " + strconv.FormatInt(timeLeft.Milliseconds(), 10) + "\r\n")
 	b.WriteString(s.headers.ExpectedUpstream + ": " + string(name) + "\r\n")
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if r.bodyBytes() > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(r.bodyBytes()) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
--- a/internal/route/steerer/quarantine.go
+++ b/internal/route/steerer/quarantine.go
@@ -50,7 +50,7 @@
 		r := a.request
 		// An account's credentials identify a caller better than the address.
 		caller := cmp.Or(r.Header.Get("Authorization"), r.Caller)
-		fps := quarantiner.FingerprintsOf(caller, r.Method, r.Host, r.Target, r.Body)
+		fps := quarantiner.FingerprintsOf(caller, r.Method, r.Host, r.Target, append([][]byte{r.Body}, r.BodyRest...)...)
 		a.cachedFingerprints = &fps
 	}
 	return *a.cachedFingerprints
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -63,13 +63,15 @@
 	// request is about, for routes with affinity. Caller is the caller's address without
 	// the port.
 	Request struct {
-		Caller     string
-		Method     string
-		Host       string
-		Target     string
-		Path       string
-		Header     http.Header
-		Body       []byte
+		Caller string
+		Method string
+		Host   string
+		Target string
+		Path   string
+		Header http.Header
+		Body   []byte
+		// BodyRest is what follows Body if the body is held in several buffers.
+		BodyRest   [][]byte
 		AttemptID  string
 		Object     string
 		ReceivedAt time.Time
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -103,8 +103,16 @@
 		// MaxInFlight is the maximum number of concurrent requests.
 		MaxInFlight int
 		// MaxBufferedBytes limits the request bodies that routes hold in memory
-		// at the same time, and separately the response bodies.
+		// at the same time, and separately the response bodies. 0 leaves that to MemoryMB.
 		MaxBufferedBytes int64
+		// MemoryMB is the memory of the machine in 10^6 bytes, and Descriptors the number of
+		// files that the process may open, 0 if they are not known.
+		MemoryMB    int64
+		Descriptors int
+		// MaxConnections is the maximum number of callers' connections, and
+		// MaxCallerConnections that from one address. 0 derives them from Descriptors.
+		MaxConnections       int
+		MaxCallerConnections int
 		// MaxTokens is the maximum number of once-only tokens that the daemon stores
 		// as owner. It stores up to as many others as witness.
 		MaxTokens int
@@ -233,13 +241,17 @@
 
 func newLimits(e checker.Entry) Limits {
 	return Limits{
-		MaxHeadBytes:        int(e.Number("head")),
-		MaxRequestBodyBytes: e.Number("body"),
-		MaxStoredBodyBytes:  int(e.Number("answer")),
-		ReadTimeout:         e.Duration("read"),
-		MaxInFlight:         int(e.Number("requests")),
-		MaxBufferedBytes:    e.Number("bodies"),
-		MaxTokens:           int(e.Number("tokens")),
+		MaxHeadBytes:         int(e.Number("head")),
+		MaxRequestBodyBytes:  e.Number("body"),
+		MaxStoredBodyBytes:   int(e.Number("answer")),
+		ReadTimeout:          e.Duration("read"),
+		MaxInFlight:          int(e.Number("requests")),
+		MaxBufferedBytes:     e.Number("bodies"),
+		MemoryMB:             e.Number("memory"),
+		Descriptors:          int(e.Number("descriptors")),
+		MaxConnections:       int(e.Number("connections")),
+		MaxCallerConnections: int(e.Number("percaller")),
+		MaxTokens:            int(e.Number("tokens")),
 	}
 }
 
--- a/internal/settings/loader/schema.go
+++ b/internal/settings/loader/schema.go
@@ -57,7 +57,11 @@
 		{Name: "body", Kind: checker.Number, Default: "262144", Min: 1024, Max: 64 << 20, Unit: "bytes", Doc: "the largest request body; above it 413"},
 		{Name: "answer", Kind: checker.Number, Default: "65536", Min: 0, Max: 1 << 20, Unit: "bytes", Doc: "the largest answer to a once-only request that is kept for a retry"},
 		{Name: "read", Kind: checker.Duration, Default: "5s", Min: int64(10 * time.Millisecond), Max: int64(time.Minute), Doc: "the time within which a request must have been read; above it 408"},
-		{Name: "bodies", Kind: checker.Number, Default: "67108864", Min: 1024, Max: 1 << 40, Unit: "bytes", Doc: "the request bodies held at once for routes, above it 503, and as many of response bodies, above it streamed, or left out of answers to once-only requests"},
+		{Name: "bodies", Kind: checker.Number, Default: "0", Min: 0, Max: 1 << 40, Unit: "bytes", Doc: "the request bodies held at once for routes, above it 503, and as many of response bodies, above it streamed, or left out of answers to once-only requests; 0 sets no limit beside that of memory, and 67108864 for answers to once-only requests"},
+		{Name: "memory", Kind: checker.Number, Default: "0", Min: 0, Max: 1 << 30, Unit: "MB", Doc: "the machine's memory in 10^6 bytes, half of which callers' connections and requests may take, above it 503 or a closed connection; the Go runtime keeps to three quarters of it; 0 takes GOMEMLIMIT, or no limit"},
+		{Name: "descriptors", Kind: checker.Number, Default: "0", Min: 0, Max: 1 << 30, Unit: "descriptors", Doc: "the files and sockets that this process may open; 0 takes the limit of the operating system"},
+		{Name: "connections", Kind: checker.Number, Default: "0", Min: 0, Max: 1 << 30, Unit: "connections", Doc: "callers' open connections, above it the one that has been idle longest is closed; 0 takes half of the descriptors"},
+		{Name: "percaller", Kind: checker.Number, Default: "0", Min: 0, Max: 1 << 30, Unit: "connections", Doc: "open connections from one caller's address, above it the one of them that has been idle longest is closed; 0 takes three quarters of connections"},
 		{Name: "requests", Kind: checker.Number, Default: "1024", Min: 1, Max: 1 << 20, Unit: "requests", Doc: "the requests in progress; above it 503"},
 		{Name: "tokens", Kind: checker.Number, Default: "100000", Min: 1, Max: 1 << 24, Unit: "tokens", Doc: "the once-only tokens remembered as owner, and as many as witness"},
 	}}
--- a/internal/stand/crowder/crowder_test.go
+++ b/internal/stand/crowder/crowder_test.go
@@ -1,9 +1,11 @@
 package crowder_test
 
 import (
+	"bufio"
 	"bytes"
 	"fmt"
 	"net"
+	"net/http"
 	"strings"
 	"sync"
 	"testing"
@@ -27,6 +29,10 @@
 	bufferBytes = 64 << 10
 	// overBytes is the length of a body over the limit.
 	overBytes = 8 * maxBodyBytes
+	// slowPieces is the number of pieces in which a slow caller sends a body of the largest
+	// legal size, with slowPause between them.
+	slowPieces = 16
+	slowPause  = 50 * time.Millisecond
 	// writeTimeout ends the writes of a caller that the daemon does not read any more.
 	writeTimeout = 10 * time.Second
 )
@@ -203,3 +209,30 @@
 		return member{head: "POST /a HTTP/1.1\r\nHost: shop.example\r\n", send: func(*writer) {}}
 	})
 }
+
+// TestSlowCallerInCalm guards against limits that meet callers which stay inside the pages'
+// limits: a body of the largest size comes slowly, beside ordinary requests, and nothing is
+// refused or closed.
+func TestSlowCallerInCalm(t *testing.T) {
+	d := start(t)
+	conn, err := net.Dial("tcp", d.callers)
+	assert.NilError(t, err)
+	defer func() { _ = conn.Close() }()
+	w := &writer{conn: conn}
+	w.write([]byte(announced(maxBodyBytes)))
+	for range slowPieces {
+		w.fill(maxBodyBytes/slowPieces, bufferBytes)
+		time.Sleep(slowPause)
+		d.checkServes(t, 1024)
+	}
+	assert.NilError(t, w.err)
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+	counts := d.counts(t)
+	assert.Equal(t, counts.RefusedBytes, int64(0))
+	assert.Equal(t, counts.RefusedConnections, int64(0))
+	assert.Equal(t, counts.Closed, int64(0))
+	d.checkBounds(t)
+}
--- a/internal/stand/crowder/daemon_test.go
+++ b/internal/stand/crowder/daemon_test.go
@@ -21,6 +21,7 @@
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/stand/storekeeper"
 	"github.com/waxwingloom/waxwingloom/platform"
 )
@@ -55,6 +56,8 @@
 [routing]
 ready = %s
 lookup = %s
+[limits]
+memory = %d
 [zone a]
 region = r
 `
@@ -71,12 +74,13 @@
 
 // daemon is a daemon that runs as a process of its own, with a store and an upstream.
 type daemon struct {
-	callers string
-	ready   string
-	pid     int
-	exited  chan error
-	calmKB  int64
-	log     *safeBuffer
+	callers   string
+	operators string
+	ready     string
+	pid       int
+	exited    chan error
+	calmKB    int64
+	log       *safeBuffer
 }
 
 type safeBuffer struct {
@@ -136,9 +140,9 @@
 	assert.NilError(t, os.WriteFile(key, []byte("a key of sixteen bytes"), 0o600))
 	a := freeAddresses(t, 5)
 	path := filepath.Join(dir, "waxwingd.ini")
-	text := fmt.Sprintf(settings, a[0], a[1], a[2], strings.TrimPrefix(storeServer.URL, "http://"), key, a[2], a[3], a[4])
+	text := fmt.Sprintf(settings, a[0], a[1], a[2], strings.TrimPrefix(storeServer.URL, "http://"), key, a[2], a[3], a[4], machineMemoryMB)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
-	d := &daemon{callers: a[0], ready: a[3], exited: make(chan error, 1), log: &safeBuffer{}}
+	d := &daemon{callers: a[0], operators: a[1], ready: a[3], exited: make(chan error, 1), log: &safeBuffer{}}
 	cmd := exec.Command("/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(machineDescriptors), program, "serve", "-settings", path)
 	cmd.Env = append(os.Environ(), "GOGC="+goPercent, "GOMEMLIMIT="+goMemoryLimit)
 	cmd.Stdout, cmd.Stderr = d.log, d.log
@@ -238,6 +242,19 @@
 	assert.Equal(t, string(body), strconv.Itoa(bodyBytes))
 }
 
+// counts returns what the daemon says of the account of its callers' connections.
+func (d *daemon) counts(t *testing.T) accountant.Counts {
+	t.Helper()
+	resp, err := http.Get("http://" + d.operators + "/metrics")
+	assert.NilError(t, err)
+	defer func() { _ = resp.Body.Close() }()
+	var metrics struct {
+		Memory accountant.Counts `json:"memory"`
+	}
+	assert.NilError(t, json.NewDecoder(resp.Body).Decode(&metrics))
+	return metrics.Memory
+}
+
 // checkBounds checks that the process lives, and that its memory and its descriptors have
 // stayed under their bounds.
 func (d *daemon) checkBounds(t *testing.T) {
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -72,9 +72,11 @@
 	// header named AttemptHeader. Usable reports whether requests may still be sent to the
 	// upstream; it is called right before the first byte is written, and nil means yes.
 	Request struct {
-		Method        string
-		Head          []byte
-		Body          []byte
+		Method string
+		Head   []byte
+		Body   []byte
+		// BodyRest is what follows Body if the body is held in several buffers.
+		BodyRest      [][]byte
 		AttemptHeader string
 		AttemptID     string
 		Deadline      time.Time
@@ -212,7 +214,7 @@
 // body fits the socket's send buffer and is written synchronously.
 func (c *connection) writeRequest(r Request) {
 	c.request = newSending()
-	if len(r.Body) <= maxSingleWriteBodyBytes {
+	if len(r.Body) <= maxSingleWriteBodyBytes && len(r.BodyRest) == 0 {
 		_, err := c.conn.Write(append(r.Head, r.Body...))
 		c.request.finish(err)
 		return
@@ -223,6 +225,11 @@
 		if err == nil {
 			_, err = c.conn.Write(r.Body)
 		}
+		for _, part := range r.BodyRest {
+			if err == nil {
+				_, err = c.conn.Write(part)
+			}
+		}
 		sending.finish(err)
 	}()
 }
--- a/review/_stand/deployment.go
+++ b/review/_stand/deployment.go
@@ -32,6 +32,9 @@
 	// grace is the bound of the same name on the page of the sites.
 	grace        = 6 * time.Second
 	readyTimeout = 20 * time.Second
+	// machineMemoryMB and machineDescriptors are those of a machine on the page of the sites.
+	machineMemoryMB    = 284
+	machineDescriptors = 4100
 )
 
 type (
@@ -149,6 +152,10 @@
 		fmt.Fprintf(&zones, "[zone %s]\nregion = %s\n", p.zone, p.region)
 	}
 	text := regexp.MustCompile(`(?s)\{\{#zones\}\}.*\{\{/zones\}\}`).ReplaceAllString(string(raw), zones.String())
+	text = sectionOf("limits.memoryMb").ReplaceAllString(text, fmt.Sprintf("memory = %d\n", machineMemoryMB))
+	text = sectionOf("limits.maxFds").ReplaceAllString(text, fmt.Sprintf("descriptors = %d\n", machineDescriptors))
+	// The deployment of the cases has no client accounts.
+	text = sectionOf(`bounds\.\w+`).ReplaceAllString(text, "")
 	text = strings.NewReplacer(
 		"{{nodeName}}", v.name, "{{zone}}", v.place.zone, "{{region}}", v.place.region,
 		"{{listenAddrs.front}}", v.front, "{{ip}}:9600", operators, "{{listenAddrs.control}}", peers,
@@ -163,6 +170,11 @@
 	return text, nil
 }
 
+// sectionOf returns an expression for the sections of the template with a name.
+func sectionOf(name string) *regexp.Regexp {
+	return regexp.MustCompile(`(?s)\{\{#` + name + `\}\}.*?\{\{/` + name + `\}\}`)
+}
+
 // start starts the process as deploy/system.toml says.
 func (v *vm) start() error {
 	v.mu.Lock()
@@ -175,7 +187,7 @@
 		return err
 	}
 	cmd := exec.Command(daemonProgram, "serve", "-settings", v.settings)
-	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOGC=200", "GOMEMLIMIT=200MiB"}
+	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "GOGC=200"}
 	cmd.Stdout, cmd.Stderr = log, log
 	if err := cmd.Start(); err != nil {
 		return err
