Pipelined requests of idempotent routes run beside each other; bytes on an upstream are bounded

Cause: net/http serves the requests of a connection one after the other. The other classes send one request at a time.

Change: front/pipeliner reads ahead below net/http, which stays the server: requests of routes that are not once-only start at once, bounded in number and bytes a connection, and are answered in order. What is not framed beyond doubt is passed through. A stop answers what is in progress; the last response closes. The bytes of the requests that a VM has in progress at one upstream are bounded too (upstream/weigher).

--- a/internal/front/accountant/accountant.go
+++ b/internal/front/accountant/accountant.go
@@ -106,7 +106,9 @@
 
 		// account.mu guards the fields below.
 		state State
-		held  int64
+		// pins is the number of requests beside that of state that are in progress.
+		pins int
+		held int64
 		// progressAt is when the connection was last granted bytes, or changed its state.
 		progressAt time.Time
 		evicted    bool
@@ -191,6 +193,25 @@
 	h.state, h.progressAt = state, now
 }
 
+// Pin keeps the connection from being closed until Unpin is called as often.
+func (h *Holder) Pin() {
+	h.addPins(1)
+}
+
+// Unpin undoes Pin.
+func (h *Holder) Unpin() {
+	h.addPins(-1)
+}
+
+func (h *Holder) addPins(n int) {
+	if h == nil {
+		return
+	}
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+	h.pins += n
+}
+
 // Take adds bytes to what the connection holds, and reports whether it may. If it may not, its
 // request must be refused.
 func (h *Holder) Take(now time.Time, bytes int64) bool {
@@ -316,6 +337,9 @@
 // closable reports whether the connection may be closed to make room. A connection without a
 // whole head may be closed at any time.
 func (h *Holder) closable(now time.Time) bool {
+	if h.pins > 0 {
+		return false
+	}
 	switch h.state {
 	case Idle:
 		return true
--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -29,6 +29,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
+	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
 	"github.com/waxwingloom/waxwingloom/internal/front/recorder"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
@@ -200,14 +201,14 @@
 	arrived := r.clock.Now()
 	r.lastRequest.Store(int64(arrived.Sub(r.createdAt)))
 	if r.ShuttingDown() {
-		w.Header().Set("Connection", "close")
+		closeAfter(w, in)
 	}
 	// The request counts before refusing is read, so that a stop that then finds none in
 	// progress has missed none.
 	inFlight := r.inFlight.Add(1)
 	if r.refusing.Load() {
 		r.inFlight.Add(-1)
-		w.Header().Set("Connection", "close")
+		closeAfter(w, in)
 		result := steerer.ShuttingDownResult()
 		r.logResult(in, steerer.Request{AttemptID: in.Header.Get(r.headers.AttemptID), ReceivedAt: arrived}, result)
 		r.writeError(w, in, result)
@@ -224,7 +225,7 @@
 	defer body.release()
 	request, failed := r.readRequest(w, in, arrived, &body)
 	if failed.Code != "" {
-		w.Header().Set("Connection", "close")
+		closeAfter(w, in)
 		r.writeError(w, in, failed)
 		return
 	}
@@ -233,7 +234,7 @@
 	request.ReserveBytes = response.take
 	result := r.router.Steer(in.Context(), request)
 	if r.ShuttingDown() {
-		w.Header().Set("Connection", "close")
+		closeAfter(w, in)
 	}
 	r.logResult(in, request, result)
 	if result.Code != "" {
@@ -249,6 +250,14 @@
 	r.writeResponse(w, result)
 }
 
+// closeAfter makes the response close the caller's connection, unless requests behind this one
+// are in progress: then the last one of them does.
+func closeAfter(w http.ResponseWriter, in *http.Request) {
+	if !pipeliner.Hold(in.Context()) {
+		w.Header().Set("Connection", "close")
+	}
+}
+
 // readRequest reads a request and its whole body. If the result has a code, the
 // request is refused with that result.
 func (r *Receiver) readRequest(w http.ResponseWriter, in *http.Request, arrived time.Time, held *reservation) (steerer.Request, steerer.Result) {
@@ -349,6 +358,7 @@
 	if attempt := in.Header.Get(r.headers.AttemptID); attempt != "" {
 		w.Header().Set(r.headers.AttemptID, attempt)
 	}
+	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(result.Status)
 	body, err := json.Marshal(errorBody{Code: result.Code, Reason: result.Reason})
 	if err != nil {
--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -13,6 +13,7 @@
 	"golang.org/x/sys/unix"
 
 	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
+	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
 )
 
 // The kernel's states of a connection that the other end has reset or closed.
@@ -43,6 +44,8 @@
 	conn struct {
 		net.Conn
 		sweeper *Sweeper
+		// ahead is Conn if it reads requests ahead, or nil.
+		ahead *pipeliner.Conn
 		// holder is the connection's entry in the account, or nil.
 		holder *accountant.Holder
 		// headBytes is what the heads that were read take in the account. Only the reader
@@ -214,6 +217,9 @@
 }
 
 func (c *conn) isHidden() bool {
+	if c.ahead != nil && c.ahead.Stalled() {
+		return true
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return c.hidden
@@ -248,10 +254,13 @@
 	err := c.control(func(fd int) {
 		n, _ = syscall.Read(fd, p)
 	})
-	if err != nil {
+	if err != nil || n <= 0 {
 		return 0
 	}
-	return max(n, 0)
+	if c.ahead != nil {
+		return c.ahead.Deliver(p[:n])
+	}
+	return n
 }
 
 // peerClosed reports whether the caller has closed the connection, also when net/http has
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -27,6 +27,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
+	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
 )
 
 const (
@@ -59,6 +60,7 @@
 	Sweeper struct {
 		idleTimeout IdleTimeoutFunc
 		account     *accountant.Accountant
+		pipeliner   *pipeliner.Pipeliner
 		clock       clockwork.Clock
 		log         *slog.Logger
 
@@ -85,6 +87,11 @@
 	return func(s *Sweeper) { s.account = a }
 }
 
+// WithPipeliner lets the connections read requests ahead.
+func WithPipeliner(p *pipeliner.Pipeliner) Option {
+	return func(s *Sweeper) { s.pipeliner = p }
+}
+
 // New returns a sweeper that tracks no connections yet.
 func New(idleTimeout IdleTimeoutFunc, clock clockwork.Clock, log *slog.Logger, opts ...Option) *Sweeper {
 	s := &Sweeper{idleTimeout: idleTimeout, clock: clock, log: log, conns: make(map[*conn]struct{}), drained: make(chan struct{})}
@@ -140,7 +147,11 @@
 		return ctx
 	}
 	ctx = context.WithValue(c.withCancel(ctx), connKey{}, c)
-	return accountant.WithHolder(ctx, c.holder)
+	ctx = accountant.WithHolder(ctx, c.holder)
+	if c.ahead != nil {
+		ctx = c.ahead.SetContext(ctx)
+	}
+	return ctx
 }
 
 // CallerGone returns a function that reports whether the caller of a request has closed
@@ -264,12 +275,16 @@
 // add tracks a connection, or returns false if the account refuses it.
 func (s *Sweeper) add(accepted net.Conn) (*conn, bool) {
 	c := &conn{Conn: accepted, sweeper: s, state: stateNew}
+	if s.pipeliner != nil {
+		c.ahead = s.pipeliner.Wrap(accepted)
+		c.Conn = c.ahead
+	}
 	if s.account != nil {
 		caller, _, err := net.SplitHostPort(accepted.RemoteAddr().String())
 		if err != nil {
 			caller = accepted.RemoteAddr().String()
 		}
-		holder, ok := s.account.Open(caller, s.clock.Now(), c.evict)
+		holder, ok := s.account.Open(caller, s.clock.Now(), func(e accountant.Eviction) { go c.evict(e) })
 		if !ok {
 			s.log.Info("connection refused; too many are open, or the memory for callers is taken", "caller", caller)
 			return nil, false
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -16,6 +16,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
 	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/front/locator"
+	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
@@ -52,6 +53,7 @@
 	lookupServerName registrar.Name = "directory"
 	readyName        registrar.Name = "ready"
 	sweepName        registrar.Name = "sweep"
+	pipelineName     registrar.Name = "pipeline"
 )
 
 // followerNames are the names of the followers of the store's records.
@@ -220,6 +222,7 @@
 		self := selector.Self{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
 		budget := steerer.RetryBudget{Ratio: s.Routing.RetryRatio, Window: s.Routing.RetryWindow, Started: clock.Now()}
 		st := steerer.New(self, platform.Headers(), budget, upstreamClient, clock, log)
+		st.SetMaxUpstreamBytes(s.Limits.MaxUpstreamBytes)
 		upstreamClient.OnLost(st.RecordLost)
 		upstreams := f.Find(upstreamsName).(*follower.Follower)
 		st.SetViewAgeFunc(func() time.Duration {
@@ -258,14 +261,20 @@
 		return receiver.New(f.Find(steerName).(*steerer.Steerer), platform.Headers(), limits,
 			f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	r.Register(sweepName, []registrar.Name{clockName, steerName, accountName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(pipelineName, []registrar.Name{clockName, steerName, callersName}, func(f registrar.Finder) (any, func(), error) {
+		st := f.Find(steerName).(*steerer.Steerer)
+		admit := func(r *http.Request) bool { return st.MayRunBeside(r.Host, r.URL.EscapedPath()) }
+		limits := pipeliner.Limits{Requests: s.Limits.MaxReadAhead, Bytes: s.Limits.MaxReadAheadBytes}
+		return pipeliner.New(f.Find(callersName).(*receiver.Receiver), admit, limits, f.Find(clockName).(clockwork.Clock), log), nil, nil
+	})
+	r.Register(sweepName, []registrar.Name{clockName, steerName, accountName, pipelineName}, func(f registrar.Finder) (any, func(), error) {
 		st := f.Find(steerName).(*steerer.Steerer)
 		idleTimeout := func() time.Duration {
 			limits, _ := st.Ingress()
 			return limits.CallerIdleTimeout
 		}
 		account := f.Find(accountName).(*accountant.Accountant)
-		return sweeper.New(idleTimeout, f.Find(clockName).(clockwork.Clock), log, sweeper.WithAccount(account)), nil, nil
+		return sweeper.New(idleTimeout, f.Find(clockName).(clockwork.Clock), log, sweeper.WithAccount(account), sweeper.WithPipeliner(f.Find(pipelineName).(*pipeliner.Pipeliner))), nil, nil
 	})
 	r.Register(frontName, []registrar.Name{portsName, callersName, sweepName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
 		sweep := f.Find(sweepName).(*sweeper.Sweeper)
@@ -299,7 +308,7 @@
 		ready := func() bool { return st.Ready() && !front.ShuttingDown() }
 		return newAdminServer(f, s.Routing.ReadyAddress, platform.ReadyHandler(ready), log)
 	})
-	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, graceName, accountName}, followerNames...)
+	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, graceName, accountName, pipelineName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeadTimeout}
 		return newWebServer(server, f.Find(portsName).(*listeners).operators, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
@@ -340,6 +349,9 @@
 	m.Set("connections", expvar.Func(func() any { return sweep.Counts() }))
 	account := f.Find(accountName).(*accountant.Accountant)
 	m.Set("memory", expvar.Func(func() any { return account.Counts() }))
+	m.Set("overweight", expvar.Func(func() any { return st.OverweightCount() }))
+	ahead := f.Find(pipelineName).(*pipeliner.Pipeliner)
+	m.Set("ahead", expvar.Func(func() any { return ahead.Counts() }))
 	m.Set("cuts", expvar.Func(func() any { return sweep.Cuts() }))
 	m.Set("needs", expvar.Func(func() any { return st.Demand() }))
 	quarantine, clock := f.Find(quarantineName).(*quarantiner.Quarantiner), f.Find(clockName).(clockwork.Clock)
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -237,11 +237,17 @@
 		s.release(d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
 		return failure(http.StatusServiceUnavailable, CodeDeadlineExceeded, "no time is left", s.retryAfter(a)), outcomeUnsent
 	}
+	head := s.requestHead(a, target.Upstream, timeLeft)
+	size := int64(len(head) + a.request.bodyBytes())
+	if !s.weights.Take(target, size) {
+		return s.tooMuchAtUpstream(a, d), outcomeUnsent
+	}
+	defer s.weights.Give(target, size)
 	resp, err := s.upstreams.Exchange(ctx,
 		target,
 		exchanger.Request{
 			Method:        a.request.Method,
-			Head:          s.requestHead(a, target.Upstream, timeLeft),
+			Head:          head,
 			Body:          a.request.Body,
 			BodyRest:      a.request.BodyRest,
 			AttemptHeader: s.headers.AttemptID,
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -37,6 +37,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/weigher"
 )
 
 // The reasons why the result of a request is not an upstream's response.
@@ -153,6 +154,8 @@
 		// when this VM finds another one.
 		quarantine *quarantiner.Quarantiner
 		onEvidence func()
+		// weights holds the bytes of the requests at each upstream.
+		weights *weigher.Weigher
 	}
 
 	// Counts are the results of requests since the process started. Resent counts the
@@ -187,6 +190,7 @@
 		lostProbes:   make(map[quarantiner.Process]*lostProbe),
 		quarantine:   quarantiner.New(),
 		onEvidence:   func() {},
+		weights:      weigher.New(0),
 		viewAge:      func() time.Duration { return 0 },
 	}
 }
--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -113,6 +113,13 @@
 		// MaxCallerConnections that from one address. 0 derives them from Descriptors.
 		MaxConnections       int
 		MaxCallerConnections int
+		// MaxUpstreamBytes is the maximum size of the requests that are in progress at one
+		// upstream at the same time, together, 0 for no limit.
+		MaxUpstreamBytes int64
+		// MaxReadAhead is the maximum number of requests that are read ahead on a connection,
+		// and MaxReadAheadBytes that of their bytes.
+		MaxReadAhead      int
+		MaxReadAheadBytes int
 		// MaxTokens is the maximum number of once-only tokens that the daemon stores
 		// as owner. It stores up to as many others as witness.
 		MaxTokens int
@@ -251,6 +258,9 @@
 		Descriptors:          int(e.Number("descriptors")),
 		MaxConnections:       int(e.Number("connections")),
 		MaxCallerConnections: int(e.Number("percaller")),
+		MaxUpstreamBytes:     e.Number("upstream"),
+		MaxReadAhead:         int(e.Number("ahead")),
+		MaxReadAheadBytes:    int(e.Number("aheadbytes")),
 		MaxTokens:            int(e.Number("tokens")),
 	}
 }
--- a/internal/settings/loader/schema.go
+++ b/internal/settings/loader/schema.go
@@ -63,6 +63,9 @@
 		{Name: "connections", Kind: checker.Number, Default: "0", Min: 0, Max: 1 << 30, Unit: "connections", Doc: "callers' open connections, above it the one that has been idle longest is closed; 0 takes half of the descriptors"},
 		{Name: "percaller", Kind: checker.Number, Default: "0", Min: 0, Max: 1 << 30, Unit: "connections", Doc: "open connections from one caller's address, above it the one of them that has been idle longest is closed; 0 takes three quarters of connections"},
 		{Name: "requests", Kind: checker.Number, Default: "1024", Min: 1, Max: 1 << 20, Unit: "requests", Doc: "the requests in progress; above it 503"},
+		{Name: "upstream", Kind: checker.Number, Default: "268435456", Min: 0, Max: 1 << 40, Unit: "bytes", Doc: "the requests that this VM has in progress at one upstream together; above it they go to another one, or 503; one request of any size may be there; 0 sets no limit"},
+		{Name: "ahead", Kind: checker.Number, Default: "16", Min: 0, Max: 1024, Unit: "requests", Doc: "the requests of routes that are not once-only that are handled on a connection beside those before them; more wait; 0 handles one after the other"},
+		{Name: "aheadbytes", Kind: checker.Number, Default: "65536", Min: 0, Max: 1 << 24, Unit: "bytes", Doc: "the bytes of these requests; more wait"},
 		{Name: "tokens", Kind: checker.Number, Default: "100000", Min: 1, Max: 1 << 24, Unit: "tokens", Doc: "the once-only tokens remembered as owner, and as many as witness"},
 	}}
 }
