Unfinished bodies take no places; what read ahead responses hold counts

Cause: limits requests counted bodies that were being read, so 1,024 callers that stop short of their end got every other request refused. Responses of read ahead requests were copied beside the account. A reader that SetReadDeadline woke waited for the lock of its caller.

Result: TestUnfinishedBodiesTakeAllPlaces and TestReadAheadIsAccounted pass.

--- a/internal/front/pipeliner/framer.go
+++ b/internal/front/pipeliner/framer.go
@@ -2,16 +2,29 @@
 
 import (
 	"bytes"
-	"net/http"
 	"strconv"
-	"strings"
 )
 
 // maxHeadBytes is the longest head whose end is looked for.
 const maxHeadBytes = 16 << 10
 
-// headEnd is the end of a head.
-var headEnd = []byte("\r\n\r\n")
+var (
+	lineEnd        = []byte("\r\n")
+	headEnd        = []byte("\r\n\r\n")
+	space          = []byte(" ")
+	slash          = []byte("/")
+	colon          = []byte(":")
+	version        = []byte("HTTP/1.1")
+	hostName       = []byte("Host")
+	lengthName     = []byte("Content-Length")
+	connectionName = []byte("Connection")
+	keepAlive      = []byte("keep-alive")
+
+	connectionFields = [][]byte{
+		[]byte("Transfer-Encoding"), []byte("Expect"), []byte("Upgrade"), []byte("Trailer"), []byte("TE"), []byte("Proxy-Connection"),
+		[]byte("HTTP2-Settings"),
+	}
+)
 
 // framer follows the bytes that are delivered to net/http, and knows where requests begin.
 type framer struct {
@@ -37,18 +50,23 @@
 	case f.bodyLeft > 0:
 		return f.takeBody(p)
 	}
-	begun := len(f.head)
-	f.head = append(f.head, p...)
-	end := bytes.Index(f.head, headEnd)
+	begun, head := len(f.head), p
+	if begun > 0 {
+		f.head = append(f.head, p...)
+		head = f.head
+	}
+	end := bytes.Index(head, headEnd)
 	if end < 0 {
-		f.unknown = len(f.head) > maxHeadBytes
-		if f.unknown {
-			f.head = nil
+		if begun == 0 {
+			f.head = append(f.head, p...)
+		}
+		if len(head) > maxHeadBytes {
+			f.unknown, f.head = true, nil
 		}
 		return len(p)
 	}
 	end += len(headEnd)
-	length, framed := bodyLength(f.head[:end])
+	length, framed := bodyLength(head[:end])
 	f.head = f.head[:0]
 	if !framed {
 		f.unknown, f.head = true, nil
@@ -83,58 +101,71 @@
 // bodyLength returns the length of the body that follows a head. It returns false unless all
 // readers of HTTP/1.1 agree on that, and on what the head says of the connection.
 func bodyLength(head []byte) (int64, bool) {
-	lines := strings.Split(string(head[:len(head)-len(headEnd)]), "\r\n")
-	if !isRequestLine(lines[0]) {
+	line, rest, _ := bytes.Cut(head, lineEnd)
+	if !isRequestLine(line) {
 		return 0, false
 	}
 	length, hosts, lengths := int64(0), 0, 0
-	for _, line := range lines[1:] {
-		name, value, ok := strings.Cut(line, ":")
+	for {
+		line, rest, _ = bytes.Cut(rest, lineEnd)
+		if len(line) == 0 {
+			return length, hosts == 1 && lengths <= 1
+		}
+		name, value, ok := bytes.Cut(line, colon)
 		if !ok || !isToken(name) || !isPrintable(value) {
 			return 0, false
 		}
-		value = strings.Trim(value, " ")
-		switch http.CanonicalHeaderKey(name) {
-		case "Host":
+		value = bytes.Trim(value, " ")
+		switch {
+		case bytes.EqualFold(name, hostName):
 			hosts++
-		case "Content-Length":
+		case bytes.EqualFold(name, lengthName):
 			lengths++
-			n, err := strconv.ParseUint(value, 10, 62)
+			n, err := strconv.ParseUint(string(value), 10, 62)
 			if err != nil {
 				return 0, false
 			}
 			length = int64(n)
-		case "Connection":
-			if !strings.EqualFold(value, "keep-alive") {
+		case bytes.EqualFold(name, connectionName):
+			if !bytes.EqualFold(value, keepAlive) {
 				return 0, false
 			}
-		case "Transfer-Encoding", "Expect", "Upgrade", "Trailer", "Te", "Proxy-Connection", "Http2-Settings":
+		case isConnectionField(name):
 			return 0, false
 		}
 	}
-	return length, hosts == 1 && lengths <= 1
+}
+
+// isConnectionField reports whether a header field changes how the request is read, or what
+// becomes of the connection.
+func isConnectionField(name []byte) bool {
+	for _, other := range connectionFields {
+		if bytes.EqualFold(name, other) {
+			return true
+		}
+	}
+	return false
 }
 
 // isRequestLine reports whether a line is METHOD PATH HTTP/1.1.
-func isRequestLine(line string) bool {
-	method, rest, ok := strings.Cut(line, " ")
-	target, version, rested := strings.Cut(rest, " ")
-	return ok && rested && isToken(method) && strings.HasPrefix(target, "/") && isPrintable(target) && version == "HTTP/1.1"
+func isRequestLine(line []byte) bool {
+	method, rest, ok := bytes.Cut(line, space)
+	target, found, rested := bytes.Cut(rest, space)
+	return ok && rested && isToken(method) && bytes.HasPrefix(target, slash) && isPrintable(target) && bytes.Equal(found, version)
 }
 
-func isToken(text string) bool {
-	for i := range len(text) {
-		b := text[i]
+func isToken(text []byte) bool {
+	for _, b := range text {
 		if (b < 'a' || b > 'z') && (b < 'A' || b > 'Z') && (b < '0' || b > '9') && b != '-' && b != '_' {
 			return false
 		}
 	}
-	return text != ""
+	return len(text) > 0
 }
 
-func isPrintable(text string) bool {
-	for i := range len(text) {
-		if text[i] < ' ' || text[i] > '~' {
+func isPrintable(text []byte) bool {
+	for _, b := range text {
+		if b < ' ' || b > '~' {
 			return false
 		}
 	}
--- a/internal/front/pipeliner/pipeliner.go
+++ b/internal/front/pipeliner/pipeliner.go
@@ -122,7 +122,8 @@
 
 	// request is a request that was read ahead.
 	request struct {
-		bytes  int
+		bytes int
+		// taken is what the request takes in the account. Only its goroutine changes it.
 		taken  int64
 		cancel context.CancelFunc
 		// turn is closed when the response may be written.
@@ -223,12 +224,13 @@
 	return len(c.queue) > 0
 }
 
-// SetReadDeadline implements net.Conn.
+// SetReadDeadline implements net.Conn. Calls must not overlap.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	c.aborted = !t.IsZero() && !t.After(time.Now())
 	c.cond.Broadcast()
+	c.mu.Unlock()
+	// A reader that this wakes takes the lock.
 	return c.Conn.SetReadDeadline(t)
 }
 
@@ -291,8 +293,8 @@
 			c.cond.Wait()
 			continue
 		}
-		if err := c.fill(); errors.Is(err, os.ErrDeadlineExceeded) {
-			return err
+		if c.fill() != nil && c.readErr == nil {
+			return os.ErrDeadlineExceeded
 		}
 	}
 }
@@ -310,7 +312,7 @@
 			continue
 		}
 		// While it reads, the queue may become empty: the bytes are then for net/http.
-		if err := c.fill(); errors.Is(err, os.ErrDeadlineExceeded) {
+		if c.fill() != nil && c.readErr == nil {
 			c.aborted = true
 		}
 	}
@@ -406,6 +408,15 @@
 	return true
 }
 
+// takeMore takes memory for a part of a response, which is given back at the request's end.
+func (c *Conn) takeMore(q *request, bytes int) bool {
+	if !accountant.HolderOf(c.ctx).Take(c.pipeliner.clock.Now(), int64(bytes)) {
+		return false
+	}
+	q.taken += int64(bytes)
+	return true
+}
+
 // serve handles a request that was read ahead, and writes its response when its turn comes.
 func (c *Conn) serve(q *request, r *http.Request) {
 	w := &responseWriter{conn: c, request: q, header: make(http.Header), ctx: r.Context()}
--- a/internal/front/pipeliner/pipeliner_test.go
+++ b/internal/front/pipeliner/pipeliner_test.go
@@ -17,30 +17,37 @@
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 )
 
-// hangTimeout only ends a test that hangs.
-const hangTimeout = 20 * time.Second
+const (
+	// hangTimeout only ends a test that hangs.
+	hangTimeout = 20 * time.Second
+	// accountBytes is the memory for the connections of a server.
+	accountBytes = 4 << 20
+)
 
 // server serves with net/http, and reads ahead unless limits are 0. Its handler notes each
 // request when it starts, and calls handle.
 type server struct {
 	address string
 	sweep   *sweeper.Sweeper
+	account *accountant.Accountant
 	started chan string
 	handle  func(w http.ResponseWriter, r *http.Request)
 }
 
 func newServer(t *testing.T, limits pipeliner.Limits, handle func(w http.ResponseWriter, r *http.Request)) *server {
 	t.Helper()
-	s := &server{started: make(chan string, 100), handle: handle}
+	s := &server{started: make(chan string, 100), handle: handle, account: accountant.New(accountant.Limits{Bytes: accountBytes})}
 	log, clock := slog.New(slog.DiscardHandler), clockwork.NewRealClock()
 	admit := func(r *http.Request) bool { return r.Method == http.MethodGet || r.Method == http.MethodPut }
 	p := pipeliner.New(http.HandlerFunc(s.serve), admit, limits, clock, log)
-	s.sweep = sweeper.New(func() time.Duration { return 0 }, clock, log, sweeper.WithPipeliner(p))
+	s.sweep = sweeper.New(func() time.Duration { return 0 }, clock, log, sweeper.WithPipeliner(p), sweeper.WithAccount(s.account))
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
 	s.address = ln.Addr().String()
@@ -327,6 +334,39 @@
 	}
 }
 
+// TestReadAheadIsAccounted guards against memory that read ahead requests and their responses
+// take beside the account, or leave in it.
+func TestReadAheadIsAccounted(t *testing.T) {
+	t.Parallel()
+	const responseBytes = 60_000
+	g := newGates("/1")
+	written := make(chan struct{}, 2)
+	s := newServer(t, limits, func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/1" {
+			g.pass(r)
+		}
+		_, _ = w.Write(make([]byte, responseBytes))
+		written <- struct{}{}
+	})
+	conn, r := s.connect(t, get("/1", "/2", "/3"))
+	<-written
+	<-written
+	held := s.account.Counts().HeldBytes
+	assert.Assert(t, held > 2*responseBytes, "%d bytes are held", held)
+	close(g["/1"])
+	for range 3 {
+		body, _ := next(t, r)
+		assert.Equal(t, len(body), responseBytes)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if held := s.account.Counts().HeldBytes; held != accountant.ConnectionBytes {
+			return poll.Continue("%d bytes are held", held)
+		}
+		return poll.Success()
+	}, poll.WithTimeout(hangTimeout))
+	_ = conn.Close()
+}
+
 // TestLongResponsesKeepTheirOrder guards against bytes of one response within another, where
 // responses are longer than what is kept until their turn.
 func TestLongResponsesKeepTheirOrder(t *testing.T) {
--- a/internal/front/pipeliner/response.go
+++ b/internal/front/pipeliner/response.go
@@ -58,7 +58,7 @@
 	if w.err != nil {
 		return 0, w.err
 	}
-	if !w.begun && len(w.body)+len(p) <= maxBufferedBytes {
+	if !w.begun && len(w.body)+len(p) <= maxBufferedBytes && w.conn.takeMore(w.request, len(p)) {
 		w.body = append(w.body, p...)
 		return len(p), nil
 	}
--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -70,12 +70,14 @@
 
 	// Receiver is the HTTP handler for callers' requests.
 	Receiver struct {
-		router        Router
-		headers       namer.HeaderNames
-		limits        Limits
-		clock         clockwork.Clock
-		log           *slog.Logger
-		inFlight      atomic.Int64
+		router   Router
+		headers  namer.HeaderNames
+		limits   Limits
+		clock    clockwork.Clock
+		log      *slog.Logger
+		inFlight atomic.Int64
+		// running is the number of requests that have been read whole.
+		running       atomic.Int64
 		bufferedBytes atomic.Int64
 		// bufferedResponseBytes is the total size of the response bodies in memory.
 		bufferedResponseBytes atomic.Int64
@@ -205,7 +207,7 @@
 	}
 	// The request counts before refusing is read, so that a stop that then finds none in
 	// progress has missed none.
-	inFlight := r.inFlight.Add(1)
+	r.inFlight.Add(1)
 	if r.refusing.Load() {
 		r.inFlight.Add(-1)
 		closeAfter(w, in)
@@ -214,11 +216,6 @@
 		r.writeError(w, in, result)
 		return
 	}
-	if inFlight > r.limits.MaxInFlight {
-		r.inFlight.Add(-1)
-		r.writeError(w, in, unavailable(steerer.CodeBusy, "too many requests are in progress"))
-		return
-	}
 	defer r.inFlight.Add(-1)
 	holder := accountant.HolderOf(in.Context())
 	body := reservation{total: &r.bufferedBytes, limit: r.limits.MaxBufferedBytes, holder: holder, clock: r.clock}
@@ -229,6 +226,13 @@
 		r.writeError(w, in, failed)
 		return
 	}
+	// Bodies that are being read don't count: callers that stop short of their end would take
+	// the places of all others.
+	defer r.running.Add(-1)
+	if r.running.Add(1) > r.limits.MaxInFlight {
+		r.writeError(w, in, unavailable(steerer.CodeBusy, "too many requests are in progress"))
+		return
+	}
 	response := reservation{total: &r.bufferedResponseBytes, limit: r.limits.MaxBufferedBytes, holder: holder, clock: r.clock}
 	defer response.release()
 	request.ReserveBytes = response.take
--- a/internal/front/receiver/receiver_test.go
+++ b/internal/front/receiver/receiver_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
+	"gotest.tools/v3/poll"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
@@ -281,6 +282,29 @@
 	assert.Assert(t, resp.Header.Get("Retry-After") != "")
 }
 
+// TestUnfinishedBodiesTakeAllPlaces guards against callers that stop short of the end of their
+// bodies and take the places of all other requests.
+func TestUnfinishedBodiesTakeAllPlaces(t *testing.T) {
+	t.Parallel()
+	rec, address := start(t, &router{result: okResult("answer"), readTime: time.Minute}, receiver.Limits{MaxInFlight: 1})
+	for range 5 {
+		conn, err := net.Dial("tcp", address)
+		assert.NilError(t, err)
+		t.Cleanup(func() { _ = conn.Close() })
+		_, err = io.WriteString(conn, "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 9\r\n\r\nbody")
+		assert.NilError(t, err)
+	}
+	poll.WaitOn(t, func(poll.LogT) poll.Result {
+		if rec.InFlight() == 5 {
+			return poll.Success()
+		}
+		return poll.Continue("%d in flight", rec.InFlight())
+	})
+	resp, _, err := exchange(t, address, "GET / HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	assert.Equal(t, resp.StatusCode, http.StatusOK)
+}
+
 func TestTooManyBufferedBytes(t *testing.T) {
 	t.Parallel()
 	_, address := start(t, &router{result: okResult("answer")}, receiver.Limits{MaxInFlight: 10, MaxBufferedBytes: 3})
