--- a/internal/front/accountant/accountant.go
+++ b/internal/front/accountant/accountant.go
@@ -115,6 +115,12 @@
 		closed     bool
 	}
 
+	// Loan is what one request takes beside what its connection holds. One goroutine uses it.
+	Loan struct {
+		holder *Holder
+		bytes  int64
+	}
+
 	holderKey struct{}
 )
 
@@ -183,6 +189,31 @@
 	return h
 }
 
+// NewLoan returns an empty loan.
+func (h *Holder) NewLoan() *Loan {
+	return &Loan{holder: h}
+}
+
+// Take adds bytes to the loan, and reports whether it may.
+func (l *Loan) Take(now time.Time, bytes int64) bool {
+	if !l.holder.Take(now, bytes) {
+		return false
+	}
+	l.bytes += bytes
+	return true
+}
+
+// Return gives all bytes of the loan back.
+func (l *Loan) Return() {
+	l.holder.Give(l.bytes)
+	l.bytes = 0
+}
+
+// Bytes returns what the loan has taken.
+func (l *Loan) Bytes() int64 {
+	return l.bytes
+}
+
 // Enter notes what the connection is doing.
 func (h *Holder) Enter(now time.Time, state State) {
 	if h == nil {
--- a/internal/front/receiver/body.go
+++ b/internal/front/receiver/body.go
@@ -35,11 +35,12 @@
 		return nil, bodyTooLarge()
 	}
 	rc := http.NewResponseController(w)
-	held.holder.Enter(r.clock.Now(), accountant.Reading)
+	holder := accountant.HolderOf(in.Context())
+	holder.Enter(r.clock.Now(), accountant.Reading)
 	r.beginBodyRead(rc, limits.ReadTimeout)
 	body, err := readSegments(http.MaxBytesReader(w, in.Body, limits.MaxRequestBodyBytes), in.ContentLength, limits.MaxRequestBodyBytes, held.take)
 	r.endBodyRead(rc)
-	held.holder.Enter(r.clock.Now(), accountant.Running)
+	holder.Enter(r.clock.Now(), accountant.Running)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		return body, steerer.Result{}
@@ -47,8 +48,8 @@
 	var tooLarge *http.MaxBytesError
 	failed := steerer.Result{Code: steerer.CodeMalformed}
 	switch {
-	case errors.Is(err, errNoRoom) || held.holder.Evicted():
-		r.log.Info("request refused; the memory for callers is taken", "caller", in.RemoteAddr, "bytes", held.taken, "length", in.ContentLength)
+	case errors.Is(err, errNoRoom) || holder.Evicted():
+		r.log.Info("request refused; the memory for callers is taken", "caller", in.RemoteAddr, "bytes", held.loan.Bytes(), "length", in.ContentLength)
 		failed = unavailable(steerer.CodeBusy, errNoRoom.Error())
 	case errors.As(err, &tooLarge):
 		failed = bodyTooLarge()
--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -97,11 +97,10 @@
 	// reservation is what one request takes of a limit in bytes, and of the account of its
 	// connection.
 	reservation struct {
-		total  *atomic.Int64
-		limit  int64
-		holder *accountant.Holder
-		clock  clockwork.Clock
-		taken  int64
+		total *atomic.Int64
+		limit int64
+		loan  *accountant.Loan
+		clock clockwork.Clock
 	}
 
 	// errorBody is the JSON body of every response that doesn't come from an upstream.
@@ -121,19 +120,17 @@
 
 // take adds n bytes to the reservation, and reports whether the limits allow that.
 func (v *reservation) take(n int) bool {
-	if v.total.Add(int64(n)) > v.limit && v.limit > 0 || !v.holder.Take(v.clock.Now(), int64(n)) {
+	if v.total.Add(int64(n)) > v.limit && v.limit > 0 || !v.loan.Take(v.clock.Now(), int64(n)) {
 		v.total.Add(-int64(n))
 		return false
 	}
-	v.taken += int64(n)
 	return true
 }
 
 // release gives back all bytes of the reservation.
 func (v *reservation) release() {
-	v.total.Add(-v.taken)
-	v.holder.Give(v.taken)
-	v.taken = 0
+	v.total.Add(-v.loan.Bytes())
+	v.loan.Return()
 }
 
 // BeginShutdown makes every response carry "Connection: close", so that callers
@@ -218,7 +215,7 @@
 	}
 	defer r.inFlight.Add(-1)
 	holder := accountant.HolderOf(in.Context())
-	body := reservation{total: &r.bufferedBytes, limit: r.limits.MaxBufferedBytes, holder: holder, clock: r.clock}
+	body := reservation{total: &r.bufferedBytes, limit: r.limits.MaxBufferedBytes, loan: holder.NewLoan(), clock: r.clock}
 	defer body.release()
 	request, failed := r.readRequest(w, in, arrived, &body)
 	if failed.Code != "" {
@@ -233,7 +230,7 @@
 		r.writeError(w, in, unavailable(steerer.CodeBusy, "too many requests are in progress"))
 		return
 	}
-	response := reservation{total: &r.bufferedResponseBytes, limit: r.limits.MaxBufferedBytes, holder: holder, clock: r.clock}
+	response := reservation{total: &r.bufferedResponseBytes, limit: r.limits.MaxBufferedBytes, loan: holder.NewLoan(), clock: r.clock}
 	defer response.release()
 	request.ReserveBytes = response.take
 	result := r.router.Steer(in.Context(), request)
--- a/internal/front/responder/responder.go
+++ b/internal/front/responder/responder.go
@@ -22,6 +22,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
 	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
@@ -173,6 +174,9 @@
 			return r.writeFailure(c, http.StatusServiceUnavailable, busyOutcome(c))
 		}
 		defer r.inFlight.Add(-1)
+		loan := accountant.HolderOf(c.Request().Context()).NewLoan()
+		defer loan.Return()
+		c.Set(loanKey, loan)
 		return next(c)
 	}
 }
--- a/internal/front/responder/serve.go
+++ b/internal/front/responder/serve.go
@@ -13,6 +13,7 @@
 	"github.com/labstack/echo/v4"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
 	"github.com/waxwingloom/waxwingloom/internal/route/admitter"
@@ -97,7 +98,11 @@
 func (r *Responder) readBody(c echo.Context) ([]byte, int, arbiter.Outcome) {
 	rc := http.NewResponseController(c.Response())
 	_ = rc.SetReadDeadline(time.Now().Add(r.limits.ReadTimeout))
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, r.limits.MaxRequestBodyBytes))
+	holder := accountant.HolderOf(c.Request().Context())
+	holder.Enter(r.clock.Now(), accountant.Reading)
+	limited := http.MaxBytesReader(c.Response(), c.Request().Body, r.limits.MaxRequestBodyBytes)
+	body, err := io.ReadAll(&accountedReader{Reader: limited, loan: c.Get(loanKey).(*accountant.Loan), clock: r.clock})
+	holder.Enter(r.clock.Now(), accountant.Running)
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		return body, 0, arbiter.Outcome{}
@@ -107,6 +112,8 @@
 	c.Response().Header().Set("Connection", "close")
 	var tooLarge *http.MaxBytesError
 	switch {
+	case errors.Is(err, errNoRoom) || holder.Evicted():
+		return nil, http.StatusServiceUnavailable, r.refuseEarly(c, "busy", errNoRoom.Error())
 	case errors.As(err, &tooLarge):
 		return nil, http.StatusRequestEntityTooLarge, r.refuseEarly(c, "body-too-large", "the request body is over the limit")
 	case errors.Is(err, os.ErrDeadlineExceeded):
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -18,6 +18,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/front/operator"
 	"github.com/waxwingloom/waxwingloom/internal/front/responder"
+	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
 	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
@@ -194,7 +195,7 @@
 		self := responder.Self{VM: s.VM, Zone: s.Zone, Region: s.Region}
 		return responder.New(self, deps, s.Limits, s.Timing.TokenTTL, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	r.Register(frontName, []registrar.Name{portsName, callersName, clockName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(frontName, []registrar.Name{portsName, callersName, clockName, accountName}, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{
 			Handler:           f.Find(callersName).(*responder.Responder).Handler(),
 			ReadHeaderTimeout: s.Limits.ReadTimeout,
@@ -202,9 +203,10 @@
 			MaxHeaderBytes:    s.Limits.MaxHeadBytes + headMarginBytes,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		}
-		return newWebServer(server, f.Find(portsName).(*listeners).callers, httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
+		account := sweeper.WithAccount(f.Find(accountName).(*accountant.Accountant))
+		return newWebServer(server, f.Find(portsName).(*listeners).callers, httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log, account), nil, nil
 	})
-	deps = []registrar.Name{callersName, documentsName, routerName, tokensName}
+	deps = []registrar.Name{callersName, documentsName, routerName, tokensName, accountName}
 	r.Register(metricsName, deps, func(f registrar.Finder) (any, func(), error) {
 		return metrics(f), nil, nil
 	})
@@ -331,6 +333,8 @@
 	m.Set("stale", expvar.Func(func() any { return documents.StaleOffers() }))
 	m.Set("use", expvar.Func(func() any { return router.Usage() }))
 	m.Set("busy", expvar.Func(func() any { return tokens.InFlight() }))
+	account := f.Find(accountName).(*accountant.Accountant)
+	m.Set("memory", expvar.Func(func() any { return account.Counts() }))
 	m.Set("once", expvar.Func(func() any { return tokens.TokenCounts() }))
 	return m
 }
--- a/internal/kernel/runner/webserver.go
+++ b/internal/kernel/runner/webserver.go
@@ -61,6 +61,7 @@
 		cw.announceClose()
 	})
 	server.ConnState = sweep.Track
+	server.ConnContext = sweep.WithConn
 	return &webServer{
 		server: server, listener: l, sweeper: sweep, beginStop: func() { stopping.Store(true) },
 		shutdownTimeout: shutdownTimeout, clock: clock, log: log,
--- a/internal/stand/crowder/crowder_test.go
+++ b/internal/stand/crowder/crowder_test.go
@@ -212,16 +212,35 @@
 
 // TestSlowCallerInCalm guards against limits that meet callers which stay inside the pages'
 // limits: a body of the largest size comes slowly, beside ordinary requests, and nothing is
-// refused or closed.
+// refused or closed, on the smallest machine either.
 func TestSlowCallerInCalm(t *testing.T) {
-	d := start(t)
+	for _, tc := range []struct {
+		memoryMB  int64
+		bodyBytes int
+	}{{machineMemoryMB, maxBodyBytes}, {smallestMemoryMB, largestBodyBytes}} {
+		t.Run(fmt.Sprintf("%d MB, %d bytes", tc.memoryMB, tc.bodyBytes), func(t *testing.T) {
+			d := startOn(t, tc.memoryMB, tc.bodyBytes)
+			sendSlowly(t, d, tc.bodyBytes)
+			counts := d.counts(t)
+			assert.Equal(t, counts.RefusedBytes, int64(0))
+			assert.Equal(t, counts.RefusedConnections, int64(0))
+			assert.Equal(t, counts.Closed, int64(0))
+			d.checkBounds(t)
+		})
+	}
+}
+
+// sendSlowly sends a body in pieces, with an ordinary request behind each, and checks that it
+// is answered.
+func sendSlowly(t *testing.T, d *daemon, bodyBytes int) {
+	t.Helper()
 	conn, err := net.Dial("tcp", d.callers)
 	assert.NilError(t, err)
 	defer func() { _ = conn.Close() }()
 	w := &writer{conn: conn}
-	w.write([]byte(announced(maxBodyBytes)))
+	w.write([]byte(announced(bodyBytes)))
 	for range slowPieces {
-		w.fill(maxBodyBytes/slowPieces, bufferBytes)
+		w.fill(bodyBytes/slowPieces, bufferBytes)
 		time.Sleep(slowPause)
 		d.checkServes(t, 1024)
 	}
@@ -230,9 +249,4 @@
 	assert.NilError(t, err)
 	defer func() { _ = resp.Body.Close() }()
 	assert.Equal(t, resp.StatusCode, http.StatusOK)
-	counts := d.counts(t)
-	assert.Equal(t, counts.RefusedBytes, int64(0))
-	assert.Equal(t, counts.RefusedConnections, int64(0))
-	assert.Equal(t, counts.Closed, int64(0))
-	d.checkBounds(t)
 }
--- a/internal/stand/crowder/daemon_test.go
+++ b/internal/stand/crowder/daemon_test.go
@@ -38,6 +38,10 @@
 	goPercent     = "200"
 	// maxBodyBytes is the largest legal body.
 	maxBodyBytes = 4 << 20
+	// smallestMemoryMB is the memory of the smallest machine of a deployment, and
+	// largestBodyBytes its largest legal body.
+	smallestMemoryMB = 184
+	largestBodyBytes = 64 << 20
 )
 
 const settings = `[vm]
@@ -78,6 +82,7 @@
 	operators string
 	ready     string
 	pid       int
+	memoryMB  int64
 	exited    chan error
 	calmKB    int64
 	log       *safeBuffer
@@ -123,6 +128,12 @@
 
 // start starts the store, an upstream and the daemon, and waits until the daemon serves.
 func start(t *testing.T) *daemon {
+	t.Helper()
+	return startOn(t, machineMemoryMB, maxBodyBytes)
+}
+
+// startOn is start on a machine with a memory, for bodies up to a length.
+func startOn(t *testing.T, memoryMB int64, bodyBytes int) *daemon {
 	t.Helper()
 	store := storekeeper.New(clockwork.NewRealClock())
 	storeServer := httptest.NewServer(store.Handler())
@@ -131,7 +142,7 @@
 	upstream := httptest.NewServer(http.HandlerFunc(serveUpstream))
 	t.Cleanup(upstream.Close)
 	t.Cleanup(upstream.CloseClientConnections)
-	assert.NilError(t, store.Write(platform.ConfigKind, platform.ConfigName, configuration()))
+	assert.NilError(t, store.Write(platform.ConfigKind, platform.ConfigName, configuration(bodyBytes)))
 	entry := sample(t, "upstream", "ADDRESS", strings.TrimPrefix(upstream.URL, "http://"))
 	assert.NilError(t, store.Write(platform.UpstreamKind, "i-1", entry))
 
@@ -140,9 +151,9 @@
 	assert.NilError(t, os.WriteFile(key, []byte("a key of sixteen bytes"), 0o600))
 	a := freeAddresses(t, 5)
 	path := filepath.Join(dir, "waxwingd.ini")
-	text := fmt.Sprintf(settings, a[0], a[1], a[2], strings.TrimPrefix(storeServer.URL, "http://"), key, a[2], a[3], a[4], machineMemoryMB)
+	text := fmt.Sprintf(settings, a[0], a[1], a[2], strings.TrimPrefix(storeServer.URL, "http://"), key, a[2], a[3], a[4], memoryMB)
 	assert.NilError(t, os.WriteFile(path, []byte(text), 0o600))
-	d := &daemon{callers: a[0], operators: a[1], ready: a[3], exited: make(chan error, 1), log: &safeBuffer{}}
+	d := &daemon{callers: a[0], operators: a[1], ready: a[3], memoryMB: memoryMB, exited: make(chan error, 1), log: &safeBuffer{}}
 	cmd := exec.Command("/bin/sh", "-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(machineDescriptors), program, "serve", "-settings", path)
 	cmd.Env = append(os.Environ(), "GOGC="+goPercent, "GOMEMLIMIT="+goMemoryLimit)
 	cmd.Stdout, cmd.Stderr = d.log, d.log
@@ -167,11 +178,11 @@
 	return d
 }
 
-// configuration is the configuration in force: one route, and bodies of maxBodyBytes.
-func configuration() any {
+// configuration is the configuration in force: one route, and bodies up to a length.
+func configuration(bodyBytes int) any {
 	return map[string]any{
 		"version": "r1",
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeout": "30s", "idleTimeout": "30s"},
+		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": bodyBytes, "headerTimeout": "30s", "idleTimeout": "30s"},
 		"listeners": []any{map[string]any{"hostname": "shop.example", "ruleSet": []any{map[string]any{
 			"name": "r", "kind": "non_idempotent", "targetLatency": "250ms", "match": map[string]any{"pathPrefix": "/"},
 			"action": map[string]any{"service": "desk", "timeout": "10s", "maxAttempts": 1},
@@ -265,7 +276,7 @@
 		t.Fatalf("the process has ended: %v", err)
 	default:
 	}
-	grown, allowed := d.statusKB(t, "VmHWM")-d.calmKB, machineMemoryMB*1000*1000/1024-d.calmKB
+	grown, allowed := d.statusKB(t, "VmHWM")-d.calmKB, d.memoryMB*1000*1000/1024-d.calmKB
 	descriptors, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", d.pid))
 	assert.NilError(t, err)
 	t.Logf("memory: calm %d kB, more at the peak %d kB of %d kB; descriptors: %d of %d", d.calmKB, grown, allowed, len(descriptors), maxDescriptors)
