--- a/internal/front/pipeliner/pipeliner.go
+++ b/internal/front/pipeliner/pipeliner.go
@@ -190,7 +190,9 @@
 	if len(c.unread) > 0 {
 		n := c.framer.take(c.unread[:min(len(p), len(c.unread))])
 		copy(p, c.unread[:n])
-		c.unread = c.unread[n:]
+		if c.unread = c.unread[n:]; len(c.unread) == 0 {
+			c.unread = nil
+		}
 		return n, nil
 	}
 	if c.readErr != nil {
@@ -217,13 +219,6 @@
 	return c.stalled
 }
 
-// Busy reports whether requests that were read ahead are in progress.
-func (c *Conn) Busy() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.queue) > 0
-}
-
 // SetReadDeadline implements net.Conn. Calls must not overlap.
 func (c *Conn) SetReadDeadline(t time.Time) error {
 	c.mu.Lock()
