--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -17,7 +17,9 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/follower"
 	"github.com/waxwingloom/waxwingloom/internal/document/importer"
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/front/locator"
+	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
@@ -55,6 +57,7 @@
 	lookupServerName registrar.Name = "directory"
 	readyName        registrar.Name = "ready"
 	sweepName        registrar.Name = "sweep"
+	pipelineName     registrar.Name = "pipeline"
 )
 
 // followerNames are the names of the followers of the store's records.
@@ -227,6 +230,7 @@
 		self := selector.Self{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
 		budget := steerer.RetryBudget{Ratio: s.Routing.RetryRatio, Window: s.Routing.RetryWindow, Started: clock.Now()}
 		st := steerer.New(self, platform.Headers(), budget, upstreamClient, clock, log)
+		st.SetMaxUpstreamBytes(s.Limits.MaxUpstreamBytes)
 		upstreamClient.OnLost(st.RecordLost)
 		upstreams := f.Find(upstreamsName).(*follower.Follower)
 		st.SetViewAgeFunc(func() time.Duration {
@@ -267,13 +271,20 @@
 		return receiver.New(f.Find(steerName).(*steerer.Steerer), platform.Headers(), limits,
 			f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	r.Register(sweepName, []registrar.Name{clockName, steerName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(pipelineName, []registrar.Name{clockName, steerName, callersName}, func(f registrar.Finder) (any, func(), error) {
+		st := f.Find(steerName).(*steerer.Steerer)
+		admit := func(r *http.Request) bool { return st.MayRunBeside(r.Host, r.URL.EscapedPath()) }
+		limits := pipeliner.Limits{Requests: s.Limits.MaxReadAhead, Bytes: s.Limits.MaxReadAheadBytes}
+		return pipeliner.New(f.Find(callersName).(*receiver.Receiver), admit, limits, f.Find(clockName).(clockwork.Clock), log), nil, nil
+	})
+	r.Register(sweepName, []registrar.Name{clockName, steerName, memoryName, pipelineName}, func(f registrar.Finder) (any, func(), error) {
 		st := f.Find(steerName).(*steerer.Steerer)
 		idleTimeout := func() time.Duration {
 			limits, _ := st.Ingress()
 			return limits.CallerIdleTimeout
 		}
-		return sweeper.New(idleTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
+		account := f.Find(memoryName).(*accountant.Accountant)
+		return sweeper.New(idleTimeout, f.Find(clockName).(clockwork.Clock), log, sweeper.WithAccount(account), sweeper.WithPipeliner(f.Find(pipelineName).(*pipeliner.Pipeliner))), nil, nil
 	})
 	r.Register(frontName, []registrar.Name{portsName, callersName, sweepName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
 		sweep := f.Find(sweepName).(*sweeper.Sweeper)
@@ -291,7 +302,7 @@
 			shutdownTimeout: f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock: f.Find(clockName).(clockwork.Clock), log: log,
 		}, nil, nil
 	})
-	r.Register(lookupServerName, []registrar.Name{membersName, steerName, reloadName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(lookupServerName, []registrar.Name{membersName, steerName, reloadName, graceName, clockName, memoryName}, func(f registrar.Finder) (any, func(), error) {
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		st := f.Find(steerName).(*steerer.Steerer)
 		locate := func(host string, p locator.Location) []string {
@@ -301,13 +312,13 @@
 		ttl := func() time.Duration { return settings.Current().Routing.LookupTTL }
 		return newAdminServer(f, s.Routing.LookupAddress, platform.LookupHandler(locate, ttl), log)
 	})
-	r.Register(readyName, []registrar.Name{steerName, callersName, graceName, clockName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(readyName, []registrar.Name{steerName, callersName, graceName, clockName, memoryName}, func(f registrar.Finder) (any, func(), error) {
 		st := f.Find(steerName).(*steerer.Steerer)
 		front := f.Find(callersName).(*receiver.Receiver)
 		ready := func() bool { return st.Ready() && !front.ShuttingDown() }
 		return newAdminServer(f, s.Routing.ReadyAddress, platform.ReadyHandler(ready), log)
 	})
-	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, accountsName, talliesName, limitsName, graceName}, followerNames...)
+	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, accountsName, talliesName, limitsName, graceName, memoryName, pipelineName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeadTimeout}
 		return newWebServer(server, f.Find(portsName).(*listeners).operators, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
@@ -324,7 +335,7 @@
 }
 
 // newAdminServer returns a server for a handler that is not on callers' request path, and
-// opens its listener.
+// opens its listener. Its connections count in callers' account.
 func newAdminServer(f registrar.Finder, address string, handler http.Handler, log *slog.Logger) (any, func(), error) {
 	listener, err := net.Listen("tcp", address)
 	if err != nil {
@@ -332,7 +343,8 @@
 	}
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminHeadTimeout}
 	clock := f.Find(clockName).(clockwork.Clock)
-	return newWebServer(server, listener, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock, log), func() { _ = listener.Close() }, nil
+	account := sweeper.WithAccount(f.Find(memoryName).(*accountant.Accountant))
+	return newWebServer(server, listener, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock, log, account), func() { _ = listener.Close() }, nil
 }
 
 func routedMetrics(f registrar.Finder) http.Handler {
@@ -345,6 +357,11 @@
 	m.Set("busy", expvar.Func(func() any { return front.InFlight() }))
 	sweep := f.Find(sweepName).(*sweeper.Sweeper)
 	m.Set("connections", expvar.Func(func() any { return sweep.Counts() }))
+	account := f.Find(memoryName).(*accountant.Accountant)
+	m.Set("memory", expvar.Func(func() any { return account.Counts() }))
+	m.Set("overweight", expvar.Func(func() any { return st.OverweightCount() }))
+	ahead := f.Find(pipelineName).(*pipeliner.Pipeliner)
+	m.Set("ahead", expvar.Func(func() any { return ahead.Counts() }))
 	m.Set("cuts", expvar.Func(func() any { return sweep.Cuts() }))
 	m.Set("needs", expvar.Func(func() any { return st.Demand() }))
 	quarantine, clock := f.Find(quarantineName).(*quarantiner.Quarantiner), f.Find(clockName).(clockwork.Clock)
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"cmp"
 	"context"
 	"expvar"
 	"log/slog"
@@ -14,8 +15,10 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/editor"
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
 	"github.com/waxwingloom/waxwingloom/internal/document/watcher"
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/front/operator"
 	"github.com/waxwingloom/waxwingloom/internal/front/responder"
+	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
 	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
@@ -35,6 +38,7 @@
 // frontName the HTTP server that runs it.
 const (
 	clockName       registrar.Name = "clock"
+	memoryName     registrar.Name = "memory"
 	portsName       registrar.Name = "ports"
 	platformName    registrar.Name = "platform"
 	documentsName   registrar.Name = "documents"
@@ -102,6 +106,10 @@
 	r.Register(clockName, nil, func(registrar.Finder) (any, func(), error) {
 		return clockwork.NewRealClock(), nil, nil
 	})
+	r.Register(memoryName, nil, func(registrar.Finder) (any, func(), error) {
+		limitHeap(s.Limits, log)
+		return accountant.New(callerLimits(s.Limits, log)), nil, nil
+	})
 	r.Register(portsName, nil, func(registrar.Finder) (any, func(), error) { return openListeners(s, log) })
 	r.Register(documentsName, nil, func(registrar.Finder) (any, func(), error) {
 		return keeper.New(log), nil, nil
@@ -160,7 +168,7 @@
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		self := dispatcher.Self{VM: s.VM, Zone: s.Zone, Region: s.Region}
 		d, cleanup := dispatcher.New(self, f.Find(peersName).(*messenger.Messenger), members,
-			f.Find(clockName).(clockwork.Clock), log, dispatcher.WithMaxBufferedBytes(s.Limits.MaxBufferedBytes))
+			f.Find(clockName).(clockwork.Clock), log, dispatcher.WithMaxBufferedBytes(cmp.Or(s.Limits.MaxBufferedBytes, defaultMaxBufferedBytes)))
 		f.Find(documentsName).(*keeper.Keeper).Subscribe(d.SetDocument)
 		f.Find(tokensName).(*conductor.Conductor).SetDispatcher(d)
 		members.SetFreeCapacity(d.FreeCapacity)
@@ -187,7 +195,7 @@
 		self := responder.Self{VM: s.VM, Zone: s.Zone, Region: s.Region}
 		return responder.New(self, deps, s.Limits, s.Timing.TokenTTL, f.Find(clockName).(clockwork.Clock), log), nil, nil
 	})
-	r.Register(frontName, []registrar.Name{portsName, callersName, clockName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(frontName, []registrar.Name{portsName, callersName, clockName, memoryName}, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{
 			Handler:           f.Find(callersName).(*responder.Responder).Handler(),
 			ReadHeaderTimeout: s.Limits.ReadTimeout,
@@ -195,9 +203,10 @@
 			MaxHeaderBytes:    s.Limits.MaxHeadBytes + headMarginBytes,
 			ErrorLog:          slog.NewLogLogger(log.Handler(), slog.LevelDebug),
 		}
-		return newWebServer(server, f.Find(portsName).(*listeners).callers, httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
+		account := sweeper.WithAccount(f.Find(memoryName).(*accountant.Accountant))
+		return newWebServer(server, f.Find(portsName).(*listeners).callers, httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log, account), nil, nil
 	})
-	deps = []registrar.Name{callersName, documentsName, routerName, tokensName}
+	deps = []registrar.Name{callersName, documentsName, routerName, tokensName, memoryName}
 	r.Register(metricsName, deps, func(f registrar.Finder) (any, func(), error) {
 		return metrics(f), nil, nil
 	})
@@ -324,6 +333,8 @@
 	m.Set("stale", expvar.Func(func() any { return documents.StaleOffers() }))
 	m.Set("use", expvar.Func(func() any { return router.Usage() }))
 	m.Set("busy", expvar.Func(func() any { return tokens.InFlight() }))
+	account := f.Find(memoryName).(*accountant.Accountant)
+	m.Set("memory", expvar.Func(func() any { return account.Counts() }))
 	m.Set("once", expvar.Func(func() any { return tokens.TokenCounts() }))
 	return m
 }
--- a/internal/route/steerer/attempt.go
+++ b/internal/route/steerer/attempt.go
@@ -251,12 +251,19 @@
 		s.release(a, d, selector.Report{Load: -1, Unsent: true, Inconclusive: true})
 		return failure(http.StatusServiceUnavailable, CodeDeadlineExceeded, "no time is left", s.retryAfter(a)), outcomeUnsent
 	}
+	head := s.requestHead(a, target.Upstream, timeLeft)
+	size := int64(len(head) + a.request.bodyBytes())
+	if !s.weights.Take(target, size) {
+		return s.tooMuchAtUpstream(a, d), outcomeUnsent
+	}
+	defer s.weights.Give(target, size)
 	resp, err := s.upstreams.Exchange(ctx,
 		target,
 		exchanger.Request{
 			Method:        a.request.Method,
-			Head:          s.requestHead(a, target.Upstream, timeLeft),
+			Head:          head,
 			Body:          a.request.Body,
+			BodyRest:      a.request.BodyRest,
 			AttemptHeader: s.headers.AttemptID,
 			AttemptID:     a.request.AttemptID,
 			Deadline:      a.deadline,
@@ -389,7 +396,7 @@
 
 // transferSize returns the approximate size of a request and its response in bytes.
 func transferSize(a *activeRequest, resp exchanger.Response) int {
-	size := len(a.request.Target) + len(a.request.Body) + max(len(resp.Body), int(resp.ContentLength))
+	size := len(a.request.Target) + a.request.bodyBytes() + max(len(resp.Body), int(resp.ContentLength))
 	for _, header := range []http.Header{a.request.Header, resp.Header} {
 		for name, values := range header {
 			for _, v := range values {
@@ -400,6 +407,15 @@
 	return size
 }
 
+// bodyBytes returns the length of the request's body.
+func (r *Request) bodyBytes() int {
+	n := len(r.Body)
+	for _, part := range r.BodyRest {
+		n += len(part)
+	}
+	return n
+}
+
 func closeRest(resp exchanger.Response) {
 	if resp.Rest != nil {
 		_ = resp.Rest.Close()
@@ -418,8 +434,8 @@
 	if a.account != nil {
 		b.WriteString(s.headers.Account + ": " + string(a.account.Name) + "\r\n")
 	}
-	if len(r.Body) > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
-		b.WriteString("Content-Length: " + strconv.Itoa(len(r.Body)) + "\r\n")
+	if r.bodyBytes() > 0 || r.Method == http.MethodPost || r.Method == http.MethodPut || r.Method == http.MethodPatch {
+		b.WriteString("Content-Length: " + strconv.Itoa(r.bodyBytes()) + "\r\n")
 	}
 	b.WriteString("\r\n")
 	return b.Bytes()
--- a/internal/route/steerer/quarantine.go
+++ b/internal/route/steerer/quarantine.go
@@ -51,7 +51,7 @@
 		r := a.request
 		// An account, or its credentials, identify a caller better than the address.
 		caller := cmp.Or(a.accountName(), r.Header.Get(authenticator.Header), r.Caller)
-		fps := quarantiner.FingerprintsOf(caller, r.Method, r.Host, r.Target, r.Body)
+		fps := quarantiner.FingerprintsOf(caller, r.Method, r.Host, r.Target, append([][]byte{r.Body}, r.BodyRest...)...)
 		a.cachedFingerprints = &fps
 	}
 	return *a.cachedFingerprints
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -38,6 +38,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/share/spreader"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/exchanger"
+	"github.com/waxwingloom/waxwingloom/internal/upstream/weigher"
 )
 
 // The reasons why the result of a request is not an upstream's response.
@@ -64,13 +65,15 @@
 	// request is about, for routes with affinity. Caller is the caller's address without
 	// the port.
 	Request struct {
-		Caller     string
-		Method     string
-		Host       string
-		Target     string
-		Path       string
-		Header     http.Header
-		Body       []byte
+		Caller string
+		Method string
+		Host   string
+		Target string
+		Path   string
+		Header http.Header
+		Body   []byte
+		// BodyRest is what follows Body if the body is held in several buffers.
+		BodyRest   [][]byte
 		AttemptID  string
 		Object     string
 		ReceivedAt time.Time
@@ -159,6 +162,8 @@
 		quarantine *quarantiner.Quarantiner
 		onEvidence func()
 		accounts   accounts
+		// weights holds the bytes of the requests at each upstream.
+		weights *weigher.Weigher
 	}
 
 	// Counts are the results of requests since the process started. Resent counts the
@@ -193,6 +198,7 @@
 		lostProbes:   make(map[quarantiner.Process]*lostProbe),
 		quarantine:   quarantiner.New(),
 		onEvidence:   func() {},
+		weights:      weigher.New(0),
 		viewAge:      func() time.Duration { return 0 },
 	}
 }
