--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -38,7 +38,7 @@
 // frontName the HTTP server that runs it.
 const (
 	clockName       registrar.Name = "clock"
-	memoryName     registrar.Name = "memory"
+	memoryName      registrar.Name = "memory"
 	portsName       registrar.Name = "ports"
 	platformName    registrar.Name = "platform"
 	documentsName   registrar.Name = "documents"
