--- a/internal/account/limiter/keeper.go
+++ b/internal/account/limiter/keeper.go
@@ -1,6 +1,7 @@
 package limiter
 
 import (
+	"math"
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
@@ -10,8 +11,8 @@
 	// aheadFraction is the part of what is left that a keeper gives ahead of need, so that
 	// the VMs that ask first don't empty it.
 	aheadFraction = 0.25
-	// unconfirmedWait is the time until the next token that a VM tells while it isn't
-	// confirmed as keeper.
+	// unconfirmedWait is the time until the next token that a VM tells if it isn't confirmed as
+	// keeper and doesn't know when it will be.
 	unconfirmedWait = 250 * time.Millisecond
 	// levelError is more than the rounding error of a level.
 	levelError = 1e-9
@@ -69,17 +70,21 @@
 	return count
 }
 
-// Wait returns the time until the next token.
+// Wait returns the time until the next token, as far as this VM knows.
 func (k *Keeper) Wait(now time.Time) time.Duration {
 	k.advance(now)
-	missing := 1 - k.level - levelError
+	missing := 1 - k.level
+	share, begins := k.share, time.Duration(0)
+	if !k.confirmedUntil.After(k.at) {
+		share, begins = k.tenure.heard, k.tenure.from.Sub(k.at)
+	}
 	switch {
-	case missing <= 0:
+	case missing <= levelError:
 		return 0
-	case k.limit.Rate <= 0 || k.share <= 0 || !k.confirmedUntil.After(k.at):
+	case k.limit.Rate <= 0 || share <= 0 || begins < 0:
 		return unconfirmedWait
 	}
-	return time.Duration(missing / (k.share * k.limit.Rate) * float64(time.Second))
+	return begins + time.Duration(math.Ceil(missing/(share*k.limit.Rate)*float64(time.Second)))
 }
 
 // Level returns the number of tokens, of which only whole ones are given.
--- a/internal/account/limiter/limiter_test.go
+++ b/internal/account/limiter/limiter_test.go
@@ -233,3 +233,21 @@
 	assert.Assert(t, !s.Spend(epoch.Add(9*time.Second)), "a token was spent that had expired when it arrived")
 	assert.Assert(t, !s.Spend(epoch), "the clock was set back")
 }
+
+// TestWaitOfNewKeeper guards against callers that are told to return before a keeper that has
+// just started can have a token for them.
+func TestWaitOfNewKeeper(t *testing.T) {
+	t.Parallel()
+	k := limiter.NewKeeper(epoch, limiter.Limit{Rate: 2, Depth: 2, Generators: 1})
+	look := func(after time.Duration) {
+		k.Look(epoch.Add(after), limiter.Sight{First: true, Heard: 1}, timing)
+	}
+	look(0)
+	told := k.Wait(epoch)
+	for after := time.Duration(0); after < told; after += 100 * time.Millisecond {
+		assert.Equal(t, k.Give(epoch.Add(after), 1, 0), 0)
+		look(after)
+	}
+	assert.Equal(t, k.Give(epoch.Add(told), 1, 0), 1)
+	assert.Equal(t, told, timing.HeartbeatInterval+500*time.Millisecond)
+}
