--- a/internal/account/lender/keeping.go
+++ b/internal/account/lender/keeping.go
@@ -129,8 +129,11 @@
 	var short []want
 	var places []int
 	for i, w := range wants {
-		g, expected := l.giveOwn(now, w, mayBorrow)
+		g, expected, borrowAhead := l.giveOwn(now, w, mayBorrow)
 		grants[i] = g
+		if borrowAhead {
+			l.borrowAhead(w.account, expected)
+		}
 		if !mayBorrow {
 			l.counts.lent.Add(int64(g.count))
 		}
@@ -159,8 +162,8 @@
 }
 
 // giveOwn gives tokens that this VM holds. It returns also how many this VM expects to be asked
-// for while borrowed tokens are valid.
-func (l *Lender) giveOwn(now time.Time, w want, ownZone bool) (g grant, expected int) {
+// for while borrowed tokens are valid, and whether it should borrow them now.
+func (l *Lender) giveOwn(now time.Time, w want, ownZone bool) (g grant, expected int, borrowAhead bool) {
 	entry := w.account
 	entry.mu.Lock()
 	defer entry.mu.Unlock()
@@ -179,20 +182,23 @@
 	if ownZone {
 		k.borrowed.Arrive(now, max(g.count, w.need))
 		expected = k.borrowed.Ahead(now, limiter.HoldTime)
-		if !k.borrowing && now.Sub(k.shortAt) > shortGrace && float64(expected) > 2*k.keeper.Level(now) {
-			k.borrowing = true
-			l.borrowAhead(entry, expected)
-		}
+		borrowAhead = !k.borrowing && now.Sub(k.shortAt) > shortGrace && float64(expected) > 2*k.keeper.Level(now)
+		k.borrowing = k.borrowing || borrowAhead
 	}
 	if g.count < w.need {
 		// Times below a millisecond would read as none.
 		g.wait = max(k.keeper.Wait(now), time.Millisecond)
 	}
-	return g, expected
+	return g, expected, borrowAhead
 }
 
 // borrowAhead borrows tokens for requests that are expected while the tokens are valid.
 func (l *Lender) borrowAhead(entry *account, expected int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.closed {
+		return
+	}
 	l.running.Go(func() {
 		start := l.clock.Now()
 		ctx, cancel := l.timeout(l.ctx, takeTimeout)
--- a/internal/peer/answerer/answerer_test.go
+++ b/internal/peer/answerer/answerer_test.go
@@ -67,3 +67,29 @@
 		assert.Assert(t, bytes.Equal(section.GetText(), text))
 	}
 }
+
+// lenderOf grants a number of tokens for each want.
+type lenderOf int32
+
+// Lend implements answerer.Lender.
+func (l lenderOf) Lend(_ context.Context, lend *encoder.Lend) *encoder.Loan {
+	loan := &encoder.Loan{}
+	for range lend.GetWants() {
+		loan.Grants = append(loan.Grants, &encoder.Grant{Count: int32(l)})
+	}
+	return loan
+}
+
+// TestLend guards against requests for tokens that a VM without a lender leaves open.
+func TestLend(t *testing.T) {
+	t.Parallel()
+	clock, log := clockwork.NewFakeClock(), slog.New(slog.DiscardHandler)
+	_, address := newMessenger(t, 1, answerer.New(answerer.Dependencies{Lender: lenderOf(3)}, clock, log))
+	own, ownAddress := newMessenger(t, 2, answerer.New(answerer.Dependencies{}, clock, log))
+	req := &encoder.Request{Kind: &encoder.Request_Lend{Lend: &encoder.Lend{Wants: []*encoder.Want{{Account: "a", Need: 5}}}}}
+	reply, err := own.Call(t.Context(), address, namer.Incarnation{1}, req)
+	assert.NilError(t, err)
+	assert.Equal(t, reply.GetLoan().GetGrants()[0].GetCount(), int32(3))
+	_, err = own.Call(t.Context(), ownAddress, namer.Incarnation{2}, req)
+	assert.Assert(t, err != nil)
+}
