Under overload the latest target comes first, and operators see the queues

While a rank has lost a target within the last second, its latest target comes first. Requests whose target is lost are refused less early: they are expected to get a quarter of what is sent, since most bursts end before their deadline. Metric queues.

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -337,6 +337,7 @@
 	m.Set("connections", expvar.Func(func() any { return sweep.Counts() }))
 	m.Set("cuts", expvar.Func(func() any { return sweep.Cuts() }))
 	m.Set("needs", expvar.Func(func() any { return st.Demand() }))
+	m.Set("queues", expvar.Func(func() any { return st.Queues() }))
 	quarantine, clock := f.Find(quarantineName).(*quarantiner.Quarantiner), f.Find(clockName).(clockwork.Clock)
 	m.Set("quarantine", expvar.Func(func() any { return quarantine.Counts(clock.Now()) }))
 	store := f.Find(platformName).(*platform.Client)
--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -9,7 +9,9 @@
 //   - Within a rank, requests that can still meet their target time come before those that
 //     can't any more, which would only make the others late too.
 //   - Among these, classes (routes) and accounts take turns by the work that they ask for, as
-//     in start-time fair queueing. Within a class and account the earliest target comes first.
+//     in start-time fair queueing. Within a class and account the earliest target comes first,
+//     and the latest one while there are requests that have lost theirs: with the earliest
+//     first, each would be sent when it is just too late.
 //   - A request that isn't expected to be answered by its deadline behind those that come
 //     first is refused at once, with the time until there is room for it.
 //   - Requests of lower ranks leave the slots free that those of higher ranks are going to
@@ -50,6 +52,12 @@
 	// leastShare is the fraction of the requests that are sent which ranks have that wait
 	// while others come first.
 	leastShare = 0.1
+	// minLateShare is the fraction of the requests that are sent which those are expected to
+	// get whose target is lost. How long a burst lasts isn't known.
+	minLateShare = 0.25
+	// overloadMemory is how long the latest target comes first after a request has lost its
+	// target. A queue in which each request just misses it is no use to any.
+	overloadMemory = time.Second
 	// rateHalfLife is the half-life of the rates of arrivals and of requests sent.
 	rateHalfLife = time.Second
 )
@@ -76,6 +84,16 @@
 		tag  float64
 	}
 
+	// State is what operators see of a scheduler. Limit is the number of requests that may be
+	// in flight, -1 while upstreams report no load. Hopeless counts the requests that were
+	// refused since they would not have been answered in time.
+	State struct {
+		Queued   int
+		InFlight int
+		Limit    int
+		Hopeless int64
+	}
+
 	// Scheduler holds the requests of one service.
 	Scheduler struct {
 		queued []*Request
@@ -83,6 +101,8 @@
 		ranks  map[Rank]*rank
 		window window
 		sent   rate
+		// hopeless counts requests that were refused since they would have been late.
+		hopeless int64
 		// owed is what lower ranks are owed of the requests that are sent, in requests.
 		owed float64
 	}
@@ -107,6 +127,8 @@
 		arrivals rate
 		// work is the mean processing time.
 		work time.Duration
+		// overloadedAt is when a queued request was last found to have lost its target.
+		overloadedAt time.Time
 	}
 )
 
@@ -142,6 +164,22 @@
 	return true
 }
 
+// Refuse removes a queued request that would not be answered in time.
+func (s *Scheduler) Refuse(r *Request) {
+	if s.Remove(r) {
+		s.hopeless++
+	}
+}
+
+// State returns the scheduler's state.
+func (s *Scheduler) State(now time.Time) State {
+	limit := -1
+	if l := s.window.limit(now); !math.IsInf(l, 1) {
+		limit = int(l)
+	}
+	return State{Queued: len(s.queued), InFlight: s.inFlight(), Limit: limit, Hopeless: s.hopeless}
+}
+
 // Len returns the number of queued requests.
 func (s *Scheduler) Len() int {
 	return len(s.queued)
@@ -161,10 +199,20 @@
 // Ordered returns the queued requests in the order in which they are to be sent.
 func (s *Scheduler) Ordered(now time.Time) []*Request {
 	ordered := slices.Clone(s.queued)
-	slices.SortStableFunc(ordered, func(a, b *Request) int { return a.TargetTime.Compare(b.TargetTime) })
-	turns := make(map[flowKey]float64)
 	for _, r := range ordered {
 		r.late = now.Add(r.Need).After(r.TargetTime)
+		if r.late {
+			s.rank(r.Rank).overloadedAt = now
+		}
+	}
+	slices.SortStableFunc(ordered, func(a, b *Request) int {
+		if a.Rank == b.Rank && s.rank(a.Rank).isOverloaded(now) {
+			a, b = b, a
+		}
+		return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.TargetTime.Compare(b.TargetTime))
+	})
+	turns := make(map[flowKey]float64)
+	for _, r := range ordered {
 		key := r.flow()
 		turn, ok := turns[key]
 		if !ok {
@@ -301,7 +349,7 @@
 			arriving += state.arrivals.perSecond(now)
 		}
 	}
-	served = max(served-arriving, leastShare*served)
+	served = max(served-arriving, minLateShare*served)
 	wait := time.Duration(float64(i) / served * float64(time.Second))
 	return max(0, now.Add(wait+r.Need).Sub(r.Deadline))
 }
@@ -323,6 +371,11 @@
 	return k
 }
 
+// isOverloaded reports whether a request of the rank has lost its target lately.
+func (k *rank) isOverloaded(now time.Time) bool {
+	return !k.overloadedAt.IsZero() && now.Sub(k.overloadedAt) < overloadMemory
+}
+
 // turn returns the virtual time of the next turn of a request's flow. A flow that was idle
 // doesn't save turns.
 func (s *Scheduler) turn(r *Request) float64 {
--- a/internal/route/steerer/queue.go
+++ b/internal/route/steerer/queue.go
@@ -167,6 +167,7 @@
 		d := selector.Decision{Action: selector.Wait}
 		if late := q.Late(now, ordered, i); late > 0 {
 			d = selector.Decision{Action: selector.Refuse, Reason: selector.ReasonLate, RetryAfter: late}
+			q.Refuse(r)
 		} else if q.MaySend(now, r) {
 			d = s.selector.Decide(now, w.request)
 			r.Need = d.ExpectedLatency
@@ -216,3 +217,15 @@
 	}
 	return q
 }
+
+// Queues returns the state of the requests of each service.
+func (s *Steerer) Queues() map[namer.Service]scheduler.State {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.clock.Now()
+	states := make(map[namer.Service]scheduler.State, len(s.queues))
+	for service, q := range s.queues {
+		states[service] = q.State(now)
+	}
+	return states
+}
