--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -364,6 +364,7 @@
 	m.Set("ahead", expvar.Func(func() any { return ahead.Counts() }))
 	m.Set("cuts", expvar.Func(func() any { return sweep.Cuts() }))
 	m.Set("needs", expvar.Func(func() any { return st.Demand() }))
+	m.Set("queues", expvar.Func(func() any { return st.Queues() }))
 	quarantine, clock := f.Find(quarantineName).(*quarantiner.Quarantiner), f.Find(clockName).(clockwork.Clock)
 	limits := f.Find(limitsName).(*lender.Lender)
 	m.Set("limits", expvar.Func(func() any { return limits.Counts() }))
