A crowd that goes on sending does not shut ordinary callers out

The crowd had all connections of its address, and each had made progress within 250 ms, so none could be closed.

--- a/internal/front/accountant/accountant.go
+++ b/internal/front/accountant/accountant.go
@@ -36,9 +36,9 @@
 	// Large holdings may take largeNumerator/largeDenominator of the account.
 	largeNumerator   = 3
 	largeDenominator = 4
-	// minStandstill is the shortest time without progress after which a request that is
-	// being read, or a response that is being written, may be closed for others. Callers
-	// within the limits of time pause less often than that when the account is full.
+	// minStandstill is the shortest time without progress after which a connection whose
+	// request is being read, or whose response is being written, may be closed for a large
+	// holding. Closing sooner would let large bodies that all make progress end each other.
 	minStandstill = 250 * time.Millisecond
 )
 
@@ -324,9 +324,9 @@
 	var mayClose func(*Holder) bool
 	switch {
 	case a.limits.CallerConnections > 0 && a.byCaller[h.caller] >= a.limits.CallerConnections:
-		mayClose = func(other *Holder) bool { return other.caller == h.caller }
+		mayClose = func(other *Holder) bool { return other.caller == h.caller && other.closable(now, true) }
 	case a.limits.Connections > 0 && len(a.holders) >= a.limits.Connections:
-		mayClose = func(*Holder) bool { return true }
+		mayClose = func(other *Holder) bool { return other.closable(now, true) }
 	default:
 		return nil, true
 	}
@@ -345,7 +345,8 @@
 	}
 	missing := a.counts.HeldBytes + bytes - a.limits.Bytes
 	missingLarge := a.large + largePart(h.held+bytes) - largePart(h.held) - a.largeLimit()
-	if largePart(h.held+bytes) == 0 {
+	small := largePart(h.held+bytes) == 0
+	if small {
 		missingLarge = 0
 	}
 	for _, other := range chosen {
@@ -355,7 +356,8 @@
 	var victims []*Holder
 	for missing > 0 || missingLarge > 0 {
 		victim := a.choose(h, now, append(chosen, victims...), func(other *Holder) bool {
-			return missingLarge <= 0 || largePart(other.held) > 0
+			isLarge := largePart(other.held) > 0
+			return (missingLarge <= 0 || isLarge) && other.closable(now, small && isLarge)
 		})
 		if victim == nil {
 			return nil, false
@@ -378,7 +380,7 @@
 	var best *Holder
 	bestScore := float64(-1)
 	for other := range a.holders {
-		if other == h || !other.closable(now) || !mayClose(other) || contains(chosen, other) {
+		if other == h || !mayClose(other) || contains(chosen, other) {
 			continue
 		}
 		if score := now.Sub(other.progressAt).Seconds() * float64(other.held); score > bestScore {
@@ -388,16 +390,19 @@
 	return best
 }
 
-// closable reports whether the connection may be closed to make room. A connection without a
-// whole head may be closed at any time.
-func (h *Holder) closable(now time.Time) bool {
+// closable reports whether the connection may be closed to make room. One without a whole head
+// may be closed at any time, and one that reads a body too if that is urgent: its request is
+// refused as not run.
+func (h *Holder) closable(now time.Time, urgent bool) bool {
 	if h.pins > 0 {
 		return false
 	}
 	switch h.state {
 	case Idle:
 		return true
-	case Reading, Writing:
+	case Reading:
+		return urgent || now.Sub(h.progressAt) >= minStandstill
+	case Writing:
 		return now.Sub(h.progressAt) >= minStandstill
 	case Running:
 	}
--- a/internal/front/accountant/accountant_test.go
+++ b/internal/front/accountant/accountant_test.go
@@ -89,6 +89,24 @@
 	assert.Equal(t, c.account.Counts().RefusedConnections, int64(1))
 }
 
+// TestBusyCrowdRefusesOrdinaryCaller guards against an ordinary caller that is refused because
+// all connections read bodies and none stands still: at the limit on connections, and at that
+// of memory. Large bodies don't end each other.
+func TestBusyCrowdRefusesOrdinaryCaller(t *testing.T) {
+	t.Parallel()
+	c := newCrowd(accountant.Limits{Bytes: limit, Connections: 4})
+	c.open("a", "0", accountant.Reading, 2*mib)
+	running := c.open("a", "running", accountant.Running, 4*mib)
+	small := c.open("a", "small", accountant.Reading, 64<<10)
+	c.now = c.now.Add(time.Millisecond)
+	large := c.open("a", "large", accountant.Reading, 64<<10)
+	assert.Assert(t, !large.Take(c.now, mib))
+	assert.Equal(t, len(c.closed), 0)
+	assert.Assert(t, c.open("b", "ordinary", accountant.Idle, 1024) != nil)
+	assert.DeepEqual(t, c.closed, []string{"0"})
+	assert.Assert(t, running.Take(c.now, 2*mib) && !small.Evicted())
+}
+
 // TestCallerTakesOthersConnections guards against one address that takes the connections of
 // others: over its limit, its own are closed.
 func TestCallerTakesOthersConnections(t *testing.T) {
