--- a/internal/route/scheduler/window.go
+++ b/internal/route/scheduler/window.go
@@ -8,7 +8,7 @@
 const (
 	// maxLoad is the number of requests at the upstreams, per slot, up to which a VM sends
 	// more. What waits at an upstream can't be overtaken by what is more urgent.
-	maxLoad = 1.5
+	maxLoad = 1.2
 	// loadHalfLife is the half-life of the mean load and of the mean number of requests in
 	// flight, about the time that a request takes.
 	loadHalfLife = 300 * time.Millisecond
