Limits of accounts: tokens of the time between a start of a zone and its first keeper

After the loss of all power the VMs' levels are empty, and no VM generated for the heartbeat that a keeper waits. Nobody else did either, so the first keeper gets those tokens.

--- a/internal/account/lender/fleet_test.go
+++ b/internal/account/lender/fleet_test.go
@@ -60,6 +60,7 @@
 		frozen  bool
 		group   int
 		starts  byte
+		started time.Time
 		heard   map[*node]time.Time
 		lender  *lender.Lender
 		cleanup func()
@@ -128,7 +129,7 @@
 func (f *fleet) start(n *node) {
 	f.mu.Lock()
 	n.starts++
-	n.up, n.frozen, n.heard = true, false, make(map[*node]time.Time)
+	n.up, n.frozen, n.started, n.heard = true, false, time.Now(), make(map[*node]time.Time)
 	self := lender.Self{VM: n.vm, Zone: n.zone, Zones: f.zones, Seeded: true}
 	n.lender, n.cleanup = lender.New(self, f.terms, timing, lender.Dependencies{Peers: n, Members: n}, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
 	l, d := n.lender, f.document
@@ -250,7 +251,11 @@
 }
 
 // Self implements lender.Members.
-func (n *node) Self() tracker.Member { return tracker.Member{VM: n.vm, Zone: n.zone} }
+func (n *node) Self() tracker.Member {
+	n.f.mu.Lock()
+	defer n.f.mu.Unlock()
+	return tracker.Member{VM: n.vm, Zone: n.zone, Started: n.started}
+}
 
 // Members implements lender.Members: the VMs of the zone that were heard, and two gateways of
 // each other zone.
@@ -269,7 +274,7 @@
 		}
 		if ok && m != n {
 			members = append(members, tracker.Member{
-				VM: m.vm, Zone: m.zone, PeerAddress: string(m.vm), Incarnation: namer.Incarnation{m.starts}, LastHeard: at,
+				VM: m.vm, Zone: m.zone, PeerAddress: string(m.vm), Incarnation: namer.Incarnation{m.starts}, LastHeard: at, Started: m.started,
 				State: stateAt(at), Indirect: m.zone != n.zone, ZoneSize: m.zoneSize(),
 			})
 		}
--- a/internal/account/lender/keeping.go
+++ b/internal/account/lender/keeping.go
@@ -79,7 +79,7 @@
 		return
 	}
 	entry.looked = true
-	sight := v.sight(l.self.VM, entry.hash)
+	sight := v.sight(l.self.VM, l.started, entry.hash)
 	if entry.kept == nil && sight.First {
 		entry.kept = newKept(now, entry)
 	}
--- a/internal/account/lender/lender.go
+++ b/internal/account/lender/lender.go
@@ -101,6 +101,8 @@
 		deps   Dependencies
 		clock  clockwork.Clock
 		log    *slog.Logger
+		// started is when the lender was built.
+		started time.Time
 
 		// accounts has the accounts that have a limit. The map is replaced, not changed.
 		accounts atomic.Pointer[map[namer.Account]*account]
@@ -157,7 +159,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	l := &Lender{
 		self: self, terms: terms, timing: timing, deps: deps, clock: clock, log: log,
-		limited: make(chan struct{}), ctx: ctx, callers: make(map[namer.VM]*caller),
+		started: clock.Now(), limited: make(chan struct{}), ctx: ctx, callers: make(map[namer.VM]*caller),
 	}
 	l.accounts.Store(&map[namer.Account]*account{})
 	cleanup := func() {
--- a/internal/account/lender/view.go
+++ b/internal/account/lender/view.go
@@ -12,6 +12,10 @@
 	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
 )
 
+// freshSpread is how much the starts of VMs that start together may differ. It is the only time
+// that is compared between clocks of VMs; an error gives a zone half a second's tokens too many.
+const freshSpread = 500 * time.Millisecond
+
 type (
 	// peer is another VM, or this one.
 	peer struct {
@@ -36,12 +40,14 @@
 		others map[namer.Zone][]peer
 		// heard is the fraction of the VMs of its zone that this VM hears, itself included.
 		heard float64
+		// fresh is whether the VMs of the zone started at about the same time.
+		fresh bool
 	}
 )
 
 // newView returns what self sees of the members.
 func newView(self Self, own tracker.Member, members []tracker.Member) *view {
-	v := &view{others: make(map[namer.Zone][]peer)}
+	v := &view{others: make(map[namer.Zone][]peer), fresh: true}
 	if !own.Leaving {
 		v.zone = append(v.zone, peer{vm: self.VM, hash: hashOf(string(self.VM))})
 	}
@@ -55,6 +61,7 @@
 			}
 			continue
 		}
+		v.fresh = v.fresh && m.Started.Sub(own.Started).Abs() <= freshSpread
 		if m.State != tracker.Dead || !m.Leaving {
 			known++
 		}
@@ -87,10 +94,14 @@
 	}), true
 }
 
-// sight returns what self sees as a keeper of an account.
-func (v *view) sight(self namer.VM, account uint64) limiter.Sight {
+// sight returns what self, whose process started at a time by its own clock, sees as a keeper of
+// an account.
+func (v *view) sight(self namer.VM, started time.Time, account uint64) limiter.Sight {
 	first, ok := v.keeper(account)
 	s := limiter.Sight{First: ok && first.vm == self, Heard: v.heard}
+	if v.fresh {
+		s.FreshSince = started
+	}
 	if !s.First {
 		return s
 	}
--- a/internal/account/limiter/limiter_test.go
+++ b/internal/account/limiter/limiter_test.go
@@ -33,6 +33,7 @@
 	vm struct {
 		up, frozen bool
 		group      int
+		started    time.Time
 		heard      map[int]time.Time
 		// lost has when connections to others ended.
 		lost   map[int]time.Time
@@ -46,7 +47,7 @@
 )
 
 func (z *zone) start(now time.Time, v *vm) {
-	v.up, v.frozen, v.keeper = true, false, limiter.NewKeeper(now, z.limit)
+	v.up, v.frozen, v.started, v.keeper = true, false, now, limiter.NewKeeper(now, z.limit)
 	v.heard, v.lost = make(map[int]time.Time), make(map[int]time.Time)
 }
 
@@ -79,6 +80,12 @@
 		}
 	}
 	s.Heard = float64(heard) / float64(known)
+	s.FreshSince = z.vms[i].started
+	for j := range z.vms[i].heard {
+		if z.vms[j].started.Sub(z.vms[i].started).Abs() > timing.HeartbeatInterval {
+			s.FreshSince = time.Time{}
+		}
+	}
 	if heard == 1 && known == 1 && len(z.vms) > 1 {
 		s.Heard = 0
 	}
@@ -96,6 +103,15 @@
 				z.start(now, v)
 			}
 		}
+	case "power":
+		for _, w := range z.vms {
+			w.up = false
+		}
+		return func(now time.Time) {
+			for _, w := range z.vms {
+				z.start(now, w)
+			}
+		}
 	case "freeze":
 		v.frozen = true
 		return func(now time.Time) {
@@ -139,7 +155,7 @@
 		}
 		kinds := make(map[int]string)
 		for at := 100; at < 900; at += 50 + rng.IntN(350) {
-			kinds[at] = rapid.SampledFrom([]string{"kill", "freeze", "divide", "isolate", "lose"}).Draw(rt, "kind")
+			kinds[at] = rapid.SampledFrom([]string{"kill", "freeze", "divide", "isolate", "lose", "power"}).Draw(rt, "kind")
 		}
 		type gift struct {
 			at    time.Time
--- a/internal/account/limiter/tenure.go
+++ b/internal/account/limiter/tenure.go
@@ -26,6 +26,9 @@
 		// SilentSince is when a VM that precedes this one and fell silent was last heard, the
 		// latest if there are several.
 		SilentSince time.Time
+		// FreshSince is when this VM started, if all VMs of the zone that it knows started at
+		// about the same time, and zero otherwise.
+		FreshSince time.Time
 	}
 
 	// tenure is what a VM has seen for the time that it is keeper by its own view.
@@ -33,6 +36,8 @@
 		lookedAt time.Time
 		// from is when the VM may be confirmed, or zero if it isn't keeper.
 		from time.Time
+		// generatesFrom is the time from which tokens count that are generated, at most from.
+		generatesFrom time.Time
 		// heard is the fraction of the zone that counts. A higher one counts only after a
 		// heartbeat interval: risen is the lowest fraction since risingFrom, when it began to
 		// be higher.
@@ -45,7 +50,8 @@
 // Look confirms the keeper for a short time, or not, by what its VM sees. A new keeper waits
 // until its predecessor's confirmation has run out: one that is alive hears of this VM within a
 // heartbeat, and one that is cut off finds that out as other VMs find it silent. A VM that
-// didn't look for longer than others take to find it silent begins anew. A keeper that hears a
+// didn't look for longer than others take to find it silent begins anew. If all VMs of the zone
+// have just started, none was confirmed since, so the time until the first confirmation counts. A keeper that hears a
 // fraction of its zone generates that share, so that the VMs of a divided zone generate no
 // more than the zone.
 func (k *Keeper) Look(now time.Time, s Sight, t Timing) {
@@ -64,13 +70,28 @@
 			k.tenure.from = namer.Later(k.tenure.from, s.SilentSince.Add(t.SuspectTimeout+t.HeartbeatInterval+confirmTime))
 		}
 		k.tenure.heard, k.tenure.risingFrom = s.Heard, time.Time{}
+		k.tenure.generatesFrom = k.tenure.from
+		if !s.FreshSince.IsZero() && now.Sub(s.FreshSince) <= t.HeartbeatInterval {
+			// Another VM may have been confirmed from a heartbeat interval after the start on.
+			k.tenure.generatesFrom = namer.Later(s.FreshSince, k.tenure.from.Add(-t.HeartbeatInterval))
+		}
 	}
 	k.tenure.hear(now, s.Heard, t.HeartbeatInterval)
-	if !now.Before(k.tenure.from) {
-		k.Confirm(now, now.Add(confirmTime), k.tenure.heard)
+	if now.Before(k.tenure.from) {
+		return
+	}
+	k.Confirm(now, now.Add(confirmTime), k.tenure.heard)
+	if k.tenure.generatesFrom.Before(k.tenure.from) {
+		k.credit(k.tenure.from.Sub(k.tenure.generatesFrom))
+		k.tenure.generatesFrom = k.tenure.from
 	}
 }
 
+// credit adds what the zone would have generated in a time in which no VM was confirmed.
+func (k *Keeper) credit(d time.Duration) {
+	k.level = min(k.share*k.limit.Depth, k.level+k.share*k.limit.Rate*d.Seconds())
+}
+
 // hear takes over the fraction of the zone that is heard: a lower one at once, a higher one
 // after a delay, in which the keeper of the other part of a zone that was divided hears of it.
 func (t *tenure) hear(now time.Time, heard float64, delay time.Duration) {
