--- a/internal/account/limiter/limiter.go
+++ b/internal/account/limiter/limiter.go
@@ -26,6 +26,9 @@
 // Terms chooses the depth by this sum, with a reserve for zones in which two VMs generate
 // because their views of the members differ in another way.
 //
+// The VMs before a start of all may have spent the whole depth. So what a zone begins with after
+// such a start is set aside from the depth, for one such start in a window.
+//
 // # Usage
 //
 //	limit := terms.Limit(account.Rate, account.Burst)
@@ -57,6 +60,8 @@
 	// which two VMs generate. The rest, with the burst, is the depth.
 	heldFraction    = 0.6
 	reserveFraction = 0.15
+	// startFraction is the largest part of the depth that is set aside for a start of all VMs.
+	startFraction = 0.25
 	// minDepth is the least depth of a zone, in tokens: the keeper of a zone of which a part
 	// fell silent still has whole tokens to give.
 	minDepth = 2
@@ -80,6 +85,9 @@
 		Rate       float64
 		Depth      float64
 		Generators int
+		// Start is the level with which a zone begins whose VMs have all just started. Small
+		// accounts would otherwise have no whole token for a second or more.
+		Start float64
 		// Life is how long a token may be spent after it was asked for.
 		Life time.Duration
 	}
@@ -102,11 +110,14 @@
 	reserve := min(r*window/float64(max(t.Zones, 1)), reserveFraction*beyond)
 	depth := max(bound-reserve-r*(window+fixed+life), 1)
 	r = min(r, max(0, (bound-reserve-depth)/(window+fixed+life)))
+	start := max(0, min(startFraction*depth, depth-float64(burst)-1))
+	depth -= start
 	generators := min(max(t.Zones, 1), max(int(depth/minDepth), 1))
 	return Limit{
 		Rate:       r / float64(generators),
 		Depth:      depth / float64(generators),
 		Generators: generators,
+		Start:      start / float64(generators),
 		Life:       time.Duration(life * float64(time.Second)),
 	}
 }
--- a/internal/account/limiter/limiter_test.go
+++ b/internal/account/limiter/limiter_test.go
@@ -213,7 +213,7 @@
 		rate, burst := rapid.IntRange(1, 1<<30).Draw(rt, "rate"), rapid.IntRange(0, 1<<30).Draw(rt, "burst")
 		l := terms.Limit(rate, burst)
 		held := terms.Window + l.Life + limiter.HoldTime + terms.SendTime
-		most := float64(l.Generators) * (l.Depth + l.Rate*held.Seconds())
+		most := float64(l.Generators) * (l.Depth + l.Start + l.Rate*held.Seconds())
 		if most > terms.Bound(rate, burst)*(1+1e-9) || l.Depth < 1 || l.Rate <= 0 || l.Life <= 0 || l.Generators > terms.Zones {
 			rt.Fatalf("%+v gives %.3f, bound %.3f", l, most, terms.Bound(rate, burst))
 		}
@@ -236,6 +236,25 @@
 	}
 }
 
+// TestStartOfAll checks that a small account has a token in each zone as soon as there is a
+// keeper after a start of all VMs, and not after the start of one VM.
+func TestStartOfAll(t *testing.T) {
+	t.Parallel()
+	terms := limiter.Terms{Window: 5 * time.Second, Overage: 0.1, Slack: 20, Zones: 6, SendTime: 50 * time.Millisecond}
+	for _, tc := range []struct {
+		fresh time.Time
+		given int
+	}{{epoch, 1}, {time.Time{}, 0}} {
+		k := limiter.NewKeeper(epoch, terms.Limit(4, 4))
+		sight := limiter.Sight{First: true, Heard: 1, FreshSince: tc.fresh}
+		k.Look(epoch, sight, timing)
+		assert.Equal(t, k.Give(epoch, 1, 0), 0)
+		confirmed := epoch.Add(timing.HeartbeatInterval)
+		k.Look(confirmed, sight, timing)
+		assert.Equal(t, k.Give(confirmed, 1, 0), tc.given)
+	}
+}
+
 // TestStockExpires guards against tokens that are spent after their life.
 func TestStockExpires(t *testing.T) {
 	t.Parallel()
--- a/internal/account/limiter/tenure.go
+++ b/internal/account/limiter/tenure.go
@@ -10,6 +10,10 @@
 // interval of looks, so that a VM that is short of processor time stays keeper.
 const confirmTime = 500 * time.Millisecond
 
+// freshHeartbeats is the time after its start, in heartbeat intervals, in which a VM that
+// becomes keeper is the first one after a start of all VMs.
+const freshHeartbeats = 2
+
 type (
 	// Timing holds the times of the members' heartbeats.
 	Timing struct {
@@ -36,6 +40,8 @@
 		lookedAt time.Time
 		// from is when the VM may be confirmed, or zero if it isn't keeper.
 		from time.Time
+		// fresh is whether the level is to begin with the limit's Start.
+		fresh bool
 		// generatesFrom is the time from which tokens count that are generated, at most from.
 		generatesFrom time.Time
 		// heard is the fraction of the zone that counts. A higher one counts only after a
@@ -51,7 +57,8 @@
 // until its predecessor's confirmation has run out: one that is alive hears of this VM within a
 // heartbeat, and one that is cut off finds that out as other VMs find it silent. A VM that
 // didn't look for longer than others take to find it silent begins anew. If all VMs of the zone
-// have just started, none was confirmed since, so the time until the first confirmation counts. A keeper that hears a
+// have just started, none was confirmed since, so the time until the first confirmation counts,
+// and the level begins with the limit's Start. A keeper that hears a
 // fraction of its zone generates that share, so that the VMs of a divided zone generate no
 // more than the zone.
 func (k *Keeper) Look(now time.Time, s Sight, t Timing) {
@@ -71,6 +78,7 @@
 		}
 		k.tenure.heard, k.tenure.risingFrom = s.Heard, time.Time{}
 		k.tenure.generatesFrom = k.tenure.from
+		k.tenure.fresh = !s.FreshSince.IsZero() && now.Sub(s.FreshSince) <= freshHeartbeats*t.HeartbeatInterval
 		if !s.FreshSince.IsZero() && now.Sub(s.FreshSince) <= t.HeartbeatInterval {
 			// Another VM may have been confirmed from a heartbeat interval after the start on.
 			k.tenure.generatesFrom = namer.Later(s.FreshSince, k.tenure.from.Add(-t.HeartbeatInterval))
@@ -81,6 +89,10 @@
 		return
 	}
 	k.Confirm(now, now.Add(confirmTime), k.tenure.heard)
+	if k.tenure.fresh {
+		k.tenure.fresh = false
+		k.level = min(k.share*k.limit.Depth, k.level+k.share*k.limit.Start)
+	}
 	if k.tenure.generatesFrom.Before(k.tenure.from) {
 		k.credit(k.tenure.from.Sub(k.tenure.generatesFrom))
 		k.tenure.generatesFrom = k.tenure.from
