--- a/internal/account/limiter/limiter_test.go
+++ b/internal/account/limiter/limiter_test.go
@@ -17,7 +17,7 @@
 	lookSteps = 5
 	beatSteps = 25
 	// heardSteps is the time after which VMs that start, or reach each other again, have heard
-	// each other. A zone that is divided earlier may have a part that never heard of the rest.
+	// each other. TestZoneDividedFromItsStart has the zone that is divided earlier.
 	heardSteps  = 50
 	deadTimeout = 5 * time.Second
 )
@@ -201,6 +201,28 @@
 	})
 }
 
+// TestZoneDividedFromItsStart guards against a zone whose VMs start while it is divided: the VMs
+// of each side know only each other, and take their side for the zone.
+func TestZoneDividedFromItsStart(t *testing.T) {
+	t.Parallel()
+	z := &zone{limit: limiter.Limit{Rate: 10, Depth: 10, Generators: 1}}
+	for i := range 4 {
+		v := &vm{group: i % 2}
+		z.start(epoch, v)
+		z.vms = append(z.vms, v)
+	}
+	given, end := 0, epoch.Add(5*time.Second)
+	for now := epoch; now.Before(end); now = now.Add(lookSteps * step) {
+		for i, v := range z.vms {
+			z.beat(now, i)
+			v.keeper.Look(now, z.sight(now, i), timing)
+			given += v.keeper.Give(now, 1<<20, 0)
+		}
+	}
+	most := z.limit.Depth + z.limit.Rate*end.Sub(epoch).Seconds()
+	assert.Assert(t, float64(given) <= most, "%d tokens, at most %.0f", given, most)
+}
+
 // TestPropertyLimitsKeepTheBound guards against a depth and a life by which zones that keep
 // their parts exceed the bound together.
 func TestPropertyLimitsKeepTheBound(t *testing.T) {
