receiver, responder, accountant: broken bodies ran, evicted requests ran, closed connections held bytes

A body in pieces that broke off within a piece counted as complete, since io.ReadFull returns io.ErrUnexpectedEOF for both: the truncated request ran. A request whose connection was closed to make room between its head or body and its run was still sent to an upstream, and its response was lost. A request that took bytes after its connection was closed left them in the account for ever. A connection whose streamed response waited for the upstream could be closed for that. The response of stale accounts closed a connection with requests in progress behind it.

Bodies end at io.EOF only; receiver and responder refuse an evicted request as not run; a closed holder takes nothing; a streamed response counts as running while it waits for the upstream.

--- a/internal/front/accountant/accountant.go
+++ b/internal/front/accountant/accountant.go
@@ -244,13 +244,18 @@
 }
 
 // Take adds bytes to what the connection holds, and reports whether it may. If it may not, its
-// request must be refused.
+// request must be refused. Nothing may be taken once the connection is closed, since nothing
+// would give it back.
 func (h *Holder) Take(now time.Time, bytes int64) bool {
 	if h == nil {
 		return true
 	}
 	a := h.account
 	a.mu.Lock()
+	if h.closed {
+		a.mu.Unlock()
+		return false
+	}
 	victims, ok := a.makeRoom(h, bytes, now, nil)
 	if h.evicted || !ok {
 		a.counts.RefusedBytes++
@@ -275,7 +280,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	victims, ok := a.makeRoom(h, bytes, now, nil)
-	if h.evicted || !ok || len(victims) > 0 || a.limits.Bytes > 0 && a.counts.HeldBytes+bytes > a.largeLimit() {
+	if h.evicted || h.closed || !ok || len(victims) > 0 || a.limits.Bytes > 0 && a.counts.HeldBytes+bytes > a.largeLimit() {
 		return false
 	}
 	a.add(h, bytes)
--- a/internal/front/accountant/accountant_test.go
+++ b/internal/front/accountant/accountant_test.go
@@ -160,3 +160,18 @@
 	assert.Assert(t, !h.TakeFree(c.now, 4*mib), "the share for others is taken")
 	assert.Equal(t, len(c.closed), 0)
 }
+
+// TestNothingIsTakenAfterClose guards against bytes that a request takes after its connection was
+// closed, which would stay in the account for ever.
+func TestNothingIsTakenAfterClose(t *testing.T) {
+	t.Parallel()
+	c := newCrowd(accountant.Limits{Bytes: limit})
+	h := c.open("a", "closed", accountant.Running, 0)
+	h.Close()
+	loan := h.NewLoan()
+	assert.Assert(t, !loan.Take(c.now, mib))
+	assert.Assert(t, !h.TakeFree(c.now, mib))
+	loan.Return()
+	assert.Equal(t, c.account.Counts().HeldBytes, int64(0))
+	assert.Equal(t, c.account.Counts().RefusedBytes, int64(0))
+}
--- a/internal/front/receiver/body.go
+++ b/internal/front/receiver/body.go
@@ -49,8 +49,7 @@
 	failed := steerer.Result{Code: steerer.CodeMalformed}
 	switch {
 	case errors.Is(err, errNoRoom) || holder.Evicted():
-		r.log.Info("request refused; the memory for callers is taken", "caller", in.RemoteAddr, "bytes", held.loan.Bytes(), "length", in.ContentLength)
-		failed = unavailable(steerer.CodeBusy, errNoRoom.Error())
+		failed = r.refuseForRoom(in, held)
 	case errors.As(err, &tooLarge):
 		failed = bodyTooLarge()
 	case errors.Is(err, os.ErrDeadlineExceeded):
@@ -63,6 +62,13 @@
 	return nil, failed
 }
 
+// refuseForRoom returns the result of a request for which there is no memory, or whose
+// connection was closed to make room.
+func (r *Receiver) refuseForRoom(in *http.Request, held *reservation) steerer.Result {
+	r.log.Info("request refused; the memory for callers is taken", "caller", in.RemoteAddr, "bytes", held.loan.Bytes(), "length", in.ContentLength)
+	return unavailable(steerer.CodeBusy, errNoRoom.Error())
+}
+
 func bodyTooLarge() steerer.Result {
 	return steerer.Result{Status: http.StatusRequestEntityTooLarge, Code: steerer.CodeMalformed, Reason: "the request's body is over the limit"}
 }
@@ -82,10 +88,10 @@
 	segments := [][]byte{make([]byte, 0, size)}
 	for {
 		last := &segments[len(segments)-1]
-		n, err := io.ReadFull(body, (*last)[len(*last):cap(*last)])
+		n, err := fill(body, (*last)[len(*last):cap(*last)])
 		*last = (*last)[:len(*last)+n]
 		left -= int64(n)
-		if errors.IsAny(err, io.EOF, io.ErrUnexpectedEOF) && (length < 0 || left == 0) {
+		if errors.Is(err, io.EOF) && (length < 0 || left == 0) {
 			return segments, nil
 		}
 		if err == nil && left == 0 {
@@ -100,6 +106,21 @@
 	}
 }
 
+// fill reads until the buffer is full or the body ends. Unlike io.ReadFull, it keeps io.EOF,
+// which is the body's end, apart from io.ErrUnexpectedEOF, with which net/http reports a body
+// that broke off.
+func fill(body io.Reader, buf []byte) (int, error) {
+	filled := 0
+	for filled < len(buf) {
+		n, err := body.Read(buf[filled:])
+		filled += n
+		if err != nil {
+			return filled, err
+		}
+	}
+	return filled, nil
+}
+
 // readEnd reads the end of a body all of whose bytes have been read.
 func readEnd(body io.Reader) error {
 	var next [1]byte
--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -249,6 +249,9 @@
 		body.release()
 	}
 	holder.Enter(r.clock.Now(), accountant.Writing)
+	if result.Rest != nil {
+		result.Rest = &accountedRest{ReadCloser: result.Rest, holder: holder, clock: r.clock}
+	}
 	r.writeResponse(w, result)
 }
 
@@ -276,6 +279,10 @@
 	if failed.Code != "" {
 		return steerer.Request{}, failed
 	}
+	// The connection counts as running by now, so that it is not closed later.
+	if accountant.HolderOf(in.Context()).Evicted() {
+		return steerer.Request{}, r.refuseForRoom(in, held)
+	}
 	if body == nil {
 		body = [][]byte{nil}
 	}
@@ -364,7 +371,7 @@
 	}
 	if result.Code == steerer.CodeStaleAccounts {
 		// Another VM may know the accounts, so the caller should not come back here.
-		w.Header().Set("Connection", "close")
+		closeAfter(w, in)
 	}
 	if result.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", authenticator.Challenge)
--- a/internal/front/responder/serve.go
+++ b/internal/front/responder/serve.go
@@ -103,6 +103,9 @@
 	limited := http.MaxBytesReader(c.Response(), c.Request().Body, r.limits.MaxRequestBodyBytes)
 	body, err := io.ReadAll(&accountedReader{Reader: limited, loan: c.Get(loanKey).(*accountant.Loan), clock: r.clock})
 	holder.Enter(r.clock.Now(), accountant.Running)
+	if err == nil && holder.Evicted() {
+		err = errNoRoom
+	}
 	if err == nil {
 		_ = rc.SetReadDeadline(time.Time{})
 		return body, 0, arbiter.Outcome{}
