pipeliner: a request with a malformed host ran when it was read ahead

net/http refuses hosts such as "h i" with 400 and ends the connection; read ahead, the same request ran, and so did those behind it. Hosts with other characters than those of names, addresses and ports are now left to net/http.

--- a/internal/front/pipeliner/framer.go
+++ b/internal/front/pipeliner/framer.go
@@ -19,6 +19,7 @@
 	lengthName     = []byte("Content-Length")
 	connectionName = []byte("Connection")
 	keepAlive      = []byte("keep-alive")
+	hostMarks      = []byte("-_.:[]")
 
 	connectionFields = [][]byte{
 		[]byte("Transfer-Encoding"), []byte("Expect"), []byte("Upgrade"), []byte("Trailer"), []byte("TE"), []byte("Proxy-Connection"),
@@ -119,6 +120,9 @@
 		switch {
 		case bytes.EqualFold(name, hostName):
 			hosts++
+			if !isHost(value) {
+				return 0, false
+			}
 		case bytes.EqualFold(name, lengthName):
 			lengths++
 			n, err := strconv.ParseUint(string(value), 10, 62)
@@ -154,6 +158,17 @@
 	return ok && rested && isToken(method) && bytes.HasPrefix(target, slash) && isPrintable(target) && bytes.Equal(found, version)
 }
 
+// isHost reports whether text is empty or looks like a host name or address with or without a
+// port. Others are left to net/http, which refuses some.
+func isHost(text []byte) bool {
+	for _, b := range text {
+		if (b < 'a' || b > 'z') && (b < 'A' || b > 'Z') && (b < '0' || b > '9') && bytes.IndexByte(hostMarks, b) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
 func isToken(text []byte) bool {
 	for _, b := range text {
 		if (b < 'a' || b > 'z') && (b < 'A' || b > 'Z') && (b < '0' || b > '9') && b != '-' && b != '_' {
