--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -339,7 +339,8 @@
 // or 0 if it is expected by its deadline.
 func (s *Scheduler) Late(now time.Time, ordered []*Request, i int) time.Duration {
 	r := ordered[i]
-	served := s.sent.perSecond(now)
+	// While nothing is sent, the last rate is the best that is known.
+	served := s.sent.perSecond(s.sent.at)
 	if served <= 0 || !r.late {
 		return 0
 	}
--- a/internal/route/scheduler/scheduler_test.go
+++ b/internal/route/scheduler/scheduler_test.go
@@ -186,6 +186,28 @@
 	}
 }
 
+// TestNothingSentForAWhile guards against requests that are refused, for days, since nothing was
+// sent lately: upstreams are paused, or requests take long.
+func TestNothingSentForAWhile(t *testing.T) {
+	t.Parallel()
+	s := scheduler.New()
+	now := noon
+	for range 100 {
+		now = now.Add(50 * time.Millisecond)
+		r := request("read", 1, 0)
+		s.Begin(now, r)
+		s.End(now, r)
+	}
+	now = now.Add(10 * time.Second)
+	for range 5 {
+		r := request("read", 1, 0)
+		r.Deadline = now.Add(2 * time.Second)
+		s.Add(now, r)
+	}
+	ordered := s.Ordered(now)
+	assert.Equal(t, s.Late(now, ordered, 4), time.Duration(0))
+}
+
 func BenchmarkOrderedAtLimit(b *testing.B) {
 	s := scheduler.New()
 	for i := range 512 {
