scheduler: the lowest of three ranks starved

What lower ranks are owed while others come first always went to the second rank, so a third one got nothing for as long as both had requests waiting. The rank whose last request is longest ago gets it now.

--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -105,6 +105,8 @@
 		hopeless int64
 		// owed is what lower ranks are owed of the requests that are sent, in requests.
 		owed float64
+		// sentCount numbers the requests that are sent.
+		sentCount int64
 	}
 
 	flowKey struct {
@@ -129,6 +131,8 @@
 		work time.Duration
 		// overloadedAt is when a queued request was last found to have lost its target.
 		overloadedAt time.Time
+		// lastSent is the number of the request of the rank that was sent last.
+		lastSent int64
 	}
 )
 
@@ -245,18 +249,24 @@
 	return cmp.Compare(a.tag, b.tag)
 }
 
-// promote moves the first request of another rank to the front if these are owed one.
+// promote moves a request of another rank to the front if these are owed one: the first of the
+// rank that has waited longest for one.
 func (s *Scheduler) promote(ordered []*Request) {
 	if s.owed < 1 || len(ordered) == 0 {
 		return
 	}
+	first := -1
 	for i, r := range ordered {
-		if r.Rank != ordered[0].Rank {
-			copy(ordered[1:i+1], ordered[:i])
-			ordered[0] = r
-			return
+		if r.Rank != ordered[0].Rank && (first < 0 || s.rank(r.Rank).lastSent < s.rank(ordered[first].Rank).lastSent) {
+			first = i
 		}
 	}
+	if first < 0 {
+		return
+	}
+	r := ordered[first]
+	copy(ordered[1:first+1], ordered[:first])
+	ordered[0] = r
 }
 
 // MaySend reports whether r may be sent now: there is room for it, besides what more urgent
@@ -292,6 +302,8 @@
 	s.flows[r.flow()] = &flow{virtual: turn + r.Work.Seconds()}
 	k.inFlight++
 	s.sent.count(now)
+	s.sentCount++
+	k.lastSent = s.sentCount
 	s.pay(r)
 	s.forgetIdleFlows()
 	s.window.recordInFlight(now, s.inFlight())
--- a/internal/route/scheduler/scheduler_test.go
+++ b/internal/route/scheduler/scheduler_test.go
@@ -120,6 +120,22 @@
 	assert.Assert(t, sent["read"] >= 4 && sent["read"] <= 8, "%v", sent)
 }
 
+// TestLowestRankIsNotStarved guards against a rank whose share goes to the one before it.
+func TestLowestRankIsNotStarved(t *testing.T) {
+	t.Parallel()
+	s := scheduler.New()
+	for range 100 {
+		for rank, account := range []namer.Account{"publish", "read", "archive"} {
+			r := request("any", scheduler.Rank(rank), 5*time.Second)
+			r.Account = account
+			assert.Assert(t, s.Add(noon, r))
+		}
+	}
+	sent := drain(s, noon, 80)
+	assert.Assert(t, sent["read"] >= 3 && sent["archive"] >= 3, "%v", sent)
+	assert.Assert(t, sent["read"]+sent["archive"] <= 10, "%v", sent)
+}
+
 // TestLongWorkLeavesSlotsForUrgentWork replays archive reads beside publications, which are
 // sent at a steady rate: while the upstreams are near their limit, the reads must leave free
 // what the publications need, though none of these is waiting at that moment.
