receiver: a caller that reads a long response could be closed for standing still

The account saw the progress of a response only when all of it was written, so a caller that took longer than 250 ms to read one counted as standing still while it read. The response is written in pieces of 64 KiB, each of which is progress.

--- a/internal/front/receiver/evicted_test.go
+++ b/internal/front/receiver/evicted_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 	"time"
 
@@ -112,3 +113,35 @@
 	assert.NilError(t, err)
 	assert.Equal(t, body, "partpart")
 }
+
+// slowWriter is a caller that reads 64 KiB in 200 ms, while other connections come.
+type slowWriter struct {
+	http.ResponseWriter
+	t       *testing.T
+	clock   *clockwork.FakeClock
+	account *accountant.Accountant
+}
+
+// Write implements http.ResponseWriter.
+func (w *slowWriter) Write(p []byte) (int, error) {
+	w.clock.Advance(time.Duration(len(p)) * 200 * time.Millisecond / (64 << 10))
+	_, ok := w.account.Open("b", w.clock.Now(), func(accountant.Eviction) {})
+	assert.Check(w.t, !ok, "another connection may not take the place of one whose caller reads")
+	return w.ResponseWriter.Write(p)
+}
+
+// TestReadingCallerIsNotEvicted guards against a connection that is closed to make room while its
+// caller reads a long response without a pause.
+func TestReadingCallerIsNotEvicted(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	account := accountant.New(accountant.Limits{Connections: 1})
+	holder, ok := account.Open("a", clock.Now(), func(accountant.Eviction) {})
+	assert.Assert(t, ok)
+	body := strings.Repeat("x", 1<<20)
+	rec := receiver.New(&router{result: okResult(body)}, namer.WaxwingHeaderNames(), defaultLimits, clock, slog.New(slog.DiscardHandler))
+	got := httptest.NewRecorder()
+	in := httptest.NewRequestWithContext(accountant.WithHolder(t.Context(), holder), http.MethodGet, "/", nil)
+	rec.ServeHTTP(&slowWriter{got, t, clock, account}, in)
+	assert.Equal(t, got.Body.String(), body)
+}
--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -252,7 +252,7 @@
 	if result.Rest != nil {
 		result.Rest = &accountedRest{ReadCloser: result.Rest, holder: holder, clock: r.clock}
 	}
-	r.writeResponse(w, result)
+	r.writeResponse(w, result, holder)
 }
 
 // closeAfter makes the response close the caller's connection, unless requests behind this one
@@ -325,7 +325,7 @@
 
 // writeResponse writes an upstream's response to the caller. If the rest of the body
 // can't be copied, it aborts the connection.
-func (r *Receiver) writeResponse(w http.ResponseWriter, result steerer.Result) {
+func (r *Receiver) writeResponse(w http.ResponseWriter, result steerer.Result, holder *accountant.Holder) {
 	header := w.Header()
 	for name, values := range endToEndHeader(result.Header) {
 		header[name] = values
@@ -342,7 +342,7 @@
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(result.Status)
-	if _, err := w.Write(result.Body); err != nil && len(result.Body) > 0 {
+	if err := r.writePieces(w, result.Body, holder); err != nil {
 		r.log.Debug("writing the response to the caller failed", "reason", err.Error())
 	}
 	if result.Rest == nil {
