--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -249,7 +249,10 @@
 		body.release()
 	}
 	holder.Enter(r.clock.Now(), accountant.Writing)
-	r.writeResponse(w, result)
+	if result.Rest != nil {
+		result.Rest = &accountedRest{ReadCloser: result.Rest, holder: holder, clock: r.clock}
+	}
+	r.writeResponse(w, result, holder)
 }
 
 // closeAfter makes the response close the caller's connection, unless requests behind this one
@@ -276,6 +279,10 @@
 	if failed.Code != "" {
 		return steerer.Request{}, failed
 	}
+	// The connection counts as running by now, so that it is not closed later.
+	if accountant.HolderOf(in.Context()).Evicted() {
+		return steerer.Request{}, r.refuseForRoom(in, held)
+	}
 	if body == nil {
 		body = [][]byte{nil}
 	}
@@ -318,7 +325,7 @@
 
 // writeResponse writes an upstream's response to the caller. If the rest of the body
 // can't be copied, it aborts the connection.
-func (r *Receiver) writeResponse(w http.ResponseWriter, result steerer.Result) {
+func (r *Receiver) writeResponse(w http.ResponseWriter, result steerer.Result, holder *accountant.Holder) {
 	header := w.Header()
 	for name, values := range endToEndHeader(result.Header) {
 		header[name] = values
@@ -335,7 +342,7 @@
 	}
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(result.Status)
-	if _, err := w.Write(result.Body); err != nil && len(result.Body) > 0 {
+	if err := r.writePieces(w, result.Body, holder); err != nil {
 		r.log.Debug("writing the response to the caller failed", "reason", err.Error())
 	}
 	if result.Rest == nil {
@@ -364,7 +371,7 @@
 	}
 	if result.Code == steerer.CodeStaleAccounts {
 		// Another VM may know the accounts, so the caller should not come back here.
-		w.Header().Set("Connection", "close")
+		closeAfter(w, in)
 	}
 	if result.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", authenticator.Challenge)
