Responses behind one of stale accounts are not lost

Cause: a 503 for stale accounts closed the caller's connection at once, also while requests that were read ahead behind it were in progress: they ran and their callers got no response. Change: the receiver closes the connection as it does at a stop, after the last of them. Result: TestStaleAccountsBeforeOthers failed before and passes.

--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -364,7 +364,7 @@
 	}
 	if result.Code == steerer.CodeStaleAccounts {
 		// Another VM may know the accounts, so the caller should not come back here.
-		w.Header().Set("Connection", "close")
+		closeAfter(w, in)
 	}
 	if result.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", authenticator.Challenge)
--- a/internal/front/receiver/receiver_test.go
+++ b/internal/front/receiver/receiver_test.go
@@ -20,6 +20,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/account/authenticator"
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
+	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
@@ -54,6 +55,17 @@
 
 func (r *router) Generation() namer.Generation { return 1 }
 
+// routerFunc is a router whose results depend on the request.
+type routerFunc func(ctx context.Context, req steerer.Request) steerer.Result
+
+func (f routerFunc) Steer(ctx context.Context, req steerer.Request) steerer.Result {
+	return f(ctx, req)
+}
+
+func (f routerFunc) Ingress() (parser.Ingress, bool) { return (&router{}).Ingress() }
+
+func (f routerFunc) Generation() namer.Generation { return 1 }
+
 func start(t *testing.T, r *router, limits receiver.Limits) (*receiver.Receiver, string) {
 	t.Helper()
 	rec := receiver.New(r, namer.WaxwingHeaderNames(), limits, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
@@ -234,6 +246,49 @@
 	assert.Assert(t, resp.Header.Get("Retry-After") != "")
 }
 
+// TestStaleAccountsBeforeOthers guards against requests behind one that is refused since this VM's
+// accounts are stale, that run and get no response because the connection is closed.
+func TestStaleAccountsBeforeOthers(t *testing.T) {
+	t.Parallel()
+	behind := make(chan struct{})
+	rec := receiver.New(routerFunc(func(_ context.Context, req steerer.Request) steerer.Result {
+		if req.Path == "/behind" {
+			close(behind)
+			return okResult("answer")
+		}
+		<-behind
+		return steerer.Result{Status: http.StatusServiceUnavailable, Code: steerer.CodeStaleAccounts, RetryAfter: time.Second}
+	}), namer.WaxwingHeaderNames(), defaultLimits, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	log, clock := slog.New(slog.DiscardHandler), clockwork.NewRealClock()
+	admit := func(*http.Request) bool { return true }
+	ahead := pipeliner.New(rec, admit, pipeliner.Limits{Requests: 5, Bytes: 1 << 20}, clock, log)
+	sweep := sweeper.New(func() time.Duration { return time.Minute }, clock, log, sweeper.WithPipeliner(ahead))
+	server := httptest.NewUnstartedServer(rec)
+	server.Listener = sweep.Listen(server.Listener)
+	server.Config.ConnState, server.Config.ConnContext = sweep.Track, sweep.WithConn
+	server.Start()
+	t.Cleanup(server.Close)
+	conn, err := net.Dial("tcp", server.Listener.Addr().String())
+	assert.NilError(t, err)
+	t.Cleanup(func() { _ = conn.Close() })
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(5*time.Second)))
+	_, err = io.WriteString(conn, "GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /behind HTTP/1.1\r\nHost: h\r\n\r\n")
+	assert.NilError(t, err)
+	r := bufio.NewReader(conn)
+	for _, want := range []struct {
+		status int
+		closes bool
+	}{{http.StatusServiceUnavailable, false}, {http.StatusOK, true}} {
+		resp, err := http.ReadResponse(r, nil)
+		assert.NilError(t, err)
+		_, err = io.Copy(io.Discard, resp.Body)
+		assert.NilError(t, err)
+		assert.NilError(t, resp.Body.Close())
+		assert.Equal(t, resp.StatusCode, want.status)
+		assert.Equal(t, resp.Close, want.closes)
+	}
+}
+
 // TestForwardedParts checks which parts of a request reach the router and which
 // headers of a response reach the caller.
 func TestForwardedParts(t *testing.T) {
