A request does not tell an account that no document has any more

Cause: a request that was retried after a document without accounts came into force kept its account, and each further attempt carried the account header. Change: the recheck before an attempt drops the account, and the one before the first byte holds back a head that was written with it. Result: TestLastAccountRemovedMeanwhile failed before and passes.

--- a/internal/route/steerer/account.go
+++ b/internal/route/steerer/account.go
@@ -90,6 +90,7 @@
 // key may have been withdrawn. It returns false and the result if the request must not be sent.
 func (s *Steerer) recheckAccount(a *activeRequest) (Result, bool) {
 	if !s.accounts.inForce.Load() {
+		a.account = nil
 		return Result{}, true
 	}
 	a.dropCredential()
@@ -108,7 +109,7 @@
 // accountHolds reports whether a request may still be sent with the headers of its account.
 func (s *Steerer) accountHolds(a *activeRequest) bool {
 	if !s.accounts.inForce.Load() {
-		return true
+		return a.account == nil
 	}
 	if a.route.Public {
 		return a.credentialDropped
--- a/internal/route/steerer/account_test.go
+++ b/internal/route/steerer/account_test.go
@@ -273,3 +273,23 @@
 	assert.Equal(t, len(up.heads), 3)
 	assert.DeepEqual(t, tally.Summary(1).Accounts, map[namer.Account]tallier.Counts{"acme": {Requests: 2, Limited: 1}})
 }
+
+// TestLastAccountRemovedMeanwhile guards against a request that tells upstreams an account that no
+// document has any more, once the last account was removed while the request was about to be sent.
+func TestLastAccountRemovedMeanwhile(t *testing.T) {
+	t.Parallel()
+	up, s, _, tally, _ := newAccountFixture(t, connectsSlowly)
+	done := make(chan steerer.Result, 1)
+	go func() { done <- s.Steer(context.Background(), keyed("/order/", "acme-key")) }()
+	poll.WaitOn(t, up.sentAtLeast(1))
+	without, err := parser.Parse(parser.Sources{{Section: parser.Services, Text: []byte(document)}})
+	assert.NilError(t, err)
+	s.SetDocument(3, without)
+	close(up.release)
+	result := <-done
+	assert.Equal(t, result.Status, http.StatusOK)
+	assert.Equal(t, len(up.heads), 2)
+	assert.Equal(t, up.heads[1].Get(namer.WaxwingHeaderNames().Account), "")
+	assert.Equal(t, up.heads[1].Get("Authorization"), "")
+	assert.Equal(t, len(tally.Summary(1).Accounts), 0)
+}
