timekeeper: a pause at the start doesn't shorten suspensions

Cause: New read the steady clock first, so a delay before the boot clock's reading was subtracted from all suspensions, and keys counted as confirmed later than they were. Change: New reads the boot clock first, as Suspended does. Result: TestPauseAtStart failed before (7 s of 8 s) and passes.

--- a/internal/kernel/timekeeper/timekeeper.go
+++ b/internal/kernel/timekeeper/timekeeper.go
@@ -51,12 +51,12 @@
 // New returns a timekeeper that counts suspensions from now on. It fails if the boot clock
 // can't be read.
 func New(clock clockwork.Clock, boot Boot) (*Timekeeper, error) {
-	now := clock.Now()
+	// The boot clock is read first: a delay between both readings must not shorten suspensions.
 	at, err := boot.Read()
 	if err != nil {
 		return nil, err
 	}
-	return &Timekeeper{clock: clock, boot: boot, started: now, startedAt: at}, nil
+	return &Timekeeper{clock: clock, boot: boot, started: clock.Now(), startedAt: at}, nil
 }
 
 // Suspended returns for how long the machine has been suspended since New. It never
--- a/internal/kernel/timekeeper/timekeeper_test.go
+++ b/internal/kernel/timekeeper/timekeeper_test.go
@@ -48,3 +48,31 @@
 	assert.NilError(t, err)
 	assert.Assert(t, first > 0 && second >= first)
 }
+
+// slowBoot is a boot clock before whose first reading the process gets no processor time.
+type slowBoot struct {
+	boot
+	clock  *clockwork.FakeClock
+	paused bool
+}
+
+func (b *slowBoot) Read() (time.Duration, error) {
+	if !b.paused {
+		b.paused = true
+		b.clock.Advance(time.Second)
+		b.at += time.Second
+	}
+	return b.at, nil
+}
+
+// TestPauseAtStart guards against a suspension that counts as shorter since the process got no
+// processor time while the timekeeper was made.
+func TestPauseAtStart(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	slow := &slowBoot{clock: clock}
+	k, err := timekeeper.New(clock, slow)
+	assert.NilError(t, err)
+	slow.at += 8 * time.Second
+	assert.Equal(t, k.Suspended(), 8*time.Second)
+}
