tallier: requests without an account take no lock

Cause: each request took the tallier's lock, also where the document has no accounts. Change: Record returns before the lock if there is nothing to count.

--- a/internal/account/tallier/tallier.go
+++ b/internal/account/tallier/tallier.go
@@ -56,6 +56,9 @@
 // Record counts a request with the status of its response. The account is empty if it was not
 // identified.
 func (t *Tallier) Record(account namer.Account, status int, denial authenticator.Denial) {
+	if account == "" && denial == authenticator.None {
+		return
+	}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if denial != authenticator.None {
