A key that an account lists twice doesn't make the document invalid

Cause: the check of keys counted a second mention as one of another account, so the whole document was refused, with all that it withdraws. Change: a second mention in the same account is left out. Result: TestKeyNamedTwice failed before and passes; a key of two accounts is refused as before.

--- a/internal/document/parser/account.go
+++ b/internal/document/parser/account.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"slices"
 	"strings"
 
 	"github.com/waxwingloom/waxwingloom/internal/config/checker"
@@ -39,7 +40,7 @@
 		PermittedRegions: regionList(e),
 	}
 	for _, field := range strings.Fields(e.Text("keys")) {
-		if hash, ok := parseKeyHash(field); ok {
+		if hash, ok := parseKeyHash(field); ok && !slices.Contains(a.Keys, hash) {
 			a.Keys = append(a.Keys, hash)
 		}
 	}
@@ -56,7 +57,7 @@
 			problems = append(problems, e.Problem("keys", "key %d is not a SHA-256 digest of 64 hexadecimal digits", i+1))
 			continue
 		}
-		if owner, taken := owners[hash]; taken {
+		if owner, taken := owners[hash]; taken && owner != e.Name {
 			problems = append(problems, e.Problem("keys", "key %d is also one of account %q", i+1, owner))
 			continue
 		}
--- a/internal/document/parser/account_test.go
+++ b/internal/document/parser/account_test.go
@@ -19,3 +19,13 @@
 	assert.Error(t, err, `services.ini:4: [account two] keys: key 2 is also one of account "one"
 services.ini:4: [account two] keys: key 3 is not a SHA-256 digest of 64 hexadecimal digits`)
 }
+
+// TestKeyNamedTwice guards against a document that is refused, with all that it withdraws, since an
+// account lists one of its keys twice.
+func TestKeyNamedTwice(t *testing.T) {
+	t.Parallel()
+	digest := parser.HashKey("a key").String()
+	doc, err := parser.Parse(parser.Sources{{Section: parser.Services, Text: []byte("[account one]\nkeys = " + digest + " " + digest + "\n")}})
+	assert.NilError(t, err)
+	assert.DeepEqual(t, doc.Accounts[0].Keys, []parser.KeyHash{parser.HashKey("a key")})
+}
