lender: a keeper that can't be reached is left alone also by idle callers

Cause: each look at the members forgot idle callers with the time until which their keeper isn't called, so for accounts that send seldom each request called it again and waited up to 150 ms. Change: a caller is kept while its keeper is left alone. Result: TestDeafKeeperIsLeftAlone failed before (2 calls) and passes.

--- a/internal/account/lender/caller.go
+++ b/internal/account/lender/caller.go
@@ -23,7 +23,8 @@
 		queue  []*account
 		busy   bool
 		// brokenUntil is the time until which the keeper isn't called, since it could not be
-		// reached. Only the goroutine that makes the calls uses it.
+		// reached. Only the goroutine that makes the calls uses it, or, while there is none, who
+		// holds the lender's mutex.
 		brokenUntil time.Time
 	}
 
--- a/internal/account/lender/keeping.go
+++ b/internal/account/lender/keeping.go
@@ -61,7 +61,8 @@
 		l.lookAt(now, v, entry, changed)
 	}
 	for vm, c := range l.callers {
-		if !c.busy && len(c.queue) == 0 {
+		// No goroutine makes calls, so that nothing else uses brokenUntil.
+		if !c.busy && len(c.queue) == 0 && !now.Before(c.brokenUntil) {
 			delete(l.callers, vm)
 		}
 	}
--- a/internal/account/lender/lender_test.go
+++ b/internal/account/lender/lender_test.go
@@ -1,6 +1,7 @@
 package lender_test
 
 import (
+	"context"
 	"fmt"
 	"log/slog"
 	"math"
@@ -9,6 +10,7 @@
 	"testing/synctest"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
@@ -17,6 +19,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/member/tracker"
+	"github.com/waxwingloom/waxwingloom/internal/peer/encoder"
 )
 
 // demandTerms are those of a deployment of six zones.
@@ -229,3 +232,39 @@
 
 func (alone) Self() tracker.Member      { return tracker.Member{VM: "a", Zone: "z0"} }
 func (alone) Members() []tracker.Member { return nil }
+
+// deafKeeper is the other VM of a zone, which is alive by the members' list and gives no reply.
+type deafKeeper struct{ calls int }
+
+func (*deafKeeper) Self() tracker.Member { return tracker.Member{VM: "a", Zone: "z0"} }
+
+func (*deafKeeper) Members() []tracker.Member {
+	return []tracker.Member{{VM: "b", Zone: "z0", PeerAddress: "b", State: tracker.Alive, LastHeard: time.Now()}}
+}
+
+func (k *deafKeeper) Call(context.Context, string, namer.Incarnation, *encoder.Request) (*encoder.Reply, error) {
+	k.calls++
+	return nil, errors.New("no reply")
+}
+
+// TestDeafKeeperIsLeftAlone guards against a keeper that can't be reached and is called for each
+// request of accounts that send seldom.
+func TestDeafKeeperIsLeftAlone(t *testing.T) {
+	for _, name := range []namer.Account{"a0", "a1", "a2", "a3"} {
+		synctest.Test(t, func(t *testing.T) {
+			a := parser.Account{Name: name, Rate: 100, Burst: 100}
+			keeper := &deafKeeper{}
+			self := lender.Self{VM: "a", Zone: "z0", Zones: []namer.Zone{"z0"}, Seeded: true}
+			l, cleanup := lender.New(self, demandTerms, timing, lender.Dependencies{Peers: keeper, Members: keeper}, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+			defer cleanup()
+			l.SetDocument(documentOf(a))
+			l.Take(t.Context(), &a)
+			for range 3 {
+				time.Sleep(100 * time.Millisecond)
+				l.Look()
+			}
+			l.Take(t.Context(), &a)
+			assert.Assert(t, keeper.calls <= 1, "%d calls", keeper.calls)
+		})
+	}
+}
