The configuration is confirmed often enough for a short revoke timeout

Cause: the store was asked as often as apply and drain demand, whatever revoke was; with revoke below them, all VMs would have refused all keys between two confirmations. Change: the follower of the configuration takes the age at which keys are refused as a bound on its delay.

--- a/internal/account/gatekeeper/gatekeeper.go
+++ b/internal/account/gatekeeper/gatekeeper.go
@@ -110,6 +110,11 @@
 	}
 )
 
+// MaxAge returns the age of the accounts at which keys are refused. It is 0 if there is none.
+func (t Terms) MaxAge() time.Duration {
+	return time.Duration(maxAgeFraction * float64(t.RevokeTimeout))
+}
+
 // New returns a gatekeeper without accounts.
 func New(c Confirmations, terms Terms, clock clockwork.Clock, log *slog.Logger) *Gatekeeper {
 	return &Gatekeeper{
@@ -220,7 +225,7 @@
 		return false
 	}
 	age, confirmed := k.confirmations.AppliedAge()
-	return !confirmed || age >= time.Duration(maxAgeFraction*float64(k.terms.RevokeTimeout))
+	return !confirmed || age >= k.terms.MaxAge()
 }
 
 // unconfirmed returns the denial of a key that is unknown without a confirmation. Where the
--- a/internal/kernel/runner/accounts.go
+++ b/internal/kernel/runner/accounts.go
@@ -2,6 +2,7 @@
 
 import (
 	"log/slog"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -12,7 +13,9 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/registrar"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/timekeeper"
 	"github.com/waxwingloom/waxwingloom/internal/member/heartbeater"
+	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
+	"github.com/waxwingloom/waxwingloom/platform"
 )
 
 // Names of the services that concern client accounts.
@@ -41,14 +44,27 @@
 	r.Register(talliesName, nil, func(registrar.Finder) (any, func(), error) { return tallier.New(), nil, nil })
 	deps := []registrar.Name{clockName, configName, documentsName, membersName}
 	r.Register(accountsName, deps, func(f registrar.Finder) (any, func(), error) {
-		terms := gatekeeper.Terms{RevokeTimeout: s.Accounts.RevokeTimeout, MaxApplyDelay: s.Routing.MaxApplyDelay}
-		k := gatekeeper.New(f.Find(configName).(*follower.Follower), terms, f.Find(clockName).(clockwork.Clock), log)
+		k := gatekeeper.New(f.Find(configName).(*follower.Follower), termsOfAccounts(s), f.Find(clockName).(clockwork.Clock), log)
 		f.Find(documentsName).(*keeper.Keeper).Subscribe(func(snapshot *keeper.Snapshot) { k.SetDocument(snapshot.Document) })
 		f.Find(membersName).(*heartbeater.Heartbeater).SetAccountsStale(k.Stale)
 		return k, nil, nil
 	})
 }
 
+func termsOfAccounts(s loader.Settings) gatekeeper.Terms {
+	return gatekeeper.Terms{RevokeTimeout: s.Accounts.RevokeTimeout, MaxApplyDelay: s.Routing.MaxApplyDelay}
+}
+
+// maxDelayOf returns the time within which changes of the records of a kind must be known. The
+// accounts must be confirmed before they are so old that keys are refused.
+func maxDelayOf(s loader.Settings, kind storer.Kind) time.Duration {
+	delay := min(s.Routing.MaxApplyDelay, s.Routing.MaxDrainDelay)
+	if maxAge := termsOfAccounts(s).MaxAge(); kind == platform.ConfigKind && maxAge > 0 {
+		delay = min(delay, maxAge)
+	}
+	return delay
+}
+
 // metricsOfAccounts returns what the metrics show of client accounts.
 func metricsOfAccounts(f registrar.Finder) accountMetrics {
 	return accountMetrics{
