Problems of accounts hide digests and lines that may be keys

Cause: a line that slipped out of a list of keys was quoted in the document's problems, which the daemon logs with a refused edit and returns to waxwingctl; only waxwingctl check hid them. Change: the parser hides runs of hexadecimal digits in the problems of accounts, and what lines without a key hold. Result: TestProblemsHideDigests failed before and passes.

--- a/internal/document/parser/account.go
+++ b/internal/document/parser/account.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/hex"
+	"regexp"
 	"slices"
 	"strings"
 
@@ -10,6 +11,15 @@
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 )
 
+// hidden stands for what may be a key or its digest.
+const hidden = "(hidden)"
+
+var (
+	// hexRun matches digests of keys, and pieces of them.
+	hexRun = regexp.MustCompile(`[0-9A-Fa-f]{24,}`)
+	quoted = regexp.MustCompile(`"(\\.|[^"\\])*"`)
+)
+
 // HashKey returns the digest of an account's key.
 func HashKey(key string) KeyHash {
 	return sha256.Sum256([]byte(key))
@@ -65,3 +75,19 @@
 	}
 	return problems
 }
+
+// hideKeys hides what may be a key or its digest in the problems of accounts: a line that is
+// neither a key nor a comment may have slipped out of a list of keys.
+func hideKeys(problems checker.Problems) {
+	for i := range problems {
+		p := &problems[i]
+		if !strings.HasPrefix(p.Section, "account") {
+			continue
+		}
+		if p.Key == "" {
+			p.Reason = quoted.ReplaceAllString(p.Reason, hidden)
+		}
+		p.Reason = hexRun.ReplaceAllString(p.Reason, hidden)
+		p.Key = hexRun.ReplaceAllString(p.Key, hidden)
+	}
+}
--- a/internal/document/parser/account_test.go
+++ b/internal/document/parser/account_test.go
@@ -29,3 +29,15 @@
 	assert.NilError(t, err)
 	assert.DeepEqual(t, doc.Accounts[0].Keys, []parser.KeyHash{parser.HashKey("a key")})
 }
+
+// TestProblemsHideDigests guards against digests in logs and replies, from a line that has slipped
+// out of a list of keys.
+func TestProblemsHideDigests(t *testing.T) {
+	t.Parallel()
+	digest := parser.HashKey("a key").String()
+	for _, lines := range []string{"keys =\n" + digest, digest + " = 5", "rate = " + digest, "regions = r\n  plain-key", "keys = " + digest + "0"} {
+		_, err := parser.Parse(parser.Sources{{Section: parser.Services, Text: []byte("[account one]\n" + lines + "\n")}})
+		assert.ErrorContains(t, err, "[account one]")
+		assert.Assert(t, !strings.Contains(err.Error(), digest) && !strings.Contains(err.Error(), "plain-key"), "%v", err)
+	}
+}
--- a/internal/document/parser/parser.go
+++ b/internal/document/parser/parser.go
@@ -95,6 +95,7 @@
 		d.addEntry(e)
 	}
 	problems = append(problems, d.validate()...)
+	hideKeys(problems)
 	if err := problems.AsError(); err != nil {
 		return nil, err
 	}
