messenger: a dial goes on when its callers give up

A call to another zone for tokens allows 60 ms, but a first connection over 12 ms each way takes about 100 ms: dial, handshake, call.

--- a/internal/peer/messenger/messenger.go
+++ b/internal/peer/messenger/messenger.go
@@ -85,7 +85,9 @@
 	}
 	m := &Messenger{listener: ln, self: self, keys: keys, log: slog.New(slog.DiscardHandler)}
 	m.pool.conns = make(map[string]*peerConn)
+	m.pool.dialing = make(map[string]*dialing)
 	m.pool.dial = m.dial
+	m.pool.ctx, m.pool.cancel = context.WithCancel(context.Background())
 	for _, opt := range opts {
 		opt(m)
 	}
--- a/internal/peer/messenger/pool.go
+++ b/internal/peer/messenger/pool.go
@@ -19,36 +19,43 @@
 	}
 
 	// connPool keeps one connection to each address. The first caller that needs a
-	// connection dials it; concurrent callers wait for that dial.
+	// connection starts to dial it, and all callers wait for that dial. A dial goes on when its
+	// callers give up: they may allow less time than it takes, and the next one finds it done.
 	connPool struct {
 		mu      sync.Mutex
 		conns   map[string]*peerConn
-		dialing map[string]chan struct{}
+		dialing map[string]*dialing
 		dial    func(ctx context.Context, address string) (*peerConn, error)
-		closed  bool
+		// ctx ends with the pool.
+		ctx    context.Context
+		cancel context.CancelFunc
+		closed bool
+	}
+
+	// dialing is a dial in progress. Done is closed when it has ended.
+	dialing struct {
+		done chan struct{}
+		conn *peerConn
+		err  error
 	}
 )
 
 func (p *connPool) get(ctx context.Context, address string) (*peerConn, error) {
-	for {
-		c, wait, err := p.lookup(address)
-		if c != nil || err != nil {
-			return c, err
-		}
-		if wait == nil {
-			return p.connect(ctx, address)
-		}
-		select {
-		case <-wait:
-		case <-ctx.Done():
-			return nil, errors.Wrapf(ctx.Err(), "waiting for a link to %s", address)
-		}
+	c, d, err := p.lookup(address)
+	if c != nil || err != nil {
+		return c, err
+	}
+	select {
+	case <-d.done:
+		return d.conn, d.err
+	case <-ctx.Done():
+		return nil, errors.Wrapf(ctx.Err(), "waiting for a link to %s", address)
 	}
 }
 
-// lookup returns the open connection to an address, or else a channel that is closed when
-// the dial in progress ends. If it returns neither, the caller must call connect.
-func (p *connPool) lookup(address string) (*peerConn, <-chan struct{}, error) {
+// lookup returns the open connection to an address, or else the dial in progress, which it
+// starts if there is none.
+func (p *connPool) lookup(address string) (*peerConn, *dialing, error) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.closed {
@@ -60,31 +67,32 @@
 		}
 		delete(p.conns, address)
 	}
-	if wait, ok := p.dialing[address]; ok {
-		return nil, wait, nil
-	}
-	if p.dialing == nil {
-		p.dialing = make(map[string]chan struct{})
+	if d, ok := p.dialing[address]; ok {
+		return nil, d, nil
 	}
-	p.dialing[address] = make(chan struct{})
-	return nil, nil, nil
+	d := &dialing{done: make(chan struct{})}
+	p.dialing[address] = d
+	go p.connect(address, d)
+	return nil, d, nil
 }
 
-func (p *connPool) connect(ctx context.Context, address string) (*peerConn, error) {
-	c, err := p.dial(ctx, address)
+func (p *connPool) connect(address string, d *dialing) {
+	c, err := p.dial(p.ctx, address)
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	close(p.dialing[address])
+	defer close(d.done)
 	delete(p.dialing, address)
 	if err != nil {
-		return nil, err
+		d.err = err
+		return
 	}
 	if p.closed {
 		_ = c.session.Close()
-		return nil, errClosed
+		d.err = errClosed
+		return
 	}
 	p.conns[address] = c
-	return c, nil
+	d.conn = c
 }
 
 func (p *connPool) remove(address string, c *peerConn) {
@@ -100,6 +108,7 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	p.closed = true
+	p.cancel()
 	for address, c := range p.conns {
 		_ = c.session.Close()
 		delete(p.conns, address)
