--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -78,10 +78,12 @@
 		Need       time.Duration
 
 		arrivedAt time.Time
-		// late is whether the target time can't be met any more, tag the virtual time at
-		// which the request's turn comes.
-		late bool
-		tag  float64
+		// late is whether the target time can't be met any more, latestFirst whether the
+		// rank has lost targets lately, and tag the virtual time at which the request's turn
+		// comes.
+		late        bool
+		latestFirst bool
+		tag         float64
 	}
 
 	// State is what operators see of a scheduler. Limit is the number of requests that may be
@@ -205,11 +207,17 @@
 			s.rank(r.Rank).overloadedAt = now
 		}
 	}
+	for _, r := range ordered {
+		r.latestFirst = s.rank(r.Rank).isOverloaded(now)
+	}
 	slices.SortStableFunc(ordered, func(a, b *Request) int {
-		if a.Rank == b.Rank && s.rank(a.Rank).isOverloaded(now) {
+		if a.Rank != b.Rank {
+			return cmp.Compare(a.Rank, b.Rank)
+		}
+		if a.latestFirst {
 			a, b = b, a
 		}
-		return cmp.Or(cmp.Compare(a.Rank, b.Rank), a.TargetTime.Compare(b.TargetTime))
+		return a.TargetTime.Compare(b.TargetTime)
 	})
 	turns := make(map[flowKey]float64)
 	for _, r := range ordered {
