limiter: more rate and less depth from the same bound

The bound counts windows, in each of which rate x window + burst are allowed. With the whole burst as depth, an account that steadily sends a tenth more than its rate was refused that tenth. TestLimits checks what is served in a window in place of the burst at once.

--- a/internal/account/limiter/limiter.go
+++ b/internal/account/limiter/limiter.go
@@ -60,11 +60,20 @@
 	// which two VMs generate. The rest, with the burst, is the depth.
 	heldFraction    = 0.6
 	reserveFraction = 0.15
-	// startFraction is the largest part of the depth that is set aside for a start of all VMs.
+	// depthFraction is the part of the burst that may be spent at once. The rest of what the
+	// bound allows raises the rate: the bound is on windows, in each of which the burst is
+	// allowed anew, and a steady excess is more common than a burst within a second.
+	depthFraction = 0.4
+	// startFraction is the largest part of what the bound allows beyond the rate, and
+	// startBurst the part of the burst, that are set aside for a start of all VMs.
 	startFraction = 0.25
+	startBurst    = 0.05
 	// minDepth is the least depth of a zone, in tokens: the keeper of a zone of which a part
 	// fell silent still has whole tokens to give.
 	minDepth = 2
+	// usualDepth is the depth of a zone, in tokens, of an account with a small burst: enough
+	// for requests that come together by chance.
+	usualDepth = 3
 )
 
 type (
@@ -98,7 +107,9 @@
 	return (float64(rate)*t.Window.Seconds()+float64(burst))*(1+t.Overage) + float64(t.Slack)
 }
 
-// Limit returns the share of an account's limit that each zone generates. If the depth would
+// Limit returns the share of an account's limit that each zone generates. Its rate is at least
+// the account's where the bound allows that, and in a window it gives at least what the limit
+// allows there. If the depth would
 // be less than minDepth for each zone, fewer zones generate. If the bound leaves too little
 // for one token beside the rate, the rate is reduced.
 func (t Terms) Limit(rate, burst int) Limit {
@@ -108,10 +119,11 @@
 	fixed := (HoldTime + t.SendTime).Seconds()
 	life := min(max(heldFraction*beyond/r-fixed, minLife.Seconds()), maxLife.Seconds())
 	reserve := min(r*window/float64(max(t.Zones, 1)), reserveFraction*beyond)
-	depth := max(bound-reserve-r*(window+fixed+life), 1)
-	r = min(r, max(0, (bound-reserve-depth)/(window+fixed+life)))
-	start := max(0, min(startFraction*depth, depth-float64(burst)-1))
-	depth -= start
+	zones := float64(max(t.Zones, 1))
+	most := max(bound-reserve-r*(window+fixed+life), 1)
+	start := max(0, min(startFraction*most, startBurst*float64(burst)+zones, most-1))
+	depth := min(most-start, max(depthFraction*float64(burst), usualDepth*zones))
+	r = max(0, (bound-reserve-start-depth)/(window+fixed+life))
 	generators := min(max(t.Zones, 1), max(int(depth/minDepth), 1))
 	return Limit{
 		Rate:       r / float64(generators),
