--- a/internal/account/gatekeeper/gatekeeper.go
+++ b/internal/account/gatekeeper/gatekeeper.go
@@ -4,7 +4,7 @@
 // run. A key that is not known may be new, so the store is asked before it is refused.
 //
 // It answers the load of many unknown keys: one call to the store at a time asks for all that
-// wait, calls that find nothing become rarer, and few requests wait. Callers that go on with a
+// wait, calls that find nothing are rare, and few requests wait. Callers that go on with a
 // withdrawn key cost no call.
 //
 // # Usage
@@ -35,12 +35,11 @@
 	// refreshTimeout is how long a request with an unknown key waits for a confirmation of the
 	// accounts.
 	refreshTimeout = 400 * time.Millisecond
-	// The interval between two calls to the store for unknown keys doubles from
-	// minAskInterval to maxAskInterval while they find none, and returns to it when a key is
-	// found or there was no call for resetInterval.
+	// The interval between two calls to the store for unknown keys is minAskInterval after one
+	// that found a key, and maxAskInterval after one that did not. Requests in between wait for
+	// the confirmations that come anyway.
 	minAskInterval = 250 * time.Millisecond
 	maxAskInterval = 30 * time.Second
-	resetInterval  = time.Minute
 	// maxWaiting is the number of requests with unknown keys that wait at the same time.
 	maxWaiting = 32
 	// unknownRetention is how long a key that was confirmed to be unknown is refused without
@@ -270,24 +269,18 @@
 	}
 }
 
-// scheduleAsk asks the store as soon as the interval between two calls allows that. The caller
-// holds k.mu.
+// scheduleAsk asks the store as soon as the interval between two calls allows that, unless the
+// request will not wait for so long. The caller holds k.mu.
 func (k *Gatekeeper) scheduleAsk(now time.Time) {
-	if k.askDue {
-		return
-	}
-	since := now.Sub(k.askedAt)
+	left := k.askedAt.Add(k.askInterval).Sub(now)
 	switch {
-	case k.askedAt.IsZero() || since >= resetInterval:
-		k.askInterval = minAskInterval
-	case since < k.askInterval:
+	case k.askDue:
+	case left <= 0:
+		k.askNow(now)
+	case left < refreshTimeout:
 		k.askDue = true
-		k.clock.AfterFunc(k.askInterval-since, k.ask)
-		return
-	default:
-		k.askInterval = min(2*k.askInterval, maxAskInterval)
+		k.clock.AfterFunc(left, k.ask)
 	}
-	k.askNow(now)
 }
 
 // ask asks the store unless nobody waits any more.
@@ -296,7 +289,6 @@
 	defer k.mu.Unlock()
 	k.askDue = false
 	if len(k.waiting) > 0 {
-		k.askInterval = min(2*k.askInterval, maxAskInterval)
 		k.askNow(k.clock.Now())
 	}
 }
@@ -304,6 +296,8 @@
 // askNow asks the store. The caller holds k.mu.
 func (k *Gatekeeper) askNow(now time.Time) {
 	k.askedAt = now
+	k.askInterval = maxAskInterval
 	k.asks++
+	k.log.Info("asking the store for an unknown key", "waiting", len(k.waiting))
 	k.confirmations.Poll()
 }
--- a/internal/account/gatekeeper/gatekeeper_test.go
+++ b/internal/account/gatekeeper/gatekeeper_test.go
@@ -238,5 +238,5 @@
 		}
 		c.clock.Advance(time.Second)
 	}
-	assert.Assert(t, k.State().Asks <= 8, "%d calls in 20 s", k.State().Asks)
+	assert.Assert(t, k.State().Asks <= 2, "%d calls in 20 s", k.State().Asks)
 }
