Take back: lower ranks don't queue at upstreams

A few requests of other routes to the same service have a higher rank, and all others then left the queues at upstreams empty.

--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -15,7 +15,7 @@
 //   - A request that isn't expected to be answered by its deadline behind those that come
 //     first is refused at once, with the time until there is room for it.
 //   - Requests of lower ranks leave the slots free that those of higher ranks are going to
-//     need, by their rate and processing time, and don't queue at upstreams.
+//     need, by their rate and processing time.
 //
 // The package is pure: the time is an argument, and there is no I/O. It is not safe for
 // concurrent use.
@@ -58,8 +58,6 @@
 	// overloadMemory is how long the latest target comes first after a request has lost its
 	// target. A queue in which each request just misses it is no use to any.
 	overloadMemory = time.Second
-	// minRate is the rate of requests per second from which on a rank counts as in use.
-	minRate = 0.1
 	// rateHalfLife is the half-life of the rates of arrivals and of requests sent.
 	rateHalfLife = time.Second
 )
@@ -182,7 +180,7 @@
 // State returns the scheduler's state.
 func (s *Scheduler) State(now time.Time) State {
 	limit := -1
-	if l := s.window.limit(now, maxLoad); !math.IsInf(l, 1) {
+	if l := s.window.limit(now); !math.IsInf(l, 1) {
 		limit = int(l)
 	}
 	return State{Queued: len(s.queued), InFlight: s.inFlight(), Limit: limit, Hopeless: s.hopeless}
@@ -282,16 +280,12 @@
 // MaySend reports whether r may be sent now: there is room for it, besides what more urgent
 // ranks are going to need.
 func (s *Scheduler) MaySend(now time.Time, r *Request) bool {
-	limit := s.window.limit(now, maxLoad)
+	limit := s.window.limit(now)
 	if math.IsInf(limit, 1) {
 		return true
 	}
-	lowerLimit := limit
 	inFlight, below, reserved := 0, 0, 0.0
 	for k, state := range s.ranks {
-		if k < r.Rank && state.arrivals.perSecond(now) >= minRate {
-			lowerLimit = s.window.limit(now, fullLoad)
-		}
 		inFlight += state.inFlight
 		if k >= r.Rank {
 			below += state.inFlight
@@ -302,7 +296,7 @@
 	switch {
 	case float64(inFlight)+1 > limit && inFlight > 0:
 		return false
-	case float64(inFlight)+1+reserved > lowerLimit:
+	case float64(inFlight)+1+reserved > limit:
 		return float64(below)+1 <= max(1, leastShare*limit)
 	}
 	return true
--- a/internal/route/scheduler/window.go
+++ b/internal/route/scheduler/window.go
@@ -9,9 +9,6 @@
 	// maxLoad is the number of requests at the upstreams, per slot, up to which a VM sends
 	// more. What waits at an upstream can't be overtaken by what is more urgent.
 	maxLoad = 1.2
-	// fullLoad is the load up to which a VM sends requests of ranks below the most urgent one, so
-	// that these don't make it wait at the upstreams.
-	fullLoad = 1.0
 	// loadHalfLife is the half-life of the mean load and of the mean number of requests in
 	// flight, about the time that a request takes.
 	loadHalfLife = 300 * time.Millisecond
@@ -44,18 +41,17 @@
 	}
 )
 
-// limit returns the number of requests that may be in flight to keep the upstreams near a
-// load of most requests per slot.
-func (w *window) limit(now time.Time, most float64) float64 {
+// limit returns the number of requests that may be in flight.
+func (w *window) limit(now time.Time) float64 {
 	if w.load.weight == 0 {
 		return math.Inf(1)
 	}
 	load := w.load.value() * halfLife(now.Sub(w.load.at), staleHalfLife)
 	own := w.inFlight.value()
-	if load <= most {
-		return own + 1 + (most-load)*w.slots
+	if load <= maxLoad {
+		return own + 1 + (maxLoad-load)*w.slots
 	}
-	return own*most/load + 1
+	return own*maxLoad/load + 1
 }
 
 // recordInFlight records the number of this VM's requests in flight.
