scheduler: late requests are refused by what late ones really get

A request whose target is lost was refused by a quarter of the rate of sends, since arrivals come first. Where all become late, they don't; and after calm that rate is low although those in flight end soon. The rate at which late requests are sent and what is in flight count too.

--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -103,6 +103,8 @@
 		ranks  map[Rank]*rank
 		window window
 		sent   rate
+		// sentLate are those of them whose target was lost.
+		sentLate rate
 		// hopeless counts requests that were refused since they would have been late.
 		hopeless int64
 		// owed is what lower ranks are owed of the requests that are sent, in requests.
@@ -310,6 +312,9 @@
 	s.flows[r.flow()] = &flow{virtual: turn + r.Work.Seconds()}
 	k.inFlight++
 	s.sent.count(now)
+	if r.late {
+		s.sentLate.count(now)
+	}
 	s.sentCount++
 	k.lastSent = s.sentCount
 	s.pay(r)
@@ -364,13 +369,18 @@
 	if served <= 0 || !r.late {
 		return 0
 	}
+	// After a calm time the rate of sends is low, but those in flight end one after the other.
+	if r.Need > 0 {
+		served = max(served, float64(s.inFlight())/r.Need.Seconds())
+	}
 	arriving := 0.0
 	for k, state := range s.ranks {
 		if k <= r.Rank {
 			arriving += state.arrivals.perSecond(now)
 		}
 	}
-	served = max(served-arriving, minLateShare*served)
+	// Requests that arrive and become late too don't come first.
+	served = max(served-arriving, s.sentLate.perSecond(now), minLateShare*served)
 	wait := time.Duration(float64(i) / served * float64(time.Second))
 	return max(0, now.Add(wait+r.Need).Sub(r.Deadline))
 }
--- a/internal/route/scheduler/scheduler_test.go
+++ b/internal/route/scheduler/scheduler_test.go
@@ -235,3 +235,36 @@
 		s.Ordered(noon)
 	}
 }
+
+// TestBurstAfterCalm guards against refusing requests that come at once after a calm time, by
+// the low rate of that time: 8 slots, objects take 500 ms, 4 of 12 requests wait and would be
+// answered after a second.
+func TestBurstAfterCalm(t *testing.T) {
+	t.Parallel()
+	s := scheduler.New()
+	now := noon
+	for range 60 {
+		now = now.Add(time.Second)
+		r := request("read", 1, 0)
+		s.RecordArrival(now, r)
+		s.Begin(now, r)
+		s.End(now, r)
+	}
+	for i := range 12 {
+		r := request("read", 1, 0)
+		r.TargetTime, r.Deadline, r.Need = now.Add(300*time.Millisecond), now.Add(2*time.Second), 500*time.Millisecond
+		s.RecordArrival(now, r)
+		if i < 8 {
+			s.Begin(now, r)
+		} else {
+			s.Add(now, r)
+		}
+	}
+	for ms := range 50 {
+		at := now.Add(time.Duration(ms) * 10 * time.Millisecond)
+		ordered := s.Ordered(at)
+		for i := range ordered {
+			assert.Check(t, s.Late(at, ordered, i) == 0, "request %d after %d ms: %s", i, ms*10, s.Late(at, ordered, i))
+		}
+	}
+}
