--- a/internal/route/scheduler/scheduler.go
+++ b/internal/route/scheduler/scheduler.go
@@ -103,8 +103,6 @@
 		ranks  map[Rank]*rank
 		window window
 		sent   rate
-		// sentLate are those of them whose target was lost.
-		sentLate rate
 		// hopeless counts requests that were refused since they would have been late.
 		hopeless int64
 		// owed is what lower ranks are owed of the requests that are sent, in requests.
@@ -312,9 +310,6 @@
 	s.flows[r.flow()] = &flow{virtual: turn + r.Work.Seconds()}
 	k.inFlight++
 	s.sent.count(now)
-	if r.late {
-		s.sentLate.count(now)
-	}
 	s.sentCount++
 	k.lastSent = s.sentCount
 	s.pay(r)
@@ -379,8 +374,7 @@
 			arriving += state.arrivals.perSecond(now)
 		}
 	}
-	// Requests that arrive and become late too don't come first.
-	served = max(served-arriving, s.sentLate.perSecond(now), minLateShare*served)
+	served = max(served-arriving, minLateShare*served)
 	wait := time.Duration(float64(i) / served * float64(time.Second))
 	return max(0, now.Add(wait+r.Need).Sub(r.Deadline))
 }
--- a/internal/route/scheduler/window.go
+++ b/internal/route/scheduler/window.go
@@ -7,8 +7,9 @@
 
 const (
 	// maxLoad is the number of requests at the upstreams, per slot, up to which a VM sends
-	// more. What waits at an upstream can't be overtaken by what is more urgent.
-	maxLoad = 1.2
+	// more. What waits at an upstream can't be overtaken by what is more urgent. At a
+	// lower mean load, some upstreams have free slots while requests wait for others.
+	maxLoad = 1.8
 	// loadHalfLife is the half-life of the mean load and of the mean number of requests in
 	// flight, about the time that a request takes.
 	loadHalfLife = 300 * time.Millisecond
