--- a/internal/kernel/runner/accounts_test.go
+++ b/internal/kernel/runner/accounts_test.go
@@ -19,11 +19,10 @@
 // configureAccounts writes a configuration with a client account that has the given keys.
 func (f *fixture) configureAccounts(t *testing.T, version int, keys ...string) {
 	t.Helper()
-	text := string(sample(t, "configuration", "VERSION", fmt.Sprint(version), "PATH", "/stock/"))
 	list, err := json.Marshal(keys)
 	assert.NilError(t, err)
-	text = strings.Replace(text, `"limits"`, `"tenants":[{"name":"acme","apiKeys":`+string(list)+`}],"limits"`, 1)
-	assert.NilError(t, f.storekeeper.Write(platform.ConfigKind, platform.ConfigName, json.RawMessage(text)))
+	spec := sample(t, "configuration-accounts", "VERSION", fmt.Sprint(version), "KEYS", string(list))
+	assert.NilError(t, f.storekeeper.Write(platform.ConfigKind, platform.ConfigName, spec))
 }
 
 // getWithKey sends a request with a key, and returns the status and the challenge.
--- a/internal/stand/crowder/daemon_test.go
+++ b/internal/stand/crowder/daemon_test.go
@@ -142,7 +142,7 @@
 	upstream := httptest.NewServer(http.HandlerFunc(serveUpstream))
 	t.Cleanup(upstream.Close)
 	t.Cleanup(upstream.CloseClientConnections)
-	assert.NilError(t, store.Write(platform.ConfigKind, platform.ConfigName, configuration(bodyBytes)))
+	assert.NilError(t, store.Write(platform.ConfigKind, platform.ConfigName, configuration(t, bodyBytes)))
 	entry := sample(t, "upstream", "ADDRESS", strings.TrimPrefix(upstream.URL, "http://"))
 	assert.NilError(t, store.Write(platform.UpstreamKind, "i-1", entry))
 
@@ -179,16 +179,8 @@
 }
 
 // configuration is the configuration in force: one route, and bodies up to a length.
-func configuration(bodyBytes int) any {
-	return map[string]any{
-		"version": "r1",
-		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": bodyBytes, "headerTimeout": "30s", "idleTimeout": "30s"},
-		"listeners": []any{map[string]any{"hostname": "shop.example", "ruleSet": []any{map[string]any{
-			"name": "r", "kind": "non_idempotent", "targetLatency": "250ms", "match": map[string]any{"pathPrefix": "/"},
-			"action": map[string]any{"service": "desk", "timeout": "10s", "maxAttempts": 1},
-		}}}},
-		"clusters": []any{map[string]any{"name": "desk", "maxConnections": 30, "coldStart": "0s", "coldPerS": 1000}},
-	}
+func configuration(t *testing.T, bodyBytes int) json.RawMessage {
+	return sample(t, "configuration-bodies", "BODYBYTES", strconv.Itoa(bodyBytes))
 }
 
 // serveUpstream reads the body and responds with its length.
