--- a/internal/kernel/runner/callerlimits.go
+++ b/internal/kernel/runner/callerlimits.go
@@ -7,6 +7,8 @@
 	"runtime/debug"
 	"syscall"
 
+	"golang.org/x/sys/unix"
+
 	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/settings/loader"
 )
@@ -47,6 +49,7 @@
 	if heap := debug.SetMemoryLimit(-1); memory == 0 && heap < math.MaxInt64 {
 		memory = heap
 	}
+	memory = cmp.Or(memory, machineMemory())
 	connections := cmp.Or(limits.MaxConnections, cmp.Or(limits.Descriptors, openFileLimit())/callerDescriptorDivisor)
 	out := accountant.Limits{
 		Bytes:             memory / callerMemoryDivisor,
@@ -57,6 +60,15 @@
 	return out
 }
 
+// machineMemory returns the bytes of memory that the operating system reports, 0 if it does not.
+func machineMemory() int64 {
+	var info unix.Sysinfo_t
+	if err := unix.Sysinfo(&info); err != nil {
+		return 0
+	}
+	return int64(min(uint64(info.Totalram)*uint64(info.Unit), math.MaxInt64)) //nolint:unconvert // The types differ between machines.
+}
+
 // openFileLimit returns the operating system's limit on the descriptors of this process, 0 if
 // it is not known.
 func openFileLimit() int {
