--- a/internal/account/limiter/limiter.go
+++ b/internal/account/limiter/limiter.go
@@ -54,7 +54,7 @@
 	// minLife and maxLife bound the life of a token at a VM. A shorter one would expire on
 	// its way; a longer one would leave too much to VMs that no longer need it.
 	minLife = 100 * time.Millisecond
-	maxLife = time.Second
+	maxLife = 500 * time.Millisecond
 	// heldFraction and reserveFraction are the largest parts of what the bound allows beyond
 	// rate and burst that are spent on tokens that VMs hold, and on the reserve for a zone in
 	// which two VMs generate. The rest, with the burst, is the depth.
@@ -66,7 +66,7 @@
 	depthFraction = 0.4
 	// startFraction is the largest part of what the bound allows beyond the rate, and
 	// startBurst the part of the burst, that are set aside for a start of all VMs.
-	startFraction = 0.25
+	startFraction = 0.2
 	startBurst    = 0.05
 	// minDepth is the least depth of a zone, in tokens: the keeper of a zone of which a part
 	// fell silent still has whole tokens to give.
@@ -121,7 +121,7 @@
 	reserve := min(r*window/float64(max(t.Zones, 1)), reserveFraction*beyond)
 	zones := float64(max(t.Zones, 1))
 	most := max(bound-reserve-r*(window+fixed+life), 1)
-	start := max(0, min(startFraction*most, startBurst*float64(burst)+zones, most-1))
+	start := max(0, min(startFraction*most, startBurst*float64(burst)+zones, most-usualDepth*zones))
 	depth := min(most-start, max(depthFraction*float64(burst), usualDepth*zones))
 	r = max(0, (bound-reserve-start-depth)/(window+fixed+life))
 	generators := min(max(t.Zones, 1), max(int(depth/minDepth), 1))
