--- a/internal/account/limiter/limiter.go
+++ b/internal/account/limiter/limiter.go
@@ -57,7 +57,7 @@
 	maxLife = 500 * time.Millisecond
 	// heldFraction and reserveFraction are the largest parts of what the bound allows beyond
 	// rate and burst that are spent on tokens that VMs hold, and on the reserve for a zone in
-	// which two VMs generate. The rest, with the burst, is the depth.
+	// which two VMs generate.
 	heldFraction    = 0.6
 	reserveFraction = 0.15
 	// depthFraction is the part of the burst that may be spent at once. The rest of what the
@@ -107,11 +107,10 @@
 	return (float64(rate)*t.Window.Seconds()+float64(burst))*(1+t.Overage) + float64(t.Slack)
 }
 
-// Limit returns the share of an account's limit that each zone generates. Its rate is at least
-// the account's where the bound allows that, and in a window it gives at least what the limit
-// allows there. If the depth would
-// be less than minDepth for each zone, fewer zones generate. If the bound leaves too little
-// for one token beside the rate, the rate is reduced.
+// Limit returns the share of an account's limit that each zone generates. Where the bound allows
+// it, the rate is at least the account's, and in a window no less is given than the limit allows
+// there. If the depth would be less than minDepth for each zone, fewer zones generate. If the
+// bound leaves too little for one token beside the rate, the rate is reduced.
 func (t Terms) Limit(rate, burst int) Limit {
 	r, window := float64(rate), t.Window.Seconds()
 	bound := t.Bound(rate, burst)
@@ -119,11 +118,13 @@
 	fixed := (HoldTime + t.SendTime).Seconds()
 	life := min(max(heldFraction*beyond/r-fixed, minLife.Seconds()), maxLife.Seconds())
 	reserve := min(r*window/float64(max(t.Zones, 1)), reserveFraction*beyond)
+	counted := window + fixed + life
 	zones := float64(max(t.Zones, 1))
-	most := max(bound-reserve-r*(window+fixed+life), 1)
-	start := max(0, min(startFraction*most, startBurst*float64(burst)+zones, most-usualDepth*zones))
-	depth := min(most-start, max(depthFraction*float64(burst), usualDepth*zones))
-	r = max(0, (bound-reserve-start-depth)/(window+fixed+life))
+	// What the bound leaves beside the account's rate.
+	spare := max(bound-reserve-r*counted, 1)
+	start := max(0, min(startFraction*spare, startBurst*float64(burst)+zones, spare-usualDepth*zones))
+	depth := min(spare-start, max(depthFraction*float64(burst), usualDepth*zones))
+	r = max(0, (bound-reserve-start-depth)/counted)
 	generators := min(max(t.Zones, 1), max(int(depth/minDepth), 1))
 	return Limit{
 		Rate:       r / float64(generators),
