--- a/internal/account/lender/keeping.go
+++ b/internal/account/lender/keeping.go
@@ -103,7 +103,7 @@
 	for i, w := range lend.GetWants() {
 		loan.Grants[i] = &encoder.Grant{Wait: int32(failurePause.Milliseconds())}
 		if entry := accounts[namer.Account(w.GetAccount())]; entry != nil {
-			wants = append(wants, want{account: entry, need: int(w.GetNeed()), ahead: int(w.GetAhead())})
+			wants = append(wants, want{account: entry, need: max(0, int(w.GetNeed())), ahead: max(0, int(w.GetAhead()))})
 			places = append(places, i)
 		}
 	}
