--- a/review/_sim/main.go
+++ b/review/_sim/main.go
@@ -7,8 +7,11 @@
 	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"strings"
+	"sync"
+	"syscall"
 	"time"
 )
 
@@ -21,6 +24,9 @@
 // lead is the time between the start of the machines and the traffic.
 const lead = 10 * time.Second
 
+// maxTime is the longest time of a case.
+const maxTime = 110 * time.Second
+
 // errNotRun is returned by a case that couldn't run.
 var errNotRun = errors.New("the case could not run")
 
@@ -31,7 +37,10 @@
 		dir     string
 		record  *record
 		store   *store
-		ends    []func()
+
+		mu    sync.Mutex
+		ended bool
+		ends  []func()
 	}
 
 	// play runs a case, and returns whether the rule was broken.
@@ -61,14 +70,17 @@
 		return exitNotRun
 	}
 	w := &world{trouble: os.Getenv("TROUBLE") != "0", dir: dir, record: rec}
-	defer func() {
-		for i := len(w.ends) - 1; i >= 0; i-- {
-			w.ends[i]()
-		}
-		if keep := os.Getenv("KEEP"); keep != "" {
-			_ = os.Rename(dir, keep)
+	defer w.end()
+	// A script that is told to stop, or takes too long, ends what it started too.
+	stop := make(chan os.Signal, 1)
+	signal.Notify(stop, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		select {
+		case <-stop:
+		case <-time.After(maxTime):
 		}
-		_ = os.RemoveAll(dir)
+		w.end()
+		os.Exit(exitNotRun)
 	}()
 	if w.store, err = newStore(); err != nil {
 		fmt.Fprintln(os.Stderr, err)
@@ -89,6 +101,34 @@
 	return exitHeld
 }
 
+// atEnd adds what is done at the end of the case.
+func (w *world) atEnd(f func()) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		f()
+		return
+	}
+	w.ends = append(w.ends, f)
+}
+
+// end ends what the case has started.
+func (w *world) end() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.ended {
+		return
+	}
+	w.ended = true
+	for i := len(w.ends) - 1; i >= 0; i-- {
+		w.ends[i]()
+	}
+	if keep := os.Getenv("KEEP"); keep != "" {
+		_ = os.Rename(w.dir, keep)
+	}
+	_ = os.RemoveAll(w.dir)
+}
+
 // daemon starts a process of the system that ends with the case.
 func (w *world) daemon(name string, t terms) (*daemon, error) {
 	d, err := newDaemon(w.dir, name, w.store.address, t)
@@ -98,7 +138,7 @@
 	if err := d.start(w.dir); err != nil {
 		return nil, err
 	}
-	w.ends = append(w.ends, d.end)
+	w.atEnd(d.end)
 	return d, nil
 }
 
@@ -122,7 +162,7 @@
 	if err != nil {
 		return err
 	}
-	w.ends = append(w.ends, b.close)
+	w.atEnd(b.close)
 	return nil
 }
 
