follower: log and show what confirmed the records

Three causes look alike in the logs: a poll that confirms records it did not hear the change of, a watch that does so, and a version that was learned but not applied. The line "store lost" now has the age and the origin of the last confirmation, the metric views has the origin.

--- a/internal/document/follower/confirmation.go
+++ b/internal/document/follower/confirmation.go
@@ -9,6 +9,18 @@
 	"github.com/waxwingloom/waxwingloom/internal/platform/storer"
 )
 
+// The origins of a confirmation. They appear in logs and metrics.
+const (
+	ListOrigin  Origin = "list"
+	WatchOrigin Origin = "watch"
+	PollOrigin  Origin = "poll"
+	PeerOrigin  Origin = "peer"
+)
+
+// Origin is what brought a confirmation by the store: a list, a watch, a watch that did not
+// wait, or a relay parent's update.
+type Origin string
+
 // WithSuspension sets the function that returns for how long the machine has been suspended.
 // The age of a confirmation includes that time.
 func WithSuspension(suspended func() time.Duration) Option {
@@ -23,6 +35,14 @@
 	return f.clock.Since(at), !at.IsZero()
 }
 
+// ConfirmedBy returns the origin of the last confirmation of what the handler has processed. It is
+// empty before the first.
+func (f *Follower) ConfirmedBy() Origin {
+	f.feed.mu.Lock()
+	defer f.feed.mu.Unlock()
+	return f.feed.appliedBy
+}
+
 // Poll makes this VM ask the store for changes at once, by a watch that does not wait. A poll
 // that is under way is followed by another one. Poll does nothing during the backoff after a
 // failed call, and while this VM has no records at all.
@@ -54,9 +74,9 @@
 }
 
 // beginConfirmation returns the confirmation that begins now.
-func (f *Follower) beginConfirmation() confirmation {
+func (f *Follower) beginConfirmation(by Origin) confirmation {
 	suspended := f.feed.suspended()
-	return confirmation{at: f.clock.Now(), suspended: suspended}
+	return confirmation{at: f.clock.Now(), suspended: suspended, by: by}
 }
 
 // markApplied records that the handler has processed what a confirmation covers.
@@ -64,7 +84,7 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if at := f.timeOf(c); at.After(f.appliedAt) {
-		f.appliedAt = at
+		f.appliedAt, f.appliedBy = at, c.by
 	}
 	f.wakeWaiters()
 }
--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -46,8 +46,10 @@
 		// firstEra is the first era that this VM knew, or 0.
 		firstEra    storer.Era
 		confirmedAt time.Time
-		// appliedAt is the time of the last confirmation of what the handler has processed.
+		// appliedAt is the time of the last confirmation of what the handler has processed, and
+		// appliedBy its origin.
 		appliedAt time.Time
+		appliedBy Origin
 		// suspended returns for how long the machine has been suspended. The times of
 		// confirmations are earlier by accounted, the part of it that they account for.
 		suspended func() time.Duration
@@ -67,11 +69,12 @@
 		updated chan struct{}
 	}
 
-	// confirmation is the time at which a confirmation by the store began, and for how long
-	// the machine had been suspended by then.
+	// confirmation is the time at which a confirmation by the store began, for how long
+	// the machine had been suspended by then, and what brought it.
 	confirmation struct {
 		at        time.Time
 		suspended time.Duration
+		by        Origin
 	}
 
 	// delta is the changes between two versions.
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -384,7 +384,11 @@
 	defer cancel(nil)
 	limit := f.clock.AfterFunc(wait+f.answerTimeout(), func() { cancel(errNoAnswer) })
 	defer limit.Stop()
-	confirmed := f.beginConfirmation()
+	by := WatchOrigin
+	if polls {
+		by = PollOrigin
+	}
+	confirmed := f.beginConfirmation(by)
 	begun := confirmed.at
 	changes, err := f.source.Changes(ctx, f.kind, f.since, wait)
 	if errors.Is(err, storer.ErrCompacted) && changes.StoreVersion.Era > f.era {
@@ -507,7 +511,7 @@
 // brings the changes that were made between two pages.
 func (f *Follower) list(ctx context.Context) error {
 	var records []storer.Record
-	confirmed := f.beginConfirmation()
+	confirmed := f.beginConfirmation(ListOrigin)
 	begun := confirmed.at
 	after := ""
 	var first storer.Version
@@ -580,7 +584,8 @@
 	if known {
 		return
 	}
-	f.log.Warn("store lost", "since", f.since, "reason", err.Error())
+	age, _ := f.AppliedAge()
+	f.log.Warn("store lost", "since", f.since, "age", age, "confirmedby", string(f.ConfirmedBy()), "reason", err.Error())
 }
 
 // markReachable records a period in which the store answered this VM or another without
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -196,7 +196,7 @@
 	}
 	now := f.clock.Now()
 	confirmedAt := now.Add(-u.Age)
-	confirmed := confirmation{at: confirmedAt, suspended: suspended}
+	confirmed := confirmation{at: confirmedAt, suspended: suspended, by: PeerOrigin}
 	f.noteEra(u.Version)
 	f.markReachable(u.Version.Era, confirmedAt.Add(-u.StoreReachableFor), confirmedAt)
 	f.since = f.since.Later(u.Version)
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -385,10 +385,12 @@
 }
 
 // viewAge is the age of this VM's view of the records of a kind, the highest age since the
-// start, and the bytes learned and sent. The metrics print it under its field names.
+// start, what brought the last confirmation, and the bytes learned and sent. The metrics print
+// it under its field names.
 type viewAge struct {
-	Age    time.Duration
-	Oldest time.Duration
+	Age         time.Duration
+	Oldest      time.Duration
+	ConfirmedBy follower.Origin
 	follower.Counts
 }
 
@@ -397,7 +399,7 @@
 	for _, name := range followerNames {
 		records := f.Find(name).(*follower.Follower)
 		age, oldest := records.Age()
-		ages[records.Kind()] = viewAge{Age: age, Oldest: oldest, Counts: records.Counts()}
+		ages[records.Kind()] = viewAge{Age: age, Oldest: oldest, ConfirmedBy: records.ConfirmedBy(), Counts: records.Counts()}
 	}
 	return ages
 }
