follower: only a list confirms the accounts

Cause: a watch that brought nothing counted as the store's confirmation of all up to its begin, though a watch may miss changes without an error. A request with an unknown key made the VM ask by such a watch. If the store's watches miss the withdrawal at that moment, and the store is down afterwards, the withdrawn key is accepted for 0.9 of revoke from that call on. The usual watches erred likewise, by up to 0.25 s with the store's gap of a second, and those of a VM whose relay parent is silent.

Evidence: the origin in the line "store lost": confirmedby=poll.

Fix: with a revoke timeout, only lists confirm the configuration. A list is a linearizable read, so it can't miss a change that was acknowledged before it began. The relay root lists after each two watches, so that a confirmation gets no older than before, any VM does for an unknown key, and so does one whose records have not been confirmed for that long. Watches still bring changes at once, but confirm nothing, on all paths: own, relayed, and at the start. A list that brings nothing new is not passed to the handler.

Tests: TestPollMissesChange and TestMissedChangeIsNotConfirmed (follower) failed before: confirmed 1.5 s after the change, without it. TestWithdrawnKeyMissedByWatches (gatekeeper) failed: the new key got 401.

--- a/internal/account/gatekeeper/store_test.go
+++ b/internal/account/gatekeeper/store_test.go
@@ -30,6 +30,8 @@
 	mu      sync.Mutex
 	record  storer.Record
 	failing error
+	// deaf makes watches miss all changes, without an error.
+	deaf    bool
 	changed chan struct{}
 }
 
@@ -44,11 +46,12 @@
 	for {
 		s.mu.Lock()
 		failing, record, changed := s.failing, s.record, s.changed
+		deaf := s.deaf
 		s.mu.Unlock()
 		switch {
 		case failing != nil:
 			return storer.Changes{}, failing
-		case since.Before(record.Version):
+		case since.Before(record.Version) && !deaf:
 			return storer.Changes{Items: []storer.Change{{Record: record}}, StoreVersion: record.Version}, nil
 		}
 		select {
@@ -109,7 +112,8 @@
 	translate := func(r storer.Record) (namer.Generation, parser.Sources, error) {
 		return namer.Generation(r.Version.Revision), sourcesOf(string(r.Spec)), nil
 	}
-	f := follower.New(s, "config", importer.New(translate, "main", v.documents, log), clock, log, follower.WithSuspension(v.slept))
+	f := follower.New(s, "config", importer.New(translate, "main", v.documents, log), clock, log,
+		follower.WithSuspension(v.slept), follower.WithListConfirmations())
 	v.Gatekeeper = gatekeeper.New(f, gatekeeper.Terms{RevokeTimeout: revokeTimeout, MaxApplyDelay: applyDelay}, clock, log)
 	v.documents.Subscribe(func(snapshot *keeper.Snapshot) { v.SetDocument(snapshot.Document) })
 	ctx, cancel := context.WithCancel(context.Background())
@@ -205,6 +209,36 @@
 	v.goOn(t, v.finds("key", authenticator.None))
 }
 
+// TestWithdrawnKeyMissedByWatches guards against a poll for an unknown key that makes a withdrawn key
+// acceptable for longer than the revoke timeout, since the store's watches miss the change. The
+// store is down from shortly after the poll on.
+func TestWithdrawnKeyMissedByWatches(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	v := startVM(t, newStore(clock, "old"), clock)
+	poll.WaitOn(t, v.finds("old", authenticator.None))
+	v.store.mu.Lock()
+	v.store.deaf = true
+	v.store.mu.Unlock()
+	v.store.write(1, 2, documentText("new"))
+	withdrawn := clock.Now()
+	clock.Advance(revokeTimeout / 5)
+	asked := identify(v.Gatekeeper, "new")
+	v.goOn(t, func(poll.LogT) poll.Result {
+		select {
+		case denial := <-asked:
+			assert.Equal(t, denial, authenticator.None)
+			return poll.Success()
+		default:
+			return poll.Continue("the request waits")
+		}
+	})
+	v.store.fail(errors.New("down"))
+	clock.Advance(revokeTimeout - clock.Since(withdrawn))
+	_, denial := v.Find(credential("old"))
+	assert.Assert(t, denial != authenticator.None, "the key is accepted %s after it was withdrawn", clock.Since(withdrawn))
+}
+
 // TestDocumentFromPeerOnly checks that a VM that has just started refuses keys while its document
 // is one that a peer sent, since it may be old.
 func TestDocumentFromPeerOnly(t *testing.T) {
--- a/internal/document/follower/confirmation.go
+++ b/internal/document/follower/confirmation.go
@@ -35,6 +35,13 @@
 	return f.clock.Since(at), !at.IsZero()
 }
 
+// WithListConfirmations makes only lists confirm the records, since a watch may miss changes
+// without an error. A relay root, and a VM without updates of its relay parent, then lists the
+// records when their last confirmation is listAgeFraction of the maximum delay old.
+func WithListConfirmations() Option {
+	return func(f *Follower) { f.listsConfirm = true }
+}
+
 // ConfirmedBy returns the origin of the last confirmation of what the handler has processed. It is
 // empty before the first.
 func (f *Follower) ConfirmedBy() Origin {
@@ -79,6 +86,14 @@
 	return confirmation{at: f.clock.Now(), suspended: suspended, by: by}
 }
 
+// watchOrigin returns the origin of a watch's confirmation.
+func watchOrigin(polls bool) Origin {
+	if polls {
+		return PollOrigin
+	}
+	return WatchOrigin
+}
+
 // markApplied records that the handler has processed what a confirmation covers.
 func (f *feed) markApplied(c confirmation) {
 	f.mu.Lock()
@@ -104,10 +119,13 @@
 	return f.updated
 }
 
-// timeOf returns the time of a confirmation, earlier by the suspensions since it began. The
-// caller holds f.mu.
+// timeOf returns the time of a confirmation, earlier by the suspensions since it began. It is zero
+// for an answer that confirms nothing. The caller holds f.mu.
 func (f *feed) timeOf(c confirmation) time.Time {
 	f.accountSuspension()
+	if c.at.IsZero() {
+		return time.Time{}
+	}
 	return c.at.Add(c.suspended - f.accounted)
 }
 
--- a/internal/document/follower/confirmation_test.go
+++ b/internal/document/follower/confirmation_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"fmt"
 	"sync/atomic"
 	"testing"
 	"time"
 
+	"github.com/cockroachdb/errors"
+	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 	"gotest.tools/v3/poll"
 
@@ -73,6 +76,105 @@
 	assert.ErrorIs(t, <-done, context.Canceled)
 }
 
+// missChanges makes a change of which the store's watches bring nothing. It returns when it was made.
+func (s *source) missChanges(name string) time.Time {
+	s.mu.Lock()
+	s.dropEvents, s.deaf = true, true
+	s.mu.Unlock()
+	s.put(name)
+	return s.clock.Now()
+}
+
+// TestPollMissesChange guards against a poll that confirms records without a change that the
+// store's watches miss.
+func TestPollMissesChange(t *testing.T) {
+	t.Parallel()
+	for _, tc := range []struct {
+		name  string
+		start func() (*source, *recorder, *clockwork.FakeClock, *follower.Follower)
+	}{
+		{"relay root", func() (*source, *recorder, *clockwork.FakeClock, *follower.Follower) {
+			return startFollower(t, follower.WithListConfirmations())
+		}},
+		{"relay parent", func() (*source, *recorder, *clockwork.FakeClock, *follower.Follower) {
+			src, _, handler, clock, f := startWithPeer(t, follower.WithListConfirmations())
+			return src, handler, clock, f
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			src, handler, clock, f := tc.start()
+			changed := src.missChanges("missed")
+			clock.Advance(time.Millisecond)
+			f.Poll()
+			advanceUntil(t, clock, func(l poll.LogT) poll.Result {
+				if age, _ := f.AppliedAge(); age >= clock.Since(changed) {
+					return poll.Continue("confirmed %s ago", age)
+				}
+				if !handler.has("missed")(l).Done() {
+					return poll.Error(errors.New("confirmed without the change"))
+				}
+				return poll.Success()
+			})
+		})
+	}
+}
+
+// TestMissedChangeIsNotConfirmed guards against watches that confirm records without a change that
+// they miss. The VM reads the store itself, from the start or once its relay parent is silent.
+func TestMissedChangeIsNotConfirmed(t *testing.T) {
+	t.Parallel()
+	for _, silentParent := range []bool{false, true} {
+		t.Run(fmt.Sprintf("silent parent %v", silentParent), func(t *testing.T) {
+			t.Parallel()
+			var (
+				src     *source
+				handler *recorder
+				clock   *clockwork.FakeClock
+				f       *follower.Follower
+			)
+			if silentParent {
+				src, _, handler, clock, f = startWithPeer(t, follower.WithListConfirmations())
+			} else {
+				src, handler, clock, f = startFollower(t, follower.WithListConfirmations())
+			}
+			clock.Advance(100 * time.Millisecond)
+			changed := src.missChanges("missed")
+			advanceUntil(t, clock, func(l poll.LogT) poll.Result {
+				age, _ := f.AppliedAge()
+				result := handler.has("missed")(l)
+				if !result.Done() && age < clock.Since(changed) {
+					return poll.Error(errors.Newf("confirmed %s after the change, without it", clock.Since(changed)-age))
+				}
+				return result
+			})
+			assert.Assert(t, clock.Since(changed) < shortestMaxDelay, "known after %s", clock.Since(changed))
+		})
+	}
+}
+
+// TestListConfirmationsAreCheap checks how many calls confirm records that don't change, how old
+// the confirmation gets, and that the handler is not given the same records again.
+func TestListConfirmationsAreCheap(t *testing.T) {
+	t.Parallel()
+	src, handler, clock, f := startFollower(t, follower.WithListConfirmations())
+	const period = 20 * shortestMaxDelay
+	begun, oldest := clock.Now(), time.Duration(0)
+	advanceUntil(t, clock, func(poll.LogT) poll.Result {
+		age, _ := f.AppliedAge()
+		oldest = max(oldest, age)
+		if clock.Since(begun) < period {
+			return poll.Continue("%s", clock.Since(begun))
+		}
+		return poll.Success()
+	})
+	// Two watches and a list in half of the maximum delay.
+	assert.Assert(t, src.calls() <= 20*6+3, "%d calls", src.calls())
+	assert.Assert(t, oldest <= 6*shortestMaxDelay/10, "confirmed %s ago", oldest)
+	handler.mu.Lock()
+	defer handler.mu.Unlock()
+	assert.Equal(t, handler.resets, 1)
+}
+
 // TestSuspensionAgesConfirmation checks that the age of a confirmation includes the time for which
 // the machine was suspended since, also towards peers, until the next confirmation.
 func TestSuspensionAgesConfirmation(t *testing.T) {
--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -174,8 +174,9 @@
 
 // replace sets all records. Their difference from the previous ones is added to the
 // history as a delta, so that peers need not be sent all records. The history does not
-// reach back to an earlier era: peers must learn that the store was restored.
-func (f *feed) replace(now time.Time, records []storer.Record, version, seen storer.Version, confirmed confirmation) {
+// reach back to an earlier era: peers must learn that the store was restored. It reports
+// whether there was a difference, or no known state to compare with.
+func (f *feed) replace(now time.Time, records []storer.Record, version, seen storer.Version, confirmed confirmation) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	known := f.records
@@ -196,12 +197,14 @@
 			changes = append(changes, storer.Change{Record: r, Removed: true})
 		}
 	}
+	changed := !continued || len(changes) > 0
 	if !continued {
 		f.version = version
 		f.history, f.historyBytes = nil, 0
 		changes = nil
 	}
 	f.addLocked(now, changes, version, seen, confirmed)
+	return changed
 }
 
 // add applies changes up to a version that the store confirmed, and
@@ -314,6 +317,17 @@
 	return age, max(age, f.maxAge)
 }
 
+// size returns the bytes of all records.
+func (f *feed) size() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	size := 0
+	for _, r := range f.records {
+		size += sizeOf([]storer.Change{{Record: r}})
+	}
+	return size
+}
+
 // dominated reports whether one record has most of the bytes of all. Then the list of the
 // records is hardly longer than one change of that record.
 func (f *feed) dominated() bool {
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -4,7 +4,8 @@
 //
 // A watch may miss changes without ending. A relay root, a VM that reads the store
 // itself, therefore keeps its watches short, so that the next one brings what was
-// missed. The other VMs follow a peer, their relay parent, whose updates report the
+// missed. Where decisions depend on what the store has confirmed, only lists confirm
+// the records: WithListConfirmations. The other VMs follow a peer, their relay parent, whose updates report the
 // changes that it learns and when the store last confirmed them. A VM whose relay parent
 // is silent, or has had no confirmation by the store for too long, asks the store itself.
 // So the number of calls to the store grows with the relay roots, not with the VMs.
@@ -44,6 +45,12 @@
 	// maximum delay; each watch costs one call. A watch without changes proves only that
 	// nothing had changed when it began, so a confirmation can be two watches old.
 	watchWaitFraction = 0.25
+	// listAgeFraction is the age of the last confirmation, as a fraction of the maximum delay, at
+	// which records are listed again if only lists confirm them. It is that of two watches.
+	listAgeFraction = 2 * watchWaitFraction
+	// minTransferBytesPerSecond is the rate at which known records are expected to arrive again. It
+	// is that of the slowest links in the requirements.
+	minTransferBytesPerSecond = 1 << 20
 	// staleFraction is the age of the store's last confirmation, as a fraction of the
 	// maximum delay, at which a VM asks the store itself. It is longer than two watches
 	// and the transmission over three peers, and leaves time for the VM's own call.
@@ -131,12 +138,14 @@
 		clock   clockwork.Clock
 		log     *slog.Logger
 
-		relay       Relay
-		maxDelay    time.Duration
-		minOutage   time.Duration
-		suspended   func() time.Duration
-		notifyPeers func()
-		feed        *feed
+		relay Relay
+		// listsConfirm is whether only lists confirm the records.
+		listsConfirm bool
+		maxDelay     time.Duration
+		minOutage    time.Duration
+		suspended    func() time.Duration
+		notifyPeers  func()
+		feed         *feed
 		// since is the version from which the next watch begins. listed is whether this VM
 		// has got all records, from the store or from a relay parent.
 		since  storer.Version
@@ -340,10 +349,39 @@
 	case f.feed.dominated() && (f.failures > 0 || f.isPollDue()):
 		defer f.end()
 		return f.list(f.beginPoll(ctx))
+	case f.isListDue():
+		return f.confirm(ctx)
 	}
 	return f.watch(ctx)
 }
 
+// isListDue reports whether a confirmation is due that only a list can give.
+func (f *Follower) isListDue() bool {
+	f.mu.Lock()
+	refresh := f.refreshDue
+	f.mu.Unlock()
+	return f.listsConfirm && (refresh || f.untilList() <= 0)
+}
+
+// untilList returns the time until the records have to be listed for a confirmation.
+func (f *Follower) untilList() time.Duration {
+	return time.Duration(listAgeFraction*float64(f.maxDelay)) - f.clock.Since(f.feed.lastConfirmed())
+}
+
+// confirm lists the known records again. The time limit allows for their size.
+func (f *Follower) confirm(parent context.Context) error {
+	defer f.end()
+	ctx, cancel := context.WithCancelCause(f.beginPoll(parent))
+	defer cancel(nil)
+	transfer := time.Duration(f.feed.size()) * time.Second / minTransferBytesPerSecond
+	limit := f.clock.AfterFunc(f.answerTimeout()+transfer, func() { cancel(errNoAnswer) })
+	defer limit.Stop()
+	if err := f.list(ctx); err != nil {
+		return causeOf(ctx, err)
+	}
+	return nil
+}
+
 // isPollDue reports whether a peer has seen a version that this VM lacks.
 func (f *Follower) isPollDue() bool {
 	f.mu.Lock()
@@ -384,12 +422,11 @@
 	defer cancel(nil)
 	limit := f.clock.AfterFunc(wait+f.answerTimeout(), func() { cancel(errNoAnswer) })
 	defer limit.Stop()
-	by := WatchOrigin
-	if polls {
-		by = PollOrigin
+	begun := f.clock.Now()
+	var confirmed confirmation
+	if !f.listsConfirm {
+		confirmed = f.beginConfirmation(watchOrigin(polls))
 	}
-	confirmed := f.beginConfirmation(by)
-	begun := confirmed.at
 	changes, err := f.source.Changes(ctx, f.kind, f.since, wait)
 	if errors.Is(err, storer.ErrCompacted) && changes.StoreVersion.Era > f.era {
 		// The relay parent may not have noticed the restoration that dropped the history.
@@ -443,8 +480,11 @@
 	polls := f.pollDue || f.refreshDue
 	f.pollDue, f.refreshDue = false, false
 	f.polling = polls
-	if polls {
+	switch {
+	case polls:
 		wait = pollWait
+	case f.listsConfirm:
+		wait = max(pollWait, min(wait, f.untilList()))
 	}
 	ctx, f.cancel = context.WithCancelCause(ctx)
 	return ctx, wait, polls
@@ -538,10 +578,15 @@
 	f.noteStoreAnswered()
 	f.markReachable(f.era, begun, begun)
 	f.since = first
+	known := f.listed
 	f.listed = true
 	answered := f.clock.Now()
-	f.feed.replace(answered, records, first, first, confirmed)
+	changed := f.feed.replace(answered, records, first, first, confirmed)
 	f.apply(confirmed, first, func() {
+		if known && !changed {
+			f.storeBytes.Add(int64(sizeOf(changesTo(records))))
+			return
+		}
 		f.handler.Reset(records)
 		f.logLearned(changesTo(records), first, answered.Sub(begun), answered)
 	})
--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -36,8 +36,10 @@
 	historyStart storer.Revision
 	pageSize     int
 	// afterPage is called after each page of a list.
-	afterPage   func()
-	dropEvents  bool
+	afterPage  func()
+	dropEvents bool
+	// deaf makes watches that begin miss all changes, without an error.
+	deaf        bool
 	failing     error
 	failedCalls int
 	// unanswered is how many of the next watches get no answer.
@@ -194,7 +196,7 @@
 		}
 		out := storer.Changes{StoreVersion: s.storeVersion()}
 		for _, c := range s.changes {
-			if c.Record.Version.Revision > since.Revision {
+			if !s.deaf && c.Record.Version.Revision > since.Revision {
 				out.Items = append(out.Items, c)
 			}
 		}
@@ -218,8 +220,9 @@
 
 // recorder is a handler that records its calls.
 type recorder struct {
-	mu    sync.Mutex
-	names map[string]bool
+	mu     sync.Mutex
+	names  map[string]bool
+	resets int
 	// reachableSince has the argument of each call of StoreReachableSince.
 	reachableSince []time.Time
 }
@@ -227,6 +230,7 @@
 func (c *recorder) Reset(records []storer.Record) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.resets++
 	c.names = make(map[string]bool)
 	for _, r := range records {
 		c.names[r.Name] = true
--- a/internal/kernel/runner/accounts.go
+++ b/internal/kernel/runner/accounts.go
@@ -65,6 +65,16 @@
 	return delay
 }
 
+// confirmationOptions returns how often the records of a kind must be confirmed, and by what. A
+// confirmation of the accounts must not miss a withdrawn key.
+func confirmationOptions(s loader.Settings, kind storer.Kind) []follower.Option {
+	opts := []follower.Option{follower.WithMaxDelay(maxDelayOf(s, kind))}
+	if kind == platform.ConfigKind && s.Accounts.RevokeTimeout > 0 {
+		opts = append(opts, follower.WithListConfirmations())
+	}
+	return opts
+}
+
 // metricsOfAccounts returns what the metrics show of client accounts.
 func metricsOfAccounts(f registrar.Finder) accountMetrics {
 	return accountMetrics{
--- a/internal/kernel/runner/accounts_test.go
+++ b/internal/kernel/runner/accounts_test.go
@@ -76,6 +76,44 @@
 	}
 }
 
+// TestWithdrawnKeyBehindSilentWatches guards against a withdrawn key that runs for longer than the
+// revoke timeout: the store's watches miss the change, a request with an unknown key makes VMs ask
+// the store, and then the store is down.
+func TestWithdrawnKeyBehindSilentWatches(t *testing.T) {
+	t.Parallel()
+	const revoke = 3 * time.Second
+	f := newFixture(t)
+	f.configureAccounts(t, 2, "first-key", "second-key")
+	o := startOptions{routing: "[accounts]\nrevoke = 3s\n"}
+	root := startWith(t, "vm-1", f.storeAddress, "", o)
+	root.waitReady(t)
+	follower := startWith(t, "vm-2", f.storeAddress, root.peers, o)
+	follower.waitReady(t)
+	daemons := []*daemon{root, follower}
+	for _, d := range daemons {
+		poll.WaitOn(t, answersKey(t, d, "first-key", http.StatusOK), poll.WithTimeout(5*time.Second))
+	}
+
+	f.storekeeper.SetFaults(storekeeper.Faults{SilentWatches: true})
+	f.configureAccounts(t, 3, "second-key")
+	withdrawn := time.Now()
+	time.Sleep(time.Until(withdrawn.Add(revoke / 4)))
+	for _, d := range daemons {
+		status, _ := getWithKey(t, d.callers, "unknown-key")
+		assert.Equal(t, status, http.StatusUnauthorized)
+	}
+	f.storekeeper.SetFaults(storekeeper.Faults{Outage: true})
+	time.Sleep(time.Until(withdrawn.Add(revoke)))
+	for time.Since(withdrawn) < revoke+revoke/4 {
+		for i, d := range daemons {
+			sent := time.Now()
+			status, _ := getWithKey(t, d.callers, "first-key")
+			assert.Assert(t, status != http.StatusOK, "vm-%d accepts the key %s after it was withdrawn", i+1, sent.Sub(withdrawn))
+		}
+		time.Sleep(50 * time.Millisecond)
+	}
+}
+
 // answersKey checks which status a request with a key gets.
 func answersKey(t *testing.T, d *daemon, key string, want int) poll.Check {
 	return func(poll.LogT) poll.Result {
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -154,8 +154,9 @@
 			members := f.Find(membersName).(*heartbeater.Heartbeater)
 			suspended := f.Find(timekeeperName).(*timekeeper.Timekeeper).Suspended
 			relay := relayer.New(f.Find(peersName).(*messenger.Messenger), members, f.Find(clockName).(clockwork.Clock), relayer.WithSuspension(suspended))
-			return follower.New(f.Find(platformName).(*platform.Client), kind, handler(f), f.Find(clockName).(clockwork.Clock), log,
-				follower.WithRelay(relay), follower.WithSuspension(suspended), follower.WithPeerNotifier(members.SendNow), follower.WithMaxDelay(maxDelayOf(s, kind)), follower.WithMinOutage(minOutageReportIntervals*s.ReportInterval)), nil, nil
+			opts := append(confirmationOptions(s, kind), follower.WithRelay(relay), follower.WithSuspension(suspended),
+				follower.WithPeerNotifier(members.SendNow), follower.WithMinOutage(minOutageReportIntervals*s.ReportInterval))
+			return follower.New(f.Find(platformName).(*platform.Client), kind, handler(f), f.Find(clockName).(clockwork.Clock), log, opts...), nil, nil
 		})
 	}
 	follow(configName, platform.ConfigKind, documentsName, func(f registrar.Finder) follower.Handler {
--- a/internal/stand/storekeeper/storekeeper.go
+++ b/internal/stand/storekeeper/storekeeper.go
@@ -45,6 +45,8 @@
 		// Outage refuses every call, and ends the watches that are waiting, with
 		// status 503.
 		Outage bool
+		// SilentWatches makes watches bring no changes, without an error.
+		SilentWatches bool
 		// LoseWrites is how many of the next creates and replacements take effect
 		// but get no response: the connection is closed.
 		LoseWrites int
@@ -290,7 +292,7 @@
 		outage := s.faults.Outage
 		changed := s.changed
 		for _, e := range s.history {
-			if e.kind == kind && e.revision > since {
+			if !s.faults.SilentWatches && e.kind == kind && e.revision > since {
 				out.Events = append(out.Events, e.Event)
 			}
 		}
