follower: confirmations of refused records don't count

Cause: a handler had no way to say that it could not take over records. The importer logged that the document was refused and kept the one before, and the follower counted the record, and each later confirmation of it, as applied. So the age of the accounts stayed young.

Fix: Handler.Reset and Apply return an error while the latest records are not in force, and AppliedAge counts no confirmation until a later call returns nil. Peers are still told of the confirmation: they judge by their own handlers. A record that is gone counts like one that is refused. New log lines "records not in force" and "records in force again".

Tests: TestRefusedRecordsAreNotConfirmed (follower) failed before, age 0s != 2s; TestRefusedDocument (gatekeeper) failed, the key was accepted until the test's end. Both were run with the condition in follower.apply taken out.

--- a/internal/account/gatekeeper/store_test.go
+++ b/internal/account/gatekeeper/store_test.go
@@ -239,6 +239,27 @@
 	assert.Assert(t, denial != authenticator.None, "the key is accepted %s after it was withdrawn", clock.Since(withdrawn))
 }
 
+// TestRefusedDocument guards against a withdrawn key that is accepted for good since the document
+// that withdraws it is refused, while the store goes on confirming its record.
+func TestRefusedDocument(t *testing.T) {
+	t.Parallel()
+	clock := clockwork.NewFakeClock()
+	v := startVM(t, newStore(clock, "old"), clock)
+	poll.WaitOn(t, v.finds("old", authenticator.None))
+	v.store.write(1, 2, "[account")
+	withdrawn := clock.Now()
+	v.goOn(t, v.finds("old", authenticator.StaleAccounts))
+	assert.Assert(t, clock.Since(withdrawn) < revokeTimeout, "accepted until %s after it was withdrawn", clock.Since(withdrawn))
+	for range 20 {
+		clock.Advance(100 * time.Millisecond)
+		time.Sleep(time.Millisecond)
+		poll.WaitOn(t, v.finds("old", authenticator.StaleAccounts))
+	}
+	v.store.write(1, 3, documentText("new"))
+	v.goOn(t, v.finds("new", authenticator.None))
+	v.goOn(t, v.finds("old", authenticator.UnknownKey))
+}
+
 // TestDocumentFromPeerOnly checks that a VM that has just started refuses keys while its document
 // is one that a peer sent, since it may be old.
 func TestDocumentFromPeerOnly(t *testing.T) {
--- a/internal/document/follower/confirmation_test.go
+++ b/internal/document/follower/confirmation_test.go
@@ -24,12 +24,12 @@
 	release chan struct{}
 }
 
-func (h *heldHandler) Apply(changes []storer.Change) {
+func (h *heldHandler) Apply(changes []storer.Change) error {
 	if h.hold.Load() {
 		close(h.blocked)
 		<-h.release
 	}
-	h.recorder.Apply(changes)
+	return h.recorder.Apply(changes)
 }
 
 // TestAppliedAge checks that a confirmation counts only once the handler has processed what it
@@ -175,6 +175,44 @@
 	assert.Equal(t, handler.resets, 1)
 }
 
+// refusingHandler can't take over records while refuse is set.
+type refusingHandler struct {
+	recorder
+	refuse atomic.Bool
+}
+
+func (h *refusingHandler) Apply(changes []storer.Change) error {
+	if h.refuse.Load() {
+		return errors.New("refused")
+	}
+	return h.recorder.Apply(changes)
+}
+
+// TestRefusedRecordsAreNotConfirmed guards against confirmations of records that the handler could
+// not take over, which would hide that it still uses older ones. Peers are told of the confirmation.
+func TestRefusedRecordsAreNotConfirmed(t *testing.T) {
+	t.Parallel()
+	handler := &refusingHandler{}
+	_, p, clock, f := startHandlerWithPeer(t, handler)
+	handler.refuse.Store(true)
+	clock.Advance(time.Second)
+	p.updates <- storer.Update{Changes: []storer.Change{change("second", 2)}, Version: version(2), SeenVersion: version(2)}
+	poll.WaitOn(t, hasSeen(f, version(2)))
+	clock.Advance(time.Second)
+	p.updates <- storer.Update{Version: version(3), SeenVersion: version(3)}
+	poll.WaitOn(t, hasSeen(f, version(3)))
+	age, _ := f.AppliedAge()
+	assert.Equal(t, age, 2*time.Second)
+	age, _ = f.Age()
+	assert.Equal(t, age, time.Duration(0))
+
+	handler.refuse.Store(false)
+	p.updates <- storer.Update{Changes: []storer.Change{change("fourth", 4)}, Version: version(4), SeenVersion: version(4)}
+	poll.WaitOn(t, hasSeen(f, version(4)))
+	age, _ = f.AppliedAge()
+	assert.Equal(t, age, time.Duration(0))
+}
+
 // TestSuspensionAgesConfirmation checks that the age of a confirmation includes the time for which
 // the machine was suspended since, also towards peers, until the next confirmation.
 func TestSuspensionAgesConfirmation(t *testing.T) {
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -117,12 +117,14 @@
 		Changes(ctx context.Context, kind storer.Kind, since storer.Version, wait time.Duration) (storer.Changes, error)
 	}
 
-	// Handler processes records and changes. Its methods are called one at a time.
+	// Handler processes records and changes. Its methods are called one at a time. An error
+	// means that the latest records are not in force on this VM: AppliedAge counts no
+	// confirmation until a later call returns nil.
 	Handler interface {
 		// Reset replaces all records of the kind.
-		Reset(records []storer.Record)
+		Reset(records []storer.Record) error
 		// Apply applies changes that were learned together, in their order.
-		Apply(changes []storer.Change)
+		Apply(changes []storer.Change) error
 		// StoreReachableSince sets since when the store has answered without an outage in
 		// which records may expire, and without a restoration from an older copy, in which
 		// records may be missing. It is called before what was learned by then is passed to
@@ -152,6 +154,8 @@
 		listed bool
 		// era is the latest era that this VM knows, from the store or a relay parent.
 		era storer.Era
+		// handlerErr is the error of the handler's last call.
+		handlerErr error
 		// failures counts the calls that failed since the last one that was answered.
 		failures int
 		// lastWatchEmpty is whether the last watch ended without changes.
@@ -454,11 +458,10 @@
 	}
 	answered := f.clock.Now()
 	f.feed.add(answered, changes.Items, f.since, seen, confirmed)
-	f.apply(confirmed, seen, func() {
-		if len(changes.Items) > 0 {
-			f.handler.Apply(changes.Items)
-			f.logLearned(changes.Items, changes.StoreVersion, answered.Sub(begun), answered)
-		}
+	f.apply(confirmed, seen, len(changes.Items) > 0, func() error {
+		err := f.handler.Apply(changes.Items)
+		f.logLearned(changes.Items, changes.StoreVersion, answered.Sub(begun), answered)
+		return err
 	})
 	if len(changes.Items) > 0 && f.lastWatchEmpty && f.clock.Since(begun) < missedMaxWait {
 		f.log.Info("changes were missed", "since", f.since, "count", len(changes.Items), "reason", "the last watch heard nothing")
@@ -511,18 +514,36 @@
 	return f.pollDue || f.refreshDue
 }
 
-// apply runs a call of the handler, after which changes up to a version are known. The feed
-// has them already: peers need not wait for this VM's handler.
-func (f *Follower) apply(confirmed confirmation, seen storer.Version, handle func()) {
+// apply passes what was learned, if anything, to the handler, after which changes up to a version
+// are known. The feed has them already: peers need not wait for this VM's handler, and their own
+// may succeed where it fails.
+func (f *Follower) apply(confirmed confirmation, seen storer.Version, learned bool, handle func() error) {
 	f.applying.Store(true)
 	defer f.applying.Store(false)
-	handle()
-	f.feed.markApplied(confirmed)
+	if learned {
+		f.noteHandled(handle())
+	}
+	if f.handlerErr == nil {
+		f.feed.markApplied(confirmed)
+	}
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.seen = f.seen.Later(seen)
 }
 
+// noteHandled stores the result of the handler's last call, and logs when it begins or ceases to
+// fail.
+func (f *Follower) noteHandled(err error) {
+	age, _ := f.AppliedAge()
+	switch {
+	case err != nil && f.handlerErr == nil:
+		f.log.Error("records not in force; the store's confirmations don't count", "since", f.since, "age", age, "reason", err.Error())
+	case err == nil && f.handlerErr != nil:
+		f.log.Info("records in force again", "since", f.since, "age", age)
+	}
+	f.handlerErr = err
+}
+
 // checkEra returns why an answer of the store must not be applied to the known records; nil
 // if it may. Records of an earlier era are to be listed again: a later era gives out
 // revisions again, so the answer lacks changes.
@@ -582,13 +603,13 @@
 	f.listed = true
 	answered := f.clock.Now()
 	changed := f.feed.replace(answered, records, first, first, confirmed)
-	f.apply(confirmed, first, func() {
-		if known && !changed {
-			f.storeBytes.Add(int64(sizeOf(changesTo(records))))
-			return
-		}
-		f.handler.Reset(records)
+	if known && !changed {
+		f.storeBytes.Add(int64(sizeOf(changesTo(records))))
+	}
+	f.apply(confirmed, first, !known || changed, func() error {
+		err := f.handler.Reset(records)
 		f.logLearned(changesTo(records), first, answered.Sub(begun), answered)
+		return err
 	})
 	return nil
 }
--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -227,7 +227,7 @@
 	reachableSince []time.Time
 }
 
-func (c *recorder) Reset(records []storer.Record) {
+func (c *recorder) Reset(records []storer.Record) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.resets++
@@ -235,14 +235,16 @@
 	for _, r := range records {
 		c.names[r.Name] = true
 	}
+	return nil
 }
 
-func (c *recorder) Apply(changes []storer.Change) {
+func (c *recorder) Apply(changes []storer.Change) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	for _, ch := range changes {
 		c.names[ch.Record.Name] = !ch.Removed
 	}
+	return nil
 }
 
 func (c *recorder) StoreReachableSince(since time.Time) {
--- a/internal/document/follower/relayed.go
+++ b/internal/document/follower/relayed.go
@@ -207,18 +207,18 @@
 		}
 		f.listed = true
 		f.feed.replace(now, records, f.since, u.SeenVersion, confirmed)
-		f.apply(confirmed, u.SeenVersion, func() {
-			f.handler.Reset(records)
+		f.apply(confirmed, u.SeenVersion, true, func() error {
+			err := f.handler.Reset(records)
 			f.logLearned(u.Changes, u.Version, u.Age, now)
+			return err
 		})
 		return
 	}
 	f.feed.add(now, u.Changes, f.since, u.SeenVersion, confirmed)
-	f.apply(confirmed, u.SeenVersion, func() {
-		if len(u.Changes) > 0 {
-			f.handler.Apply(u.Changes)
-			f.logLearned(u.Changes, u.Version, u.Age, now)
-		}
+	f.apply(confirmed, u.SeenVersion, len(u.Changes) > 0, func() error {
+		err := f.handler.Apply(u.Changes)
+		f.logLearned(u.Changes, u.Version, u.Age, now)
+		return err
 	})
 }
 
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -708,10 +708,10 @@
 	begun, end chan struct{}
 }
 
-func (h *slowHandler) Apply(changes []storer.Change) {
+func (h *slowHandler) Apply(changes []storer.Change) error {
 	h.begun <- struct{}{}
 	<-h.end
-	h.recorder.Apply(changes)
+	return h.recorder.Apply(changes)
 }
 
 // startApplying starts a follower whose handler is applying version 2, and returns a function
--- a/internal/document/importer/importer.go
+++ b/internal/document/importer/importer.go
@@ -13,6 +13,8 @@
 	"slices"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
 	"github.com/waxwingloom/waxwingloom/internal/document/parser"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
@@ -22,6 +24,8 @@
 // platformAuthor is the author of imported edits, since the record names none.
 const platformAuthor namer.Author = "platform"
 
+var errNoRecord = errors.New("the store has no record of the document")
+
 type (
 	// Translate returns the generation and the source texts of the document in a record.
 	Translate func(r storer.Record) (namer.Generation, parser.Sources, error)
@@ -38,6 +42,8 @@
 		name      string
 		documents DocumentKeeper
 		log       *slog.Logger
+		// err is why the store's latest document is not in force, or nil.
+		err error
 	}
 )
 
@@ -46,32 +52,48 @@
 	return &Importer{translate: t, name: name, documents: d, log: log}
 }
 
-// Reset implements follower.Handler.
-func (i *Importer) Reset(records []storer.Record) {
+// Reset implements follower.Handler. It fails like Apply.
+func (i *Importer) Reset(records []storer.Record) error {
+	i.err = errNoRecord
 	for _, r := range records {
 		if r.Name == i.name {
-			i.adopt(r)
+			_, i.err = i.adopt(r)
 		}
 	}
+	return i.err
 }
 
 // Apply implements follower.Handler. Of several documents it adopts the latest that is valid,
 // without parsing those before it. If the record is removed or no document is valid, the
-// current document stays.
-func (i *Importer) Apply(changes []storer.Change) {
+// current document stays. It fails while the store has no record of the document, or one that
+// can't be adopted: what the current document lacks may then be a withdrawn key.
+func (i *Importer) Apply(changes []storer.Change) error {
+	latest := true
 	for _, c := range slices.Backward(changes) {
-		if c.Record.Name == i.name && !c.Removed && i.adopt(c.Record) {
-			return
+		if c.Record.Name != i.name {
+			continue
+		}
+		adopted, err := false, errNoRecord
+		if !c.Removed {
+			adopted, err = i.adopt(c.Record)
+		}
+		if latest {
+			i.err = err
+			latest = false
+		}
+		if adopted {
+			break
 		}
 	}
+	return i.err
 }
 
 // adopt adopts the document in a record and reports whether it became current.
-func (i *Importer) adopt(r storer.Record) bool {
+func (i *Importer) adopt(r storer.Record) (bool, error) {
 	generation, sources, err := i.translate(r)
 	if err != nil {
 		i.log.Error("translating the document record failed; keeping the current document", "version", r.Version, "reason", err.Error())
-		return false
+		return false, errors.Wrap(err, "translating the document record")
 	}
 	head := keeper.Head{Generation: generation}
 	for _, src := range sources {
@@ -82,7 +104,7 @@
 	if err != nil {
 		i.log.Error("adopting the document failed; keeping the current one", "generation", uint64(generation), "reason", err.Error())
 	}
-	return adopted
+	return adopted, err
 }
 
 // StoreReachableSince implements follower.Handler. It does nothing, since the document does
--- a/internal/document/importer/importer_test.go
+++ b/internal/document/importer/importer_test.go
@@ -31,14 +31,14 @@
 	log := slog.New(slog.DiscardHandler)
 	documents := keeper.New(log)
 	im := importer.New(translate, name, documents, log)
-	im.Reset([]storer.Record{record(5, 1, 90)})
+	assert.NilError(t, im.Reset([]storer.Record{record(5, 1, 90)}))
 	assert.Equal(t, documents.Generation(), namer.Generation(5))
-	im.Reset([]storer.Record{record(3, 2, 70)})
+	assert.NilError(t, im.Reset([]storer.Record{record(3, 2, 70)}))
 	assert.Equal(t, documents.Generation(), namer.Generation(5))
-	im.Reset(nil)
-	im.Apply([]storer.Change{{Record: record(4, 2, 71)}, {Record: record(4, 2, 71), Removed: true}})
+	assert.ErrorContains(t, im.Reset(nil), "no record")
+	assert.ErrorContains(t, im.Apply([]storer.Change{{Record: record(4, 2, 71)}, {Record: record(4, 2, 71), Removed: true}}), "no record")
 	assert.Equal(t, documents.Generation(), namer.Generation(5))
-	im.Apply([]storer.Change{{Record: record(6, 2, 72)}})
+	assert.NilError(t, im.Apply([]storer.Change{{Record: record(6, 2, 72)}}))
 	assert.Equal(t, documents.Generation(), namer.Generation(6))
 }
 
@@ -55,7 +55,7 @@
 		translated++
 		return translate(r)
 	}, name, documents, log)
-	im.Apply([]storer.Change{{Record: record(2, 1, 70)}, {Record: record(3, 1, 71)}, {Record: record(4, 1, 72)}})
+	assert.NilError(t, im.Apply([]storer.Change{{Record: record(2, 1, 70)}, {Record: record(3, 1, 71)}, {Record: record(4, 1, 72)}}))
 	assert.DeepEqual(t, adopted, []namer.Generation{4})
 	assert.Equal(t, translated, 1)
 }
@@ -73,6 +73,9 @@
 		}
 		return g, sources, err
 	}, name, documents, log)
-	im.Apply([]storer.Change{{Record: record(2, 1, 70)}, {Record: record(3, 1, 71)}, {Record: record(4, 1, 72)}})
+	changes := []storer.Change{{Record: record(2, 1, 70)}, {Record: record(3, 1, 71)}, {Record: record(4, 1, 72)}}
+	assert.ErrorContains(t, im.Apply(changes), "generation 4")
 	assert.Equal(t, documents.Generation(), namer.Generation(3))
+	assert.ErrorContains(t, im.Apply([]storer.Change{{Record: storer.Record{Name: "another"}}}), "generation 4")
+	assert.NilError(t, im.Apply([]storer.Change{{Record: record(5, 1, 73)}}))
 }
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -144,7 +144,7 @@
 }
 
 // Reset implements follower.Handler.
-func (u *upstreams) Reset(records []storer.Record) {
+func (u *upstreams) Reset(records []storer.Record) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.clock.Now()
@@ -158,10 +158,11 @@
 	u.upstreamsListed = true
 	u.log.Info("upstreams listed", "count", len(listed))
 	u.onChange(u.catalog.View())
+	return nil
 }
 
 // Apply implements follower.Handler.
-func (u *upstreams) Apply(changes []storer.Change) {
+func (u *upstreams) Apply(changes []storer.Change) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	now := u.clock.Now()
@@ -173,6 +174,7 @@
 		u.log.Info("upstream removed", "upstream", c.Record.Name, "version", c.Record.Version, "used", inUse)
 	}
 	u.onChange(u.catalog.View())
+	return nil
 }
 
 // put stores a record in the catalog, and reports whether it could be decoded.
@@ -199,7 +201,7 @@
 }
 
 // Reset implements follower.Handler.
-func (d *drains) Reset(records []storer.Record) {
+func (d *drains) Reset(records []storer.Record) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	zones := make(map[namer.Zone]bool, len(records))
@@ -208,10 +210,11 @@
 	}
 	d.drainsListed = true
 	d.changeDrained(func() { d.catalog.ResetDrained(d.clock.Now(), zones) })
+	return nil
 }
 
 // Apply implements follower.Handler.
-func (d *drains) Apply(changes []storer.Change) {
+func (d *drains) Apply(changes []storer.Change) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.drainsListed = true
@@ -220,6 +223,7 @@
 			d.catalog.SetDrained(namer.Zone(c.Record.Name), !c.Removed)
 		}
 	})
+	return nil
 }
 
 // changeDrained changes the set of drained zones, and reports the new view if it differs. The
--- a/internal/upstream/discoverer/discoverer_test.go
+++ b/internal/upstream/discoverer/discoverer_test.go
@@ -49,12 +49,12 @@
 	t.Parallel()
 	d, names := start()
 	h := d.Upstreams()
-	h.Reset([]storer.Record{record("a", "", 1), record("b", "bad", 2), record("c", "", 3)})
+	assert.NilError(t, h.Reset([]storer.Record{record("a", "", 1), record("b", "bad", 2), record("c", "", 3)}))
 	assert.DeepEqual(t, names(), []string{"a", "c"})
-	h.Apply([]storer.Change{{Record: record("a", "bad", 4)}})
+	assert.NilError(t, h.Apply([]storer.Change{{Record: record("a", "bad", 4)}}))
 	assert.DeepEqual(t, names(), []string{"c"})
-	h.Apply([]storer.Change{{Record: record("a", "", 5)}})
-	h.Apply([]storer.Change{{Record: record("c", "", 3), Removed: true}})
+	assert.NilError(t, h.Apply([]storer.Change{{Record: record("a", "", 5)}}))
+	assert.NilError(t, h.Apply([]storer.Change{{Record: record("c", "", 3), Removed: true}}))
 	assert.DeepEqual(t, names(), []string{"a"})
 }
 
@@ -62,10 +62,10 @@
 	t.Parallel()
 	d, _ := start()
 	h := d.Drains()
-	h.Reset([]storer.Record{record("z1", "", 1)})
-	h.Apply([]storer.Change{{Record: record("z2", "", 2)}})
+	assert.NilError(t, h.Reset([]storer.Record{record("z1", "", 1)}))
+	assert.NilError(t, h.Apply([]storer.Change{{Record: record("z2", "", 2)}}))
 	assert.DeepEqual(t, d.View().Drained, map[namer.Zone]bool{"z1": true, "z2": true})
-	h.Apply([]storer.Change{{Record: record("z1", "", 1), Removed: true}})
+	assert.NilError(t, h.Apply([]storer.Change{{Record: record("z1", "", 1), Removed: true}}))
 	assert.DeepEqual(t, d.View().Drained, map[namer.Zone]bool{"z2": true})
 }
 
@@ -81,7 +81,7 @@
 	assert.Assert(t, d.Borrow(other))
 	assert.DeepEqual(t, names(), []string{"a"})
 	assert.Assert(t, d.View().Drained["z"])
-	d.Upstreams().Reset([]storer.Record{record("b", "", 8)})
+	assert.NilError(t, d.Upstreams().Reset([]storer.Record{record("b", "", 8)}))
 	assert.DeepEqual(t, names(), []string{"b"})
 	assert.Assert(t, !d.Borrow(other), "records that this VM has take precedence")
 	assert.DeepEqual(t, names(), []string{"b"})
@@ -92,7 +92,7 @@
 func TestBorrowLeavesOwnDrains(t *testing.T) {
 	t.Parallel()
 	d, names := start()
-	d.Drains().Reset([]storer.Record{record("z", "", 9)})
+	assert.NilError(t, d.Drains().Reset([]storer.Record{record("z", "", 9)}))
 	older := &cataloger.View{
 		Upstreams: []cataloger.Upstream{{Version: version(7), Entry: cataloger.Entry{Upstream: "a", Service: "s", Zone: "z", Address: "a", Slots: 1}}},
 	}
--- a/internal/upstream/discoverer/restored_test.go
+++ b/internal/upstream/discoverer/restored_test.go
@@ -46,18 +46,18 @@
 	})
 	assert.NilError(t, clock.BlockUntilContext(t.Context(), 1))
 	h := d.Drains()
-	h.Reset([]storer.Record{record("again", "", 5), record("gone", "", 6), record("kept", "", 7), record("ended", "", 8)})
+	assert.NilError(t, h.Reset([]storer.Record{record("again", "", 5), record("gone", "", 6), record("kept", "", 7), record("ended", "", 8)}))
 	clock.Advance(time.Minute)
 	h.StoreReachableSince(clock.Now())
-	h.Reset([]storer.Record{record("kept", "", 2), record("ended", "", 3)})
+	assert.NilError(t, h.Reset([]storer.Record{record("kept", "", 2), record("ended", "", 3)}))
 	poll.WaitOn(t, isDrained(d, "again", "gone", "kept", "ended"))
-	h.Apply([]storer.Change{{Record: record("again", "", 4)}, {Record: record("ended", "", 3), Removed: true}})
+	assert.NilError(t, h.Apply([]storer.Change{{Record: record("again", "", 4)}, {Record: record("ended", "", 3), Removed: true}}))
 	poll.WaitOn(t, isDrained(d, "again", "gone", "kept"))
 	clock.Advance(1900 * time.Millisecond)
 	poll.WaitOn(t, isDrained(d, "again", "gone", "kept"))
 	clock.Advance(100 * time.Millisecond)
 	poll.WaitOn(t, isDrained(d, "again", "kept"))
-	h.Reset([]storer.Record{record("kept", "", 2)})
+	assert.NilError(t, h.Reset([]storer.Record{record("kept", "", 2)}))
 	poll.WaitOn(t, isDrained(d, "kept"))
 }
 
@@ -70,8 +70,8 @@
 	assert.NilError(t, err)
 	entry.Sequence, entry.Draining = 9, true
 	assert.Assert(t, d.Borrow(&cataloger.View{Upstreams: []cataloger.Upstream{{Version: version(7), Entry: entry}}}))
-	d.Upstreams().Reset([]storer.Record{record("a", "", 7)})
+	assert.NilError(t, d.Upstreams().Reset([]storer.Record{record("a", "", 7)}))
 	assert.Assert(t, d.View().Upstreams[0].Draining)
-	d.Upstreams().Apply([]storer.Change{{Record: record("a", "", 8)}})
+	assert.NilError(t, d.Upstreams().Apply([]storer.Change{{Record: record("a", "", 8)}}))
 	assert.Assert(t, !d.View().Upstreams[0].Draining)
 }
