parser: a translated section may have any size

Cause: the configuration of 439 KB has 18,750 keys of 20 characters. The document holds each as a digest of 64, which makes a section of 1.2 MB, over the 1 MiB that one object of the product's own may have. Nothing stores a translated section: the configuration itself is the store's, which limits it. So this version and all after it were refused.

Evidence: "services.ini: 1227555 bytes; allowed: at most 1048576 bytes a section" in the daemon's log.

--- a/internal/ctl/executor/check.go
+++ b/internal/ctl/executor/check.go
@@ -77,7 +77,11 @@
 			sources = inForce.With(sources[0].Section, sources[0].Text)
 		}
 	}
-	doc, err := parser.Parse(sources)
+	parse := parser.ParseWritten
+	if o.Decode != nil {
+		parse = parser.Parse
+	}
+	doc, err := parse(sources)
 	if err != nil {
 		return e.reportUnusable(err, path, o)
 	}
--- a/internal/document/editor/editor.go
+++ b/internal/document/editor/editor.go
@@ -156,7 +156,7 @@
 	if err != nil {
 		return Result{Verdict: Failed, Reason: "reading the sections: " + err.Error()}, false
 	}
-	if _, err := parser.Parse(sources.With(edit.Section, edit.Text)); err != nil {
+	if _, err := parser.ParseWritten(sources.With(edit.Section, edit.Text)); err != nil {
 		var problems checker.Problems
 		errors.As(err, &problems)
 		return Result{Verdict: Invalid, Problems: problems}, false
--- a/internal/document/parser/parser.go
+++ b/internal/document/parser/parser.go
@@ -16,6 +16,8 @@
 	"fmt"
 	"strings"
 
+	"github.com/cockroachdb/errors"
+
 	"github.com/waxwingloom/waxwingloom/internal/config/checker"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 )
@@ -67,7 +69,33 @@
 	return p
 }
 
-// Parse parses and validates the whole document. The error is of type checker.Problems
+// ParseWritten is Parse for sections that operators write. It also reports each section that is
+// over MaxSectionBytes.
+func ParseWritten(sources Sources) (*Document, error) {
+	var problems checker.Problems
+	for _, src := range sources {
+		if len(src.Text) > MaxSectionBytes {
+			problems = append(problems, checker.Problem{
+				File:   fileOf(src.Section),
+				Reason: fmt.Sprintf("%d bytes; allowed: at most %d bytes a section", len(src.Text), MaxSectionBytes),
+			})
+		}
+	}
+	d, err := Parse(sources)
+	var found checker.Problems
+	errors.As(err, &found)
+	if problems = append(problems, found...); len(problems) > 0 {
+		return nil, problems
+	}
+	return d, nil
+}
+
+// fileOf returns the name of a section's file, as problems state it.
+func fileOf(s Section) string {
+	return string(s) + ".ini"
+}
+
+// Parse parses and validates the whole document. It does not limit its size. The error is of type checker.Problems
 // and lists every problem found.
 func Parse(sources Sources) (*Document, error) {
 	return New().Parse(sources)
@@ -78,16 +106,7 @@
 	d := &Document{}
 	var problems checker.Problems
 	for _, section := range Sections() {
-		text := sources.Text(section)
-		file := string(section) + ".ini"
-		if len(text) > MaxSectionBytes {
-			problems = append(problems, checker.Problem{
-				File:   file,
-				Reason: fmt.Sprintf("%d bytes; allowed: at most %d bytes a section", len(text), MaxSectionBytes),
-			})
-			continue
-		}
-		entries, found := p.checkers[section].Check(file, text)
+		entries, found := p.checkers[section].Check(fileOf(section), sources.Text(section))
 		problems = append(problems, found...)
 		d.entries = append(d.entries, entries...)
 	}
--- a/internal/document/parser/schema.go
+++ b/internal/document/parser/schema.go
@@ -15,8 +15,9 @@
 	Exceptions Section = "exceptions"
 )
 
-// MaxSectionBytes is the size limit of a section's text, since the platform stores each
-// section as one value and accepts no larger ones.
+// MaxSectionBytes is the size limit of a section that an operator writes, since the platform
+// stores each section as one value and accepts no larger ones. A section that is translated
+// from another configuration may be larger.
 const MaxSectionBytes = 1 << 20
 
 // Section is the name of a section of the steering document: an INI file with its own
