platform: valid configurations are not refused for unusual values

Fix: ranks and the durations of routes, callers and warm-up have wider ranges, since there the value matters.

--- a/internal/config/checker/schema.go
+++ b/internal/config/checker/schema.go
@@ -16,7 +16,9 @@
 
 import (
 	"fmt"
+	"strconv"
 	"strings"
+	"time"
 )
 
 // The types of a key's value. Text is not empty and printable, Number is a whole number,
@@ -122,6 +124,29 @@
 	return ps
 }
 
+// Nearest returns the value of a key that is allowed and nearest to a number or duration that is
+// out of range. It returns any other value as it is.
+func (s Schema) Nearest(kind, key, text string) string {
+	g, _ := s.group(kind)
+	k, ok := g.key(key)
+	if !ok || k.Min == 0 && k.Max == 0 {
+		return text
+	}
+	switch k.Kind {
+	case Number:
+		n, err := strconv.ParseInt(text, 10, 64)
+		if near := min(max(n, k.Min), k.Max); err == nil && near != n {
+			return strconv.FormatInt(near, 10)
+		}
+	case Duration:
+		d, err := time.ParseDuration(text)
+		if near := min(max(d, time.Duration(k.Min)), time.Duration(k.Max)); err == nil && near != d {
+			return near.String()
+		}
+	}
+	return text
+}
+
 func (s Schema) group(kind string) (Group, bool) {
 	for _, g := range s.Groups {
 		if g.Kind == kind {
--- a/internal/document/parser/schema.go
+++ b/internal/document/parser/schema.go
@@ -1,6 +1,7 @@
 package parser
 
 import (
+	"math"
 	"time"
 
 	"github.com/waxwingloom/waxwingloom/internal/config/checker"
@@ -15,10 +16,17 @@
 	Exceptions Section = "exceptions"
 )
 
-// MaxSectionBytes is the size limit of a section that an operator writes, since the platform
-// stores each section as one value and accepts no larger ones. A section that is translated
-// from another configuration may be larger.
-const MaxSectionBytes = 1 << 20
+const (
+	// MaxSectionBytes is the size limit of a section that an operator writes, since the platform
+	// stores each section as one value and accepts no larger ones. A section that is translated
+	// from another configuration may be larger.
+	MaxSectionBytes = 1 << 20
+	// maxRank is the largest rank of routes and accounts.
+	maxRank = math.MaxInt32
+	// maxRouteDuration is the largest duration of routes. Sums and small multiples of it are still
+	// durations.
+	maxRouteDuration = 10 * 365 * 24 * time.Hour
+)
 
 // Section is the name of a section of the steering document: an INI file with its own
 // owner.
@@ -35,6 +43,12 @@
 	return ok
 }
 
+// Nearest returns the value of a key that is allowed and nearest to a number or duration that is
+// out of range. It returns any other value as it is.
+func Nearest(s Section, kind, key, value string) string {
+	return SchemaOf(s).Nearest(kind, key, value)
+}
+
 // SchemaOf returns the schema of a section: its groups of keys with their types, limits
 // and defaults.
 func SchemaOf(s Section) checker.Schema {
@@ -93,7 +107,7 @@
 			Doc: "how many connections a discovered upstream accepts from all entry VMs together",
 		},
 		{
-			Name: "warmup", Kind: checker.Duration, Default: "3s", Min: 0, Max: int64(time.Hour),
+			Name: "warmup", Kind: checker.Duration, Default: "3s", Min: 0, Max: int64(maxRouteDuration),
 			Doc: "how long a discovered upstream stays cold after a start",
 		},
 		{
@@ -123,15 +137,15 @@
 		{Name: "split", Kind: checker.Text, Required: true, Doc: "the services with their weights, as SERVICE:WEIGHT separated by spaces"},
 		{Name: "once", Kind: checker.Switch, Default: "no", Doc: "whether a request may run at most once"},
 		{
-			Name: "timeout", Kind: checker.Duration, Default: "5s", Min: int64(time.Millisecond), Max: int64(time.Hour),
+			Name: "timeout", Kind: checker.Duration, Default: "5s", Min: int64(time.Millisecond), Max: int64(maxRouteDuration),
 			Doc: "the longest time that a caller is kept waiting",
 		},
 		{
-			Name: "target", Kind: checker.Duration, Default: "500ms", Min: int64(time.Millisecond), Max: int64(time.Hour),
+			Name: "target", Kind: checker.Duration, Default: "500ms", Min: int64(time.Millisecond), Max: int64(maxRouteDuration),
 			Doc: "the latency that answers should keep",
 		},
 		{Name: "attempts", Kind: checker.Number, Default: "1", Min: 1, Max: 100, Unit: "upstreams", Doc: "the most upstreams that one request may be sent to"},
-		{Name: "rank", Kind: checker.Number, Default: "0", Min: 0, Max: 1000, Unit: "", Doc: "the urgency; 0 is the most urgent"},
+		{Name: "rank", Kind: checker.Number, Default: "0", Min: 0, Max: maxRank, Unit: "", Doc: "the urgency; 0 is the most urgent"},
 		{Name: "regions", Kind: checker.Text, Doc: "the regions that may serve the route, separated by spaces; none means all"},
 		{Name: "affinity", Kind: checker.Switch, Default: "no", Doc: "whether requests for one object should keep to the same upstreams"},
 		{Name: "public", Kind: checker.Switch, Default: "no", Doc: "whether requests need no key where the document has accounts"},
@@ -141,7 +155,7 @@
 func accountGroup() checker.Group {
 	return checker.Group{Kind: "account", Named: true, Doc: "a client account; where there is one, requests of routes that aren't public need a key", Keys: []checker.Key{
 		{Name: "keys", Kind: checker.Text, Doc: "the SHA-256 digests of the account's keys in hexadecimal, separated by spaces"},
-		{Name: "rank", Kind: checker.Number, Min: 0, Max: 1000, Unit: "", Doc: "the urgency, in place of the route's; 0 is the most urgent"},
+		{Name: "rank", Kind: checker.Number, Min: 0, Max: maxRank, Unit: "", Doc: "the urgency, in place of the route's; 0 is the most urgent"},
 		{Name: "rate", Kind: checker.Number, Default: "0", Min: 0, Max: 1 << 30, Unit: "requests/s", Doc: "how many requests all entry VMs together take; above it 429; 0 means no limit"},
 		{Name: "burst", Kind: checker.Number, Default: "0", Min: 0, Max: 1 << 30, Unit: "requests", Doc: "how many requests more may come at once"},
 		{Name: "regions", Kind: checker.Text, Doc: "the regions that may serve the account, separated by spaces; none means all; the route's bind too"},
@@ -152,8 +166,8 @@
 	return checker.Group{Kind: "ingress", Doc: "what callers of routes may send, and how long they may take", Keys: []checker.Key{
 		{Name: "head", Kind: checker.Number, Default: "16384", Min: 256, Max: 16 << 20, Unit: "bytes", Doc: "the largest request head; above it 431"},
 		{Name: "body", Kind: checker.Number, Default: "1048576", Min: 0, Max: 1 << 40, Unit: "bytes", Doc: "the largest request body; above it 413"},
-		{Name: "read", Kind: checker.Duration, Default: "5s", Min: int64(time.Millisecond), Max: int64(time.Hour), Doc: "the time within which a request must have been read; above it 408"},
-		{Name: "idle", Kind: checker.Duration, Default: "15s", Min: int64(time.Millisecond), Max: int64(time.Hour), Doc: "how long a kept connection may stay idle"},
+		{Name: "read", Kind: checker.Duration, Default: "5s", Min: int64(time.Millisecond), Max: int64(maxRouteDuration), Doc: "the time within which a request must have been read; above it 408"},
+		{Name: "idle", Kind: checker.Duration, Default: "15s", Min: int64(time.Millisecond), Max: int64(maxRouteDuration), Doc: "how long a kept connection may stay idle"},
 	}}
 }
 
