--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -537,7 +537,7 @@
 	age, _ := f.AppliedAge()
 	switch {
 	case err != nil && f.handlerErr == nil:
-		f.log.Error("records not in force; the store's confirmations don't count", "since", f.since, "age", age, "reason", err.Error())
+		f.log.Warn("records not in force; the store's confirmations don't count", "since", f.since, "age", age, "reason", err.Error())
 	case err == nil && f.handlerErr != nil:
 		f.log.Info("records in force again", "since", f.since, "age", age)
 	}
