follower: a list that brings missed changes notifies peers

Watches that bring what the one before had missed notify peers, so that those who follow another VM ask in time. A list that confirms records may bring such changes first, and did not notify. TestListNotifiesPeers. Also comments on what a confirmation says.

--- a/internal/document/follower/confirmation.go
+++ b/internal/document/follower/confirmation.go
@@ -50,7 +50,8 @@
 	return f.feed.appliedBy
 }
 
-// Poll makes this VM ask the store for changes at once, by a watch that does not wait. A poll
+// Poll makes this VM ask the store for changes at once, by a call whose answer confirms the
+// records: a list where only lists do, or else a watch that does not wait. A poll
 // that is under way is followed by another one. Poll does nothing during the backoff after a
 // failed call, and while this VM has no records at all.
 func (f *Follower) Poll() {
--- a/internal/document/follower/confirmation_test.go
+++ b/internal/document/follower/confirmation_test.go
@@ -152,6 +152,26 @@
 	}
 }
 
+// TestListNotifiesPeers checks that a relay root notifies its peers of a change that only a list has
+// brought, and not of lists without changes.
+func TestListNotifiesPeers(t *testing.T) {
+	t.Parallel()
+	notified := make(chan struct{}, 8)
+	src, handler, clock, f := startFollower(t, follower.WithListConfirmations(), follower.WithPeerNotifier(func() { notified <- struct{}{} }))
+	<-notified
+	begun := clock.Now()
+	advanceUntil(t, clock, func(poll.LogT) poll.Result {
+		if age, _ := f.AppliedAge(); age >= clock.Since(begun) {
+			return poll.Continue("confirmed %s ago", age)
+		}
+		return poll.Success()
+	})
+	assert.Equal(t, len(notified), 0, "peers were notified without a change")
+	src.missChanges("missed")
+	advanceUntil(t, clock, handler.has("missed"))
+	<-notified
+}
+
 // TestListConfirmationsAreCheap checks how many calls confirm records that don't change, how old
 // the confirmation gets, and that the handler is not given the same records again.
 func TestListConfirmationsAreCheap(t *testing.T) {
--- a/internal/document/follower/feed.go
+++ b/internal/document/follower/feed.go
@@ -174,8 +174,8 @@
 
 // replace sets all records. Their difference from the previous ones is added to the
 // history as a delta, so that peers need not be sent all records. The history does not
-// reach back to an earlier era: peers must learn that the store was restored. It reports
-// whether there was a difference, or no known state to compare with.
+// reach back to an earlier era: peers must learn that the store was restored. It reports whether
+// there is a difference; without known records of that era there is.
 func (f *feed) replace(now time.Time, records []storer.Record, version, seen storer.Version, confirmed confirmation) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -4,12 +4,14 @@
 //
 // A watch may miss changes without ending. A relay root, a VM that reads the store
 // itself, therefore keeps its watches short, so that the next one brings what was
-// missed. Where decisions depend on what the store has confirmed, only lists confirm
-// the records: WithListConfirmations. The other VMs follow a peer, their relay parent, whose updates report the
+// missed. The other VMs follow a peer, their relay parent, whose updates report the
 // changes that it learns and when the store last confirmed them. A VM whose relay parent
 // is silent, or has had no confirmation by the store for too long, asks the store itself.
 // So the number of calls to the store grows with the relay roots, not with the VMs.
 //
+// A confirmation says that no change before it is missing. Where that must not err,
+// WithListConfirmations lets only lists confirm the records.
+//
 // # Usage
 //
 //	f := follower.New(calls, kind, handler, clock, log, follower.WithRelay(relay), follower.WithMaxDelay(limit))
@@ -42,7 +44,7 @@
 	// unless WithMinOutage sets it.
 	defaultMinOutage = 2 * time.Second
 	// watchWaitFraction is how long a watch waits for changes, as a fraction of the
-	// maximum delay; each watch costs one call. A watch without changes proves only that
+	// maximum delay; each watch costs one call. A watch without changes shows at most that
 	// nothing had changed when it began, so a confirmation can be two watches old.
 	watchWaitFraction = 0.25
 	// listAgeFraction is the age of the last confirmation, as a fraction of the maximum delay, at
@@ -345,14 +347,15 @@
 func (f *Follower) callStore(ctx context.Context) error {
 	switch {
 	case !f.listed:
-		err := f.list(ctx)
+		_, err := f.list(ctx)
 		if err == nil {
 			f.notifyPeers()
 		}
 		return err
 	case f.feed.dominated() && (f.failures > 0 || f.isPollDue()):
 		defer f.end()
-		return f.list(f.beginPoll(ctx))
+		_, err := f.list(f.beginPoll(ctx))
+		return err
 	case f.isListDue():
 		return f.confirm(ctx)
 	}
@@ -372,7 +375,8 @@
 	return time.Duration(listAgeFraction*float64(f.maxDelay)) - f.clock.Since(f.feed.lastConfirmed())
 }
 
-// confirm lists the known records again. The time limit allows for their size.
+// confirm lists the known records again, and notifies peers of changes that the watches have
+// missed. The time limit allows for the size of the records.
 func (f *Follower) confirm(parent context.Context) error {
 	defer f.end()
 	ctx, cancel := context.WithCancelCause(f.beginPoll(parent))
@@ -380,9 +384,14 @@
 	transfer := time.Duration(f.feed.size()) * time.Second / minTransferBytesPerSecond
 	limit := f.clock.AfterFunc(f.answerTimeout()+transfer, func() { cancel(errNoAnswer) })
 	defer limit.Stop()
-	if err := f.list(ctx); err != nil {
+	changed, err := f.list(ctx)
+	if err != nil {
 		return causeOf(ctx, err)
 	}
+	if changed {
+		f.log.Info("changes were missed", "since", f.since, "reason", "a list has brought them")
+		f.notifyPeers()
+	}
 	return nil
 }
 
@@ -568,9 +577,10 @@
 	f.feed.setEra(version.Era)
 }
 
-// list reads all pages. The next watch begins at the version of the first page, so it
-// brings the changes that were made between two pages.
-func (f *Follower) list(ctx context.Context) error {
+// list reads all pages and reports whether the records differ from those known before. The next
+// watch begins at the version of the first page, so it brings the changes that were made between
+// two pages.
+func (f *Follower) list(ctx context.Context) (bool, error) {
 	var records []storer.Record
 	confirmed := f.beginConfirmation(ListOrigin)
 	begun := confirmed.at
@@ -579,16 +589,16 @@
 	for {
 		page, err := f.source.List(ctx, f.kind, after)
 		if err != nil {
-			return err
+			return false, err
 		}
 		if err := f.checkEra(page.StoreVersion); err != nil {
-			return err
+			return false, err
 		}
 		if after == "" {
 			first = page.StoreVersion
 		}
 		if page.StoreVersion.Era != first.Era {
-			return errRestored
+			return false, errRestored
 		}
 		records = append(records, page.Records...)
 		if !page.More || len(page.Records) == 0 {
@@ -602,16 +612,16 @@
 	known := f.listed
 	f.listed = true
 	answered := f.clock.Now()
-	changed := f.feed.replace(answered, records, first, first, confirmed)
-	if known && !changed {
+	changed := f.feed.replace(answered, records, first, first, confirmed) || !known
+	if !changed {
 		f.storeBytes.Add(int64(sizeOf(changesTo(records))))
 	}
-	f.apply(confirmed, first, !known || changed, func() error {
+	f.apply(confirmed, first, changed, func() error {
 		err := f.handler.Reset(records)
 		f.logLearned(changesTo(records), first, answered.Sub(begun), answered)
 		return err
 	})
-	return nil
+	return changed, nil
 }
 
 // logLearned counts and logs changes that were applied from begun on: their origin, number,
--- a/internal/document/parser/parser.go
+++ b/internal/document/parser/parser.go
@@ -95,8 +95,8 @@
 	return string(s) + ".ini"
 }
 
-// Parse parses and validates the whole document. It does not limit its size. The error is of type checker.Problems
-// and lists every problem found.
+// Parse parses and validates the whole document, of any size. The error is of type
+// checker.Problems and lists every problem found.
 func Parse(sources Sources) (*Document, error) {
 	return New().Parse(sources)
 }
