--- a/internal/document/parser/account.go
+++ b/internal/document/parser/account.go
@@ -4,7 +4,6 @@
 	"crypto/sha256"
 	"encoding/hex"
 	"regexp"
-	"slices"
 	"strings"
 
 	"github.com/waxwingloom/waxwingloom/internal/config/checker"
@@ -49,8 +48,11 @@
 		Burst:            int(e.Number("burst")),
 		PermittedRegions: regionList(e),
 	}
-	for _, field := range strings.Fields(e.Text("keys")) {
-		if hash, ok := parseKeyHash(field); ok && !slices.Contains(a.Keys, hash) {
+	fields := strings.Fields(e.Text("keys"))
+	seen := make(map[KeyHash]bool, len(fields))
+	for _, field := range fields {
+		if hash, ok := parseKeyHash(field); ok && !seen[hash] {
+			seen[hash] = true
 			a.Keys = append(a.Keys, hash)
 		}
 	}
