--- a/internal/document/parser/schema.go
+++ b/internal/document/parser/schema.go
@@ -28,6 +28,14 @@
 	maxRouteDuration = 10 * 365 * 24 * time.Hour
 )
 
+var schemas = map[Section]checker.Schema{
+	Services:   {Groups: []checker.Group{serviceGroup(), classGroup(), routeGroup(), accountGroup(), ingressGroup()}},
+	Places:     {Groups: []checker.Group{zoneGroup(), upstreamGroup(), blockGroup()}},
+	Drains:     {Groups: []checker.Group{drainGroup()}},
+	Limits:     {Groups: []checker.Group{shiftGroup()}},
+	Exceptions: {Groups: []checker.Group{exceptionGroup()}},
+}
+
 // Section is the name of a section of the steering document: an INI file with its own
 // owner.
 type Section string
@@ -39,37 +47,20 @@
 
 // Valid reports whether s is the name of a section.
 func (s Section) Valid() bool {
-	_, ok := schemaOf(s)
+	_, ok := schemas[s]
 	return ok
 }
 
 // Nearest returns the value of a key that is allowed and nearest to a number or duration that is
 // out of range. It returns any other value as it is.
 func Nearest(s Section, kind, key, value string) string {
-	return SchemaOf(s).Nearest(kind, key, value)
+	return schemas[s].Nearest(kind, key, value)
 }
 
 // SchemaOf returns the schema of a section: its groups of keys with their types, limits
 // and defaults.
 func SchemaOf(s Section) checker.Schema {
-	schema, _ := schemaOf(s)
-	return schema
-}
-
-func schemaOf(s Section) (checker.Schema, bool) {
-	switch s {
-	case Services:
-		return checker.Schema{Groups: []checker.Group{serviceGroup(), classGroup(), routeGroup(), accountGroup(), ingressGroup()}}, true
-	case Places:
-		return checker.Schema{Groups: []checker.Group{zoneGroup(), upstreamGroup(), blockGroup()}}, true
-	case Drains:
-		return checker.Schema{Groups: []checker.Group{drainGroup()}}, true
-	case Limits:
-		return checker.Schema{Groups: []checker.Group{shiftGroup()}}, true
-	case Exceptions:
-		return checker.Schema{Groups: []checker.Group{exceptionGroup()}}, true
-	}
-	return checker.Schema{}, false
+	return schemas[s]
 }
 
 func serviceGroup() checker.Group {
