sweeper: the last response arrives whole although the caller's bytes lie unread

Cause: behind the last response nothing more is read, so what the caller has sent ahead stays in the kernel, and a close with unread bytes resets the connection. net/http waits before a close only if it knows of an unread body. Idle connections that are closed while a response is on its way have the same fault: the next request arrives after the close.

Fix: internal/kernel/closer closes the sending side and reads what the caller still sends until the caller has received all and closes, at most 500 ms after that and for 10 s. The sweeper does so after a last response that was written whole, the pipeliner too. Meanwhile the connection counts as idle in the account, which may close it.

--- a/internal/front/pipeliner/pipeliner.go
+++ b/internal/front/pipeliner/pipeliner.go
@@ -39,6 +39,7 @@
 	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/closer"
 )
 
 const (
@@ -48,9 +49,6 @@
 	// copyFactor how many times it takes those.
 	requestBytes = 16 << 10
 	copyFactor   = 2
-	// lingerTime is how long the caller may take to read the last response. A close with
-	// unread bytes would reset the connection, and the response might be lost.
-	lingerTime = 500 * time.Millisecond
 )
 
 // errNotPollable is returned for connections that are no sockets.
@@ -336,19 +334,13 @@
 	return err
 }
 
-// linger waits until the caller has read the last response, at most for lingerTime. The caller
-// holds c.mu, which is unlocked meanwhile.
+// linger waits until the caller has received the last response. The caller holds c.mu, which is
+// unlocked meanwhile.
 func (c *Conn) linger() {
 	c.mu.Unlock()
 	defer c.mu.Lock()
-	if c.CloseWrite() != nil || c.Conn.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
-		return
-	}
-	buf := make([]byte, readBytes)
-	for {
-		if _, err := c.Conn.Read(buf); err != nil {
-			return
-		}
+	if tcp, ok := c.Conn.(closer.Conn); ok {
+		closer.Linger(tcp, func() bool { return false })
 	}
 }
 
--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -14,6 +14,7 @@
 
 	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
+	"github.com/waxwingloom/waxwingloom/internal/kernel/closer"
 )
 
 // The kernel's states of a connection that the other end has reset or closed.
@@ -44,6 +45,8 @@
 	conn struct {
 		net.Conn
 		sweeper *Sweeper
+		// accepted is the connection that ahead reads, or Conn.
+		accepted net.Conn
 		// ahead is Conn if it reads requests ahead, or nil.
 		ahead *pipeliner.Conn
 		// holder is the connection's entry in the account, or nil.
@@ -63,15 +66,24 @@
 		// close from net/http.
 		hidden bool
 		// responding is whether bytes of the response to the request in progress were
-		// written, and writeFailed whether a write of it failed.
+		// written, writeFailed whether a write of it failed, and handled whether the handler
+		// has returned.
 		responding  bool
 		writeFailed bool
+		handled     bool
 		closeOnce   sync.Once
+		closing     bool
 		// evicted is set when the account closes the connection: reads fail from then on.
 		evicted bool
 		// cancel ends the contexts of the connection's requests.
 		cancel context.CancelFunc
 	}
+
+	// lingeringConn is an accepted connection on which no request is read any more.
+	lingeringConn struct {
+		closer.Conn
+		conn *conn
+	}
 )
 
 // Read implements net.Conn.
@@ -126,13 +138,17 @@
 	return c.Conn.SetReadDeadline(t)
 }
 
-// Close implements net.Conn.
+// Close implements net.Conn. After the last response it waits until the caller has received it:
+// the caller may have sent bytes that were not read. A second call ends the wait.
 func (c *conn) Close() error {
 	c.closeOnce.Do(func() {
 		if cause, cut := c.cutCause(); cut {
 			c.sweeper.countCut(cause, c.RemoteAddr().String())
 		}
 	})
+	if c.beginClose() && c.sweeper.mayLinger() {
+		c.linger()
+	}
 	c.sweeper.remove(c)
 	c.cancelRequests()
 	err := c.Conn.Close()
@@ -140,6 +156,57 @@
 	return err
 }
 
+// beginClose reports whether this is the first close, and the caller may not have received the last
+// response.
+func (c *conn) beginClose() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	first := !c.closing
+	c.closing = true
+	return first && c.hasResponded()
+}
+
+// hasResponded reports whether the last response was written whole, and perhaps not received. The
+// caller holds c.mu.
+func (c *conn) hasResponded() bool {
+	if c.evicted || c.writeFailed {
+		return false
+	}
+	switch c.state {
+	case stateBusy:
+		return c.handled && c.responding
+	case stateReading:
+		// Only net/http responds to what it could not read.
+		return c.responding || c.isUnacknowledged()
+	case stateIdle:
+		return c.isUnacknowledged()
+	}
+	return false
+}
+
+func (c *conn) isUnacknowledged() bool {
+	s, ok := c.Conn.(syscall.Conn)
+	return ok && closer.Unacknowledged(s) > 0
+}
+
+// linger waits until the caller has received the response. The account may end that to make room.
+func (c *conn) linger() {
+	c.holder.Enter(c.sweeper.clock.Now(), accountant.Idle)
+	if tcp, ok := c.accepted.(closer.Conn); ok {
+		closer.Linger(lingeringConn{Conn: tcp, conn: c}, c.isEvicted)
+	}
+}
+
+// SetReadDeadline implements closer.Conn. It does nothing on an evicted connection.
+func (l lingeringConn) SetReadDeadline(t time.Time) error {
+	l.conn.mu.Lock()
+	defer l.conn.mu.Unlock()
+	if l.conn.evicted {
+		return nil
+	}
+	return l.Conn.SetReadDeadline(t)
+}
+
 // CloseWrite closes the sending side, which net/http does before it closes a connection
 // with unread bytes.
 func (c *conn) CloseWrite() error {
@@ -159,7 +226,7 @@
 		c.hidden = c.hidden || besideHandler
 	} else {
 		c.state, c.since = stateReading, now
-		c.responding, c.writeFailed = false, false
+		c.responding, c.writeFailed, c.handled = false, false, false
 	}
 	c.revive()
 	return inHead
@@ -171,7 +238,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.state, c.hidden = stateBusy, false
-	c.responding, c.writeFailed = false, false
+	c.responding, c.writeFailed, c.handled = false, false, false
 	c.revive()
 }
 
@@ -184,6 +251,13 @@
 	}
 }
 
+// setHandled notes that the handler of the request in progress has returned.
+func (c *conn) setHandled() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.handled = true
+}
+
 func (c *conn) setIdle(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -209,7 +283,7 @@
 // setExpired makes the read deadline pass, and reports whether it was not so before. The
 // caller holds c.mu.
 func (c *conn) setExpired() bool {
-	if c.expired {
+	if c.expired || c.closing {
 		return false
 	}
 	c.expired = c.Conn.SetReadDeadline(time.Unix(1, 0)) == nil
@@ -241,6 +315,12 @@
 	}
 }
 
+func (c *conn) isClosing() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.closing
+}
+
 func (c *conn) isExpired() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/internal/front/sweeper/conn_test.go
+++ b/internal/front/sweeper/conn_test.go
@@ -22,7 +22,7 @@
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	assert.NilError(t, err)
-	server := &http.Server{Handler: handler, ConnState: s.Track, ConnContext: s.WithConn, ReadHeaderTimeout: 200 * time.Millisecond}
+	server := &http.Server{Handler: s.Handler(handler), ConnState: s.Track, ConnContext: s.WithConn, ReadHeaderTimeout: 200 * time.Millisecond}
 	go func() { _ = server.Serve(s.Listen(ln)) }()
 	t.Cleanup(func() { _ = server.Close() })
 	return ln
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -9,7 +9,7 @@
 // # Usage
 //
 //	s := sweeper.New(idleTimeout, clock, log)
-//	server := &http.Server{ConnState: s.Track, ConnContext: s.WithConn}
+//	server := &http.Server{Handler: s.Handler(h), ConnState: s.Track, ConnContext: s.WithConn}
 //	go server.Serve(s.Listen(listener))
 //	go s.Serve(ctx)
 //	gone := sweeper.CallerGone(request.Context())
@@ -69,6 +69,8 @@
 		counts   Counts
 		cuts     map[CutCause]int64
 		draining bool
+		// hurried is whether connections close without waiting for their callers.
+		hurried bool
 		// drained is closed when no connection is left after Drain was called.
 		drained chan struct{}
 	}
@@ -139,6 +141,18 @@
 	}
 }
 
+// Handler returns a handler that calls h. Only where it is used, a connection that ends after a
+// response waits until the caller has received that.
+func (s *Sweeper) Handler(h http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		h.ServeHTTP(w, r)
+		// A handler that gives up panics.
+		if c, ok := r.Context().Value(connKey{}).(*conn); ok {
+			c.setHandled()
+		}
+	})
+}
+
 // WithConn returns a context from which CallerGone finds the connection. Use it as
 // http.Server's ConnContext hook.
 func (s *Sweeper) WithConn(ctx context.Context, accepted net.Conn) context.Context {
@@ -216,15 +230,25 @@
 		return 0
 	case <-ctx.Done():
 	}
+	s.mu.Lock()
+	s.hurried = true
+	s.mu.Unlock()
 	left := 0
 	for _, c := range s.open() {
-		if !s.expire(func() bool { return c.expire(stateNew) }) {
+		if !c.isClosing() && !s.expire(func() bool { return c.expire(stateNew) }) {
 			left++
 		}
 	}
 	return left
 }
 
+// mayLinger reports whether a connection may wait for its caller before it closes.
+func (s *Sweeper) mayLinger() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return !s.hurried
+}
+
 // sweep closes the connections that have been idle for longer than the timeout. It
 // does nothing while the timeout is unknown.
 func (s *Sweeper) sweep() {
@@ -274,7 +298,7 @@
 
 // add tracks a connection, or returns false if the account refuses it.
 func (s *Sweeper) add(accepted net.Conn) (*conn, bool) {
-	c := &conn{Conn: accepted, sweeper: s, state: stateNew}
+	c := &conn{Conn: accepted, accepted: accepted, sweeper: s, state: stateNew}
 	if s.pipeliner != nil {
 		c.ahead = s.pipeliner.Wrap(accepted)
 		c.Conn = c.ahead
--- a/internal/front/sweeper/sweeper_test.go
+++ b/internal/front/sweeper/sweeper_test.go
@@ -84,7 +84,7 @@
 			f.idle.Add(1)
 		}
 	}
-	f.server = &http.Server{Handler: f, ConnState: track, ConnContext: f.sweeper.WithConn, ReadHeaderTimeout: time.Minute}
+	f.server = &http.Server{Handler: f.sweeper.Handler(f), ConnState: track, ConnContext: f.sweeper.WithConn, ReadHeaderTimeout: time.Minute}
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan error, 1)
 	go func() { done <- f.sweeper.Serve(ctx) }()
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -294,7 +294,7 @@
 		sweep := f.Find(sweepName).(*sweeper.Sweeper)
 		front := f.Find(callersName).(*receiver.Receiver)
 		server := &http.Server{
-			Handler:           front,
+			Handler:           sweep.Handler(front),
 			ReadHeaderTimeout: s.Limits.ReadTimeout,
 			ConnState:         sweep.Track,
 			ConnContext:       sweep.WithConn,
--- a/internal/kernel/runner/webserver.go
+++ b/internal/kernel/runner/webserver.go
@@ -55,11 +55,11 @@
 	sweep := sweeper.New(func() time.Duration { return 0 }, clock, log, opts...)
 	stopping := &atomic.Bool{}
 	handler := server.Handler
-	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	server.Handler = sweep.Handler(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		cw := &closingWriter{ResponseWriter: w, stopping: stopping}
 		handler.ServeHTTP(cw, r)
 		cw.announceClose()
-	})
+	}))
 	server.ConnState = sweep.Track
 	server.ConnContext = sweep.WithConn
 	return &webServer{
