exchanger, forwarder: nothing of a request reaches an upstream after it was given up

Cause: at the deadline the connection is closed. The kernel goes on sending what was written to it, as soon as a cut link is whole again; the deadline is mostly shorter than TCP_USER_TIMEOUT.

Fix: a connection whose request is given up is reset (closer.Abort). Connections of net/http's clients, to the store and in daemons without routes, are reset on close while something that was sent is unacknowledged (closer.NewDropping); nothing is once a response has come.

A request to a peer that is given up still stays in its session.

--- a/internal/kernel/closer/closer.go
+++ b/internal/kernel/closer/closer.go
@@ -10,6 +10,8 @@
 //	_ = conn.Close()
 //
 //	_ = closer.Abort(conn) // the request was given up
+//
+//	conn = closer.NewDropping(conn) // Close is an Abort while sent bytes are on their way
 package closer
 
 import (
@@ -40,6 +42,27 @@
 	CloseWrite() error
 }
 
+// dropping is a connection on whose Close nothing that was sent is on its way any more.
+type dropping struct{ *net.TCPConn }
+
+// NewDropping returns a connection whose Close drops what the peer has not received. It is for
+// connections on which each request ends with its response: what is on its way then belongs
+// to a request that was given up. A connection that is not TCP is returned as it is.
+func NewDropping(c net.Conn) net.Conn {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		return dropping{tcp}
+	}
+	return c
+}
+
+// Close implements net.Conn.
+func (d dropping) Close() error {
+	if Unacknowledged(d.TCPConn) > 0 {
+		return Abort(d.TCPConn)
+	}
+	return d.TCPConn.Close()
+}
+
 // Linger closes the sending side and drops what the peer still sends, until the peer has closed its
 // side, or has had time for that after it received all bytes. It returns early when a read fails or
 // stop reports true after the read deadline has passed. The caller closes the connection.
--- a/internal/kernel/dialer/dialer.go
+++ b/internal/kernel/dialer/dialer.go
@@ -15,6 +15,8 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
+
+	"github.com/waxwingloom/waxwingloom/internal/kernel/closer"
 )
 
 const (
@@ -37,12 +39,13 @@
 	firstAttemptTimeout = 250 * time.Millisecond
 )
 
-// Dial opens a TCP connection with the default timeout, in several attempts.
+// Dial opens a TCP connection with the default timeout, in several attempts. Its Close drops what
+// the peer has not received.
 func Dial(ctx context.Context, address string) (net.Conn, error) {
 	return Redial(connectTimeout, func(timeout time.Duration) (net.Conn, error) { return DialTimeout(ctx, address, timeout) })
 }
 
-// DialTimeout opens a TCP connection with a timeout.
+// DialTimeout opens a TCP connection with a timeout. Its Close is that of Dial's connections.
 func DialTimeout(ctx context.Context, address string, timeout time.Duration) (net.Conn, error) {
 	d := net.Dialer{
 		Timeout: timeout,
@@ -52,7 +55,10 @@
 		Control: setTCPUserTimeout,
 	}
 	conn, err := d.DialContext(ctx, "tcp", address)
-	return conn, errors.Wrapf(err, "connecting to %s", address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connecting to %s", address)
+	}
+	return closer.NewDropping(conn), nil
 }
 
 // Redial calls dial, which opens a connection within a timeout, again each time that this
--- a/internal/route/forwarder/forwarder.go
+++ b/internal/route/forwarder/forwarder.go
@@ -26,6 +26,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingloom/waxwingloom/internal/kernel/closer"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/once/arbiter"
 )
@@ -166,7 +167,7 @@
 	tr, ok := f.transports[t]
 	if !ok {
 		tr = &http.Transport{
-			DialContext:            (&net.Dialer{Timeout: dialTimeout}).DialContext,
+			DialContext:            dial,
 			MaxConnsPerHost:        t.MaxConns,
 			MaxIdleConnsPerHost:    t.MaxConns,
 			IdleConnTimeout:        idleTimeout,
@@ -178,6 +179,15 @@
 	return tr
 }
 
+// dial opens a connection on which nothing of a request is sent once that was given up.
+func dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{Timeout: dialTimeout}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, errors.Wrapf(err, "connecting to %s", address)
+	}
+	return closer.NewDropping(conn), nil
+}
+
 func (f *Forwarder) close() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -156,7 +156,8 @@
 }
 
 // Exchange sends a request and returns the response. When ctx is canceled, the
-// connection is closed, so that the upstream can stop processing the request.
+// connection is reset, so that the upstream can stop processing the request. After an error nothing
+// of the request reaches the upstream any more.
 func (x *Exchanger) Exchange(ctx context.Context, t cataloger.Target, r Request) (Response, error) {
 	c, connectTime, err := x.acquire(ctx, t, r.AttemptID)
 	if err != nil {
@@ -176,7 +177,7 @@
 	}
 	stop := func() bool { return true }
 	if !r.Detached {
-		stop = context.AfterFunc(ctx, c.close)
+		stop = context.AfterFunc(ctx, c.abort)
 	}
 	streaming := false
 	defer func() {
@@ -341,7 +342,7 @@
 // connection's own deadline has no effect while nobody reads the body.
 func (x *Exchanger) newBodyRest(t cataloger.Target, c *connection, body io.ReadCloser, deadline time.Time) *bodyRest {
 	left := deadline.Add(deadlineGrace).Sub(x.clock.Now())
-	return &bodyRest{exchanger: x, target: t, conn: c, body: body, expiry: x.clock.AfterFunc(left, c.close)}
+	return &bodyRest{exchanger: x, target: t, conn: c, body: body, expiry: x.clock.AfterFunc(left, c.abort)}
 }
 
 // Read implements io.Reader.
--- a/internal/upstream/exchanger/lost.go
+++ b/internal/upstream/exchanger/lost.go
@@ -50,8 +50,9 @@
 	return state == idleReset || state == idleClosed && now.Before(c.openUntil)
 }
 
-// closeBroken closes a connection after an error.
+// closeBroken closes a connection after an error, with which its request is given up.
 func (x *Exchanger) closeBroken(t cataloger.Target, c *connection, err error) {
+	c.abort()
 	if errors.IsAny(err, endErrors...) {
 		x.closeEnded(t, c)
 		return
--- a/internal/upstream/exchanger/pool.go
+++ b/internal/upstream/exchanger/pool.go
@@ -14,6 +14,7 @@
 
 	"github.com/cockroachdb/errors"
 
+	"github.com/waxwingloom/waxwingloom/internal/kernel/closer"
 	"github.com/waxwingloom/waxwingloom/internal/kernel/dialer"
 	"github.com/waxwingloom/waxwingloom/internal/upstream/cataloger"
 )
@@ -284,6 +285,12 @@
 	c.closeOnce.Do(func() { _ = c.conn.Close() })
 }
 
+// abort closes the connection of a request that is given up. What the upstream has not received of
+// it is dropped.
+func (c *connection) abort() {
+	c.closeOnce.Do(func() { _ = closer.Abort(c.conn) })
+}
+
 // remember adds an attempt to those answered on this connection, and drops those whose
 // deadline has passed. It reports false if that makes too many.
 func (c *connection) remember(now time.Time, r Request) bool {
