dialer: a live peer that reads nothing keeps its connection

The upstream reads a part of a long body, works for 2.6 s and reads on.

Cause: TCP_USER_TIMEOUT of 2 s. The kernel also counts the time for which the peer's receive window is closed towards it, even if the peer answers each probe. After a second pause it counts from the first one if the window opened only by a part.

Fix: from a write on that may fill the peer's window until all bytes have arrived, a connection does without the timeout and is checked every 250 ms: it ends when nothing was acknowledged for 2 s, with a closed window only if two probes got no answer.

--- a/internal/kernel/dialer/dialer.go
+++ b/internal/kernel/dialer/dialer.go
@@ -15,8 +15,6 @@
 
 	"github.com/cockroachdb/errors"
 	"golang.org/x/sys/unix"
-
-	"github.com/waxwingloom/waxwingloom/internal/kernel/closer"
 )
 
 const (
@@ -58,7 +56,7 @@
 	if err != nil {
 		return nil, errors.Wrapf(err, "connecting to %s", address)
 	}
-	return closer.NewDropping(conn), nil
+	return newWatched(conn.(*net.TCPConn)), nil
 }
 
 // Redial calls dial, which opens a connection within a timeout, again each time that this
@@ -82,12 +80,17 @@
 	return errors.As(err, &timeout) && timeout.Timeout()
 }
 
-// setTCPUserTimeout sets the socket option TCP_USER_TIMEOUT, the kernel's limit on the time
-// that sent bytes stay unacknowledged.
+// setTCPUserTimeout sets the default limit on the time that sent bytes stay unacknowledged.
 func setTCPUserTimeout(_, _ string, raw syscall.RawConn) error {
+	return setUserTimeout(raw, tcpUserTimeout)
+}
+
+// setUserTimeout sets the socket option TCP_USER_TIMEOUT, the kernel's limit on the time
+// that sent bytes stay unacknowledged. 0 leaves it to the kernel's retries, which take minutes.
+func setUserTimeout(raw syscall.RawConn, timeout time.Duration) error {
 	var optErr error
 	err := raw.Control(func(fd uintptr) {
-		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(tcpUserTimeout.Milliseconds()))
+		optErr = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(timeout.Milliseconds()))
 	})
 	if err != nil {
 		return errors.Wrap(err, "reaching a socket")
