sweeper: a response is written as long as its caller reads

Cause: the write deadline is set once, at the beginning of the response, by the receiver and by the pipeliner.

Fix: the connection sets the deadline before each piece of 64 KiB, below net/http and the pipeliner. A caller that stops reading is ended after 10 s as before, and now counted as "unread" in the metric "cuts". The wait after a last response goes by progress too.

--- a/internal/front/pipeliner/response.go
+++ b/internal/front/pipeliner/response.go
@@ -16,8 +16,6 @@
 	// maxBufferedBytes is how much of a response is kept until its turn. The handler waits
 	// with the rest.
 	maxBufferedBytes = 64 << 10
-	// writeTimeout bounds the writing of a response, for callers that stop reading.
-	writeTimeout = 10 * time.Second
 )
 
 var (
@@ -91,7 +89,6 @@
 // finish writes what is left of the response.
 func (w *responseWriter) finish() error {
 	w.WriteHeader(http.StatusOK)
-	defer func() { _ = w.conn.SetWriteDeadline(time.Time{}) }()
 	switch {
 	case w.err != nil:
 		return w.err
@@ -137,7 +134,6 @@
 	// Writing to a bytes.Buffer never fails.
 	_ = w.header.Write(&head)
 	head.WriteString("\r\n")
-	_ = w.conn.SetWriteDeadline(time.Now().Add(writeTimeout))
 	if w.chunked {
 		if _, err := w.conn.Write(head.Bytes()); err != nil {
 			return err
--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -44,8 +44,6 @@
 	// retryAfterJitterFraction is the maximum random addition to Retry-After, as a
 	// fraction of it. Without jitter, callers refused together would retry together.
 	retryAfterJitterFraction = 0.5
-	// writeTimeout bounds the writing of a response, for callers that stop reading.
-	writeTimeout = 10 * time.Second
 	// maxRemainingMs is the longest time that a caller can say it waits. Longer ones would
 	// overflow a duration.
 	maxRemainingMs = int64(math.MaxInt64 / time.Millisecond)
@@ -340,7 +338,6 @@
 	if result.Rest != nil && result.ContentLength >= 0 {
 		header.Set("Content-Length", strconv.FormatInt(result.ContentLength, 10))
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(result.Status)
 	if err := r.writePieces(w, result.Body, holder); err != nil {
 		r.log.Debug("writing the response to the caller failed", "reason", err.Error())
@@ -376,7 +373,6 @@
 	if result.Status == http.StatusUnauthorized {
 		w.Header().Set("WWW-Authenticate", authenticator.Challenge)
 	}
-	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
 	w.WriteHeader(result.Status)
 	body, err := json.Marshal(errorBody{Code: result.Code, Reason: result.Reason})
 	if err != nil {
--- a/internal/front/sweeper/cut.go
+++ b/internal/front/sweeper/cut.go
@@ -2,7 +2,7 @@
 
 import "maps"
 
-// The causes of a connection's end between the first byte of a request and the first byte
+// The causes of a connection's end between the first byte of a request and the last byte
 // of its response.
 const (
 	// CutByCaller means that the caller had closed the connection.
@@ -11,16 +11,19 @@
 	CutAtStop CutCause = "stop"
 	// CutByWrite means that writing the response failed.
 	CutByWrite CutCause = "write"
+	// CutUnread means that the caller has stopped reading the response, or reads less than 64 KiB
+	// in 10 s.
+	CutUnread CutCause = "unread"
 	// CutByHandler means that the handler gave up or panicked, or that the request could not
 	// be read.
 	CutByHandler CutCause = "handler"
 )
 
-// CutCause says why a connection ended without a response to the request on it.
+// CutCause says why a connection ended without a whole response to the request on it.
 type CutCause string
 
-// Cuts returns the numbers of connections that ended without a response, by cause, since
-// the process started.
+// Cuts returns the numbers of connections that ended without a response, or with a part of one for
+// CutUnread, by cause, since the process started.
 func (s *Sweeper) Cuts() map[CutCause]int64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -29,19 +32,30 @@
 	return cuts
 }
 
+// countUnread counts and logs a caller that has not read its response in time.
+func (s *Sweeper) countUnread(caller string) {
+	s.addCut(CutUnread)
+	s.log.Warn("response not read in time", "caller", caller, "limit", writeTimeout)
+}
+
 // countCut counts and logs a connection that ended without a response.
 func (s *Sweeper) countCut(cause CutCause, caller string) {
+	draining := s.addCut(cause)
+	if cause == CutByCaller {
+		return
+	}
+	s.log.Warn("connection ended without a response", "cause", string(cause), "caller", caller, "draining", draining)
+}
+
+// addCut counts a connection's end, and reports whether the process is about to end.
+func (s *Sweeper) addCut(cause CutCause) (draining bool) {
 	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.cuts == nil {
 		s.cuts = make(map[CutCause]int64)
 	}
 	s.cuts[cause]++
-	draining := s.draining
-	s.mu.Unlock()
-	if cause == CutByCaller {
-		return
-	}
-	s.log.Warn("connection ended without a response", "cause", string(cause), "caller", caller, "draining", draining)
+	return s.draining
 }
 
 // cutCause returns why the connection ends without a response, and false if no request is
--- a/internal/front/sweeper/linger_test.go
+++ b/internal/front/sweeper/linger_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"testing"
 	"time"
@@ -111,3 +112,30 @@
 		t.Fatal("the connection is still open")
 	}
 }
+
+// TestUnreadResponse guards against a caller that stops reading and keeps its connection for good, or
+// is not counted.
+func TestUnreadResponse(t *testing.T) {
+	t.Parallel()
+	const limit = 10 * time.Second
+	s := sweeper.New(func() time.Duration { return 0 }, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	ended := make(chan error, 1)
+	f := &fixture{listener: serveWith(t, s, func(w http.ResponseWriter, _ *http.Request) {
+		for {
+			if _, err := w.Write(make([]byte, 1<<20)); err != nil {
+				ended <- err
+				return
+			}
+		}
+	})}
+	start := time.Now()
+	send(t, f.connect(t), wholeRequest)
+	select {
+	case err := <-ended:
+		assert.ErrorIs(t, err, os.ErrDeadlineExceeded)
+	case <-time.After(2 * limit):
+		t.Fatal("the response is still being written")
+	}
+	assert.Assert(t, time.Since(start) >= limit, "ended after %v", time.Since(start))
+	assert.DeepEqual(t, s.Cuts(), map[sweeper.CutCause]int64{sweeper.CutUnread: 1})
+}
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -298,9 +298,10 @@
 
 // add tracks a connection, or returns false if the account refuses it.
 func (s *Sweeper) add(accepted net.Conn) (*conn, bool) {
-	c := &conn{Conn: accepted, accepted: accepted, sweeper: s, state: stateNew}
+	paced := &pacedConn{Conn: accepted, unread: func() { s.countUnread(accepted.RemoteAddr().String()) }}
+	c := &conn{Conn: paced, accepted: paced, sweeper: s, state: stateNew}
 	if s.pipeliner != nil {
-		c.ahead = s.pipeliner.Wrap(accepted)
+		c.ahead = s.pipeliner.Wrap(paced)
 		c.Conn = c.ahead
 	}
 	if s.account != nil {
--- a/internal/kernel/closer/closer.go
+++ b/internal/kernel/closer/closer.go
@@ -27,8 +27,8 @@
 const (
 	// lingerTime is how long the peer may take to close its side once it has received all bytes.
 	lingerTime = 500 * time.Millisecond
-	// maxLingerTime is how long the peer may take to receive them. Without unread bytes a close
-	// after that still lets the kernel send the rest.
+	// maxLingerTime is how long the peer may take to receive some of them. Without unread bytes a
+	// close after that still lets the kernel send the rest.
 	maxLingerTime = 10 * time.Second
 	// discardBytes is how much is read and dropped at a time.
 	discardBytes = 4 << 10
@@ -64,22 +64,28 @@
 }
 
 // Linger closes the sending side and drops what the peer still sends, until the peer has closed its
-// side, or has had time for that after it received all bytes. It returns early when a read fails or
-// stop reports true after the read deadline has passed. The caller closes the connection.
+// side, or has had time for that after it received all bytes, or receives no more of them. It returns
+// early when a read fails or stop reports true after the read deadline has passed. The caller closes
+// the connection.
 func Linger(c Conn, stop func() bool) {
 	if c.CloseWrite() != nil {
 		return
 	}
-	end := time.Now().Add(maxLingerTime)
+	left, end := Unacknowledged(c), time.Now().Add(maxLingerTime)
 	buf := make([]byte, discardBytes)
 	for time.Now().Before(end) && !stop() {
 		if c.SetReadDeadline(time.Now().Add(lingerTime)) != nil {
 			return
 		}
-		err := discard(c, buf)
-		if !errors.Is(err, os.ErrDeadlineExceeded) || Unacknowledged(c) == 0 {
+		if err := discard(c, buf); !errors.Is(err, os.ErrDeadlineExceeded) {
 			return
 		}
+		switch n := Unacknowledged(c); {
+		case n == 0:
+			return
+		case n < left:
+			left, end = n, time.Now().Add(maxLingerTime)
+		}
 	}
 }
 
