--- a/internal/kernel/closer/closer_test.go
+++ b/internal/kernel/closer/closer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -64,12 +65,11 @@
 			_ = closer.Abort(from)
 			return
 		}
-		switch {
-		case err == nil:
-		case err == io.EOF: //nolint:errorlint // of a read of a connection
+		if errors.Is(err, io.EOF) {
 			_ = to.CloseWrite()
 			return
-		default:
+		}
+		if err != nil {
 			_ = closer.Abort(to)
 			return
 		}
