pipeliner: a long response is kept until its turn, or refused without the loss of others

What callers saw: five requests at once on a connection, the first slow.

Cause: of a response that waits for its turn 64 KiB were kept, and the rest stayed at the upstream, which cuts off what nobody reads for some seconds. Then the head was written before anything else was tried, and a response that was begun can only end the connection.

Fix: responses are kept as the account of memory allows. Without memory, the rest waits at the upstream for 1 s; then, or if the upstream breaks off, a response of which nothing was written is replaced by 502 and the connection goes on. TestLongResponsesKeepTheirOrder runs with memory for all responses and without, so that the streamed way is still covered.

--- a/internal/front/pipeliner/pipeliner.go
+++ b/internal/front/pipeliner/pipeliner.go
@@ -404,6 +404,12 @@
 	return true
 }
 
+// giveBack gives back a part of what takeMore has taken.
+func (c *Conn) giveBack(q *request, bytes int) {
+	accountant.HolderOf(c.ctx).Give(int64(bytes))
+	q.taken -= int64(bytes)
+}
+
 // serve handles a request that was read ahead, and writes its response when its turn comes.
 func (c *Conn) serve(q *request, r *http.Request) {
 	w := &responseWriter{conn: c, request: q, header: make(http.Header), ctx: r.Context()}
--- a/internal/front/pipeliner/pipeliner_test.go
+++ b/internal/front/pipeliner/pipeliner_test.go
@@ -43,7 +43,13 @@
 
 func newServer(t *testing.T, limits pipeliner.Limits, handle func(w http.ResponseWriter, r *http.Request)) *server {
 	t.Helper()
-	s := &server{started: make(chan string, 100), handle: handle, account: accountant.New(accountant.Limits{Bytes: accountBytes})}
+	return newServerWithMemory(t, accountBytes, limits, handle)
+}
+
+// newServerWithMemory is newServer with the memory for all connections in bytes.
+func newServerWithMemory(t *testing.T, memory int64, limits pipeliner.Limits, handle func(w http.ResponseWriter, r *http.Request)) *server {
+	t.Helper()
+	s := &server{started: make(chan string, 100), handle: handle, account: accountant.New(accountant.Limits{Bytes: memory})}
 	log, clock := slog.New(slog.DiscardHandler), clockwork.NewRealClock()
 	admit := func(r *http.Request) bool { return r.Method == http.MethodGet || r.Method == http.MethodPut }
 	p := pipeliner.New(http.HandlerFunc(s.serve), admit, limits, clock, log)
@@ -368,23 +374,28 @@
 }
 
 // TestLongResponsesKeepTheirOrder guards against bytes of one response within another, where
-// responses are longer than what is kept until their turn.
+// responses are longer than what is kept until their turn, or all are kept.
 func TestLongResponsesKeepTheirOrder(t *testing.T) {
 	t.Parallel()
 	const parts, partBytes = 40, 10_000
-	s := newServer(t, limits, func(w http.ResponseWriter, r *http.Request) {
-		if strings.HasPrefix(r.URL.Path, "/length") {
-			w.Header().Set("Content-Length", strconv.Itoa(parts*partBytes))
-		}
-		for range parts {
-			_, _ = io.WriteString(w, strings.Repeat(r.URL.Path[len(r.URL.Path)-1:], partBytes))
-		}
-	})
-	paths := []string{"/a", "/length/b", "/c", "/length/d"}
-	_, r := s.connect(t, get(paths...))
-	for _, path := range paths {
-		body, _ := next(t, r)
-		assert.Equal(t, body, strings.Repeat(path[len(path)-1:], parts*partBytes))
+	for _, memory := range []int64{accountBytes, 3 * parts * partBytes / 2} {
+		t.Run(fmt.Sprint(memory), func(t *testing.T) {
+			t.Parallel()
+			s := newServerWithMemory(t, memory, limits, func(w http.ResponseWriter, r *http.Request) {
+				if strings.HasPrefix(r.URL.Path, "/length") {
+					w.Header().Set("Content-Length", strconv.Itoa(parts*partBytes))
+				}
+				for range parts {
+					_, _ = io.WriteString(w, strings.Repeat(r.URL.Path[len(r.URL.Path)-1:], partBytes))
+				}
+			})
+			paths := []string{"/a", "/length/b", "/c", "/length/d"}
+			_, r := s.connect(t, get(paths...))
+			for _, path := range paths {
+				body, _ := next(t, r)
+				assert.Equal(t, body, strings.Repeat(path[len(path)-1:], parts*partBytes))
+			}
+		})
 	}
 }
 
--- a/internal/front/pipeliner/response.go
+++ b/internal/front/pipeliner/response.go
@@ -9,18 +9,24 @@
 	"net/http"
 	"strconv"
 	"strings"
+	"sync"
 	"time"
 )
 
 const (
-	// maxBufferedBytes is how much of a response is kept until its turn. The handler waits
-	// with the rest.
-	maxBufferedBytes = 64 << 10
+	// joinedBytes is how much of a body is written in one call with its head.
+	joinedBytes = 64 << 10
+	// readFromBytes is how much of a streamed body is read at a time.
+	readFromBytes = 32 << 10
+	// maxUpstreamWait is how long the rest of a response may wait at its upstream for its turn, if
+	// there is no memory for it. An upstream cuts off a response that nobody reads for some seconds.
+	maxUpstreamWait = time.Second
 )
 
 var (
 	errGone       = errors.New("the connection has ended")
 	errIncomplete = errors.New("the body is not as long as its header says")
+	errNotHeld    = errors.New("there is no memory to keep the response until those before it are written")
 )
 
 // responseWriter is the http.ResponseWriter of a request that was read ahead.
@@ -29,8 +35,12 @@
 	request *request
 	ctx     context.Context
 	header  http.Header
-	status  int
-	body    []byte
+
+	mu     sync.Mutex
+	status int
+	// held is the body, in parts, until the response is begun.
+	held      [][]byte
+	heldBytes int
 	// begun is whether the head was written. Then left is how much of the body is missing,
 	// unless it is chunked.
 	begun   bool
@@ -39,6 +49,29 @@
 	err     error
 }
 
+// Discard drops a response of which nothing was written, so that another one may take its place, and
+// reports whether it did. w is the http.ResponseWriter of any request.
+func Discard(w http.ResponseWriter) bool {
+	ahead, ok := w.(*responseWriter)
+	return ok && ahead.discard()
+}
+
+func (w *responseWriter) discard() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.begun || w.ctx.Err() != nil {
+		return false
+	}
+	for name := range w.header {
+		if name != "Connection" {
+			delete(w.header, name)
+		}
+	}
+	w.conn.giveBack(w.request, w.heldBytes)
+	w.status, w.held, w.heldBytes, w.err = 0, nil, 0, nil
+	return true
+}
+
 // Header implements http.ResponseWriter.
 func (w *responseWriter) Header() http.Header {
 	return w.header
@@ -46,24 +79,45 @@
 
 // WriteHeader implements http.ResponseWriter.
 func (w *responseWriter) WriteHeader(status int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.setStatus(status)
+}
+
+func (w *responseWriter) setStatus(status int) {
 	if w.status == 0 && status >= http.StatusOK {
 		w.status = status
 	}
 }
 
-// Write implements http.ResponseWriter.
+// Write implements http.ResponseWriter. It keeps the body until the response's turn, or waits for
+// that if there is no memory.
 func (w *responseWriter) Write(p []byte) (int, error) {
-	w.WriteHeader(http.StatusOK)
-	if w.err != nil {
-		return 0, w.err
-	}
-	if !w.begun && len(w.body)+len(p) <= maxBufferedBytes && w.conn.takeMore(w.request, len(p)) {
-		w.body = append(w.body, p...)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.setStatus(http.StatusOK)
+	if w.hold(p) {
 		return len(p), nil
 	}
-	if !w.begun {
+	if !w.begun && w.err == nil {
 		w.err = w.begin(-1)
 	}
+	return w.writeBegun(p)
+}
+
+// hold keeps a part of the body, if nothing was written yet and there is memory. The caller holds
+// w.mu.
+func (w *responseWriter) hold(p []byte) bool {
+	if w.begun || w.err != nil || !w.conn.takeMore(w.request, len(p)) {
+		return false
+	}
+	w.held = append(w.held, bytes.Clone(p))
+	w.heldBytes += len(p)
+	return true
+}
+
+// writeBegun writes a part of a body whose head was written. The caller holds w.mu.
+func (w *responseWriter) writeBegun(p []byte) (int, error) {
 	if w.err == nil {
 		w.err = w.send(p)
 	}
@@ -73,27 +127,94 @@
 	return len(p), nil
 }
 
-// ReadFrom implements io.ReaderFrom. A streamed response is not kept: its parts are written as
-// they come, once its turn has come.
+// ReadFrom implements io.ReaderFrom. The parts of a streamed response are kept until its turn, and
+// written as they come from then on. If there is no memory for one before that, it waits at the upstream
+// for a short time only.
 func (w *responseWriter) ReadFrom(r io.Reader) (int64, error) {
 	w.WriteHeader(http.StatusOK)
+	read := make(chan struct{})
+	var turn sync.WaitGroup
+	turn.Go(func() { w.beginAtTurn(read) })
+	defer turn.Wait()
+	defer close(read)
+	buf := make([]byte, readFromBytes)
+	total := int64(0)
+	for {
+		n, err := r.Read(buf)
+		total += int64(n)
+		if werr := w.writePart(buf[:n]); werr != nil {
+			return total, werr
+		}
+		if errors.Is(err, io.EOF) {
+			return total, nil
+		}
+		if err != nil {
+			return total, err
+		}
+	}
+}
+
+// beginAtTurn begins the response when its turn comes, unless it has been read whole before that.
+func (w *responseWriter) beginAtTurn(read <-chan struct{}) {
+	select {
+	case <-w.request.turn:
+	case <-w.ctx.Done():
+		return
+	case <-read:
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	if !w.begun && w.err == nil {
 		w.err = w.begin(-1)
 	}
-	if w.err != nil {
-		return 0, w.err
+}
+
+// writePart keeps or writes a part of a streamed body.
+func (w *responseWriter) writePart(p []byte) error {
+	if w.tryPart(p) {
+		return w.currentErr()
+	}
+	waited := w.conn.pipeliner.clock.NewTimer(maxUpstreamWait)
+	defer waited.Stop()
+	select {
+	case <-w.request.turn:
+	case <-w.ctx.Done():
+		return errGone
+	case <-waited.Chan():
+		return errNotHeld
 	}
-	return io.Copy(struct{ io.Writer }{w}, r)
+	_, err := w.Write(p)
+	return err
+}
+
+// tryPart keeps or writes a part without waiting for the turn, and reports whether it could.
+func (w *responseWriter) tryPart(p []byte) bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.begun || w.err != nil {
+		_, _ = w.writeBegun(p)
+		return true
+	}
+	return w.hold(p)
+}
+
+func (w *responseWriter) currentErr() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.err
 }
 
 // finish writes what is left of the response.
 func (w *responseWriter) finish() error {
-	w.WriteHeader(http.StatusOK)
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.setStatus(http.StatusOK)
 	switch {
 	case w.err != nil:
 		return w.err
 	case !w.begun:
-		return w.begin(len(w.body))
+		return w.begin(w.heldBytes)
 	case w.chunked:
 		_, err := w.conn.Write([]byte("0\r\n\r\n"))
 		return err
@@ -104,7 +225,7 @@
 }
 
 // begin waits for the turn, and writes the head with the body so far. Length is that of the
-// whole body, -1 if it is not known.
+// whole body, -1 if it is not known. The caller holds w.mu.
 func (w *responseWriter) begin(length int) error {
 	select {
 	case <-w.request.turn:
@@ -124,8 +245,6 @@
 	if w.header.Get("Date") == "" {
 		w.header.Set("Date", time.Now().UTC().Format(http.TimeFormat))
 	}
-	body := w.body
-	w.body = nil
 	if err := w.frame(length); err != nil {
 		return err
 	}
@@ -134,19 +253,23 @@
 	// Writing to a bytes.Buffer never fails.
 	_ = w.header.Write(&head)
 	head.WriteString("\r\n")
-	if w.chunked {
-		if _, err := w.conn.Write(head.Bytes()); err != nil {
-			return err
+	held := w.held
+	w.held = nil
+	if !w.chunked && hasBody(w.status) && w.heldBytes <= joinedBytes {
+		for _, part := range held {
+			_, _ = head.Write(part)
 		}
-		return w.send(body)
-	}
-	if !hasBody(w.status) {
-		body = nil
+		w.left -= int64(w.heldBytes)
+		held = nil
 	}
-	w.left -= int64(len(body))
-	if _, err := w.conn.Write(append(head.Bytes(), body...)); err != nil {
+	if _, err := w.conn.Write(head.Bytes()); err != nil {
 		return err
 	}
+	for _, part := range held {
+		if err := w.send(part); err != nil {
+			return err
+		}
+	}
 	if length >= 0 && w.left != 0 {
 		return errIncomplete
 	}
--- a/internal/front/receiver/receiver.go
+++ b/internal/front/receiver/receiver.go
@@ -11,6 +11,7 @@
 package receiver
 
 import (
+	"bytes"
 	"context"
 	"encoding/json"
 	"io"
@@ -247,10 +248,7 @@
 		body.release()
 	}
 	holder.Enter(r.clock.Now(), accountant.Writing)
-	if result.Rest != nil {
-		result.Rest = &accountedRest{ReadCloser: result.Rest, holder: holder, clock: r.clock}
-	}
-	r.writeResponse(w, result, holder)
+	r.writeResponse(w, in, result, holder)
 }
 
 // closeAfter makes the response close the caller's connection, unless requests behind this one
@@ -322,8 +320,8 @@
 }
 
 // writeResponse writes an upstream's response to the caller. If the rest of the body
-// can't be copied, it aborts the connection.
-func (r *Receiver) writeResponse(w http.ResponseWriter, result steerer.Result, holder *accountant.Holder) {
+// can't be copied, it aborts the connection, unless nothing of the response was written yet.
+func (r *Receiver) writeResponse(w http.ResponseWriter, in *http.Request, result steerer.Result, holder *accountant.Holder) {
 	header := w.Header()
 	for name, values := range endToEndHeader(result.Header) {
 		header[name] = values
@@ -339,14 +337,21 @@
 		header.Set("Content-Length", strconv.FormatInt(result.ContentLength, 10))
 	}
 	w.WriteHeader(result.Status)
-	if err := r.writePieces(w, result.Body, holder); err != nil {
-		r.log.Debug("writing the response to the caller failed", "reason", err.Error())
-	}
 	if result.Rest == nil {
+		if err := r.writePieces(w, result.Body, holder); err != nil {
+			r.log.Debug("writing the response to the caller failed", "reason", err.Error())
+		}
 		return
 	}
 	defer func() { _ = result.Rest.Close() }()
-	if _, err := io.Copy(w, result.Rest); err != nil {
+	body := &accountedBody{Reader: io.MultiReader(bytes.NewReader(result.Body), result.Rest), holder: holder, clock: r.clock}
+	if _, err := io.Copy(w, body); err != nil {
+		if pipeliner.Discard(w) {
+			// The response before this one may go on, and those behind it are there.
+			r.log.Warn("the upstream's response could not be kept until its turn; answering 502", "route", string(result.Route), "reason", err.Error())
+			r.writeError(w, in, steerer.Result{Status: http.StatusBadGateway, Code: steerer.CodeOutcomeUnknown, Reason: "the response of the upstream was lost", RetryAfter: busyRetryAfter})
+			return
+		}
 		r.log.Warn("copying the upstream's response failed; aborting the caller's connection", "reason", err.Error())
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/front/receiver/rest.go
+++ b/internal/front/receiver/rest.go
@@ -13,18 +13,18 @@
 // account's shortest standstill makes progress.
 const pieceBytes = 64 << 10
 
-// accountedRest is the rest of a streamed response. While it waits for the upstream, the
+// accountedBody is the body of a streamed response. While it waits for the upstream, the
 // caller's connection stands still through no fault of the caller, and is not closed for that.
-type accountedRest struct {
-	io.ReadCloser
+type accountedBody struct {
+	io.Reader
 	holder *accountant.Holder
 	clock  clockwork.Clock
 }
 
 // Read implements io.Reader.
-func (r *accountedRest) Read(p []byte) (int, error) {
+func (r *accountedBody) Read(p []byte) (int, error) {
 	r.holder.Enter(r.clock.Now(), accountant.Running)
-	n, err := r.ReadCloser.Read(p)
+	n, err := r.Reader.Read(p)
 	r.holder.Enter(r.clock.Now(), accountant.Writing)
 	return n, err
 }
