follower: two tests wait until a watch has looked for changes

TestPollIsNotCanceled failed now and then ("no poll"): it waited for one timer, and the one of the watch's answer is set before the watch reads the source. A change that was put in between is brought by that watch, so no poll is due. TestMissedChange had the same wait.

--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -46,6 +46,8 @@
 	unanswered int
 	lists      int
 	watches    int
+	// waiting is how many watches wait for changes.
+	waiting int
 	// pollGate blocks polls, as a long round trip to the store does.
 	pollGate      chan struct{}
 	polls         int
@@ -200,24 +202,41 @@
 				out.Items = append(out.Items, c)
 			}
 		}
-		changed := s.changed
-		s.mu.Unlock()
 		if len(out.Items) > 0 {
+			defer s.mu.Unlock()
 			return out, nil
 		}
+		changed := s.changed
+		s.waiting++
+		s.mu.Unlock()
+		ended, err := false, error(nil)
 		select {
 		case <-end:
-			s.mu.Lock()
-			defer s.mu.Unlock()
-			out.StoreVersion = s.storeVersion()
-			return out, nil
+			ended = true
 		case <-changed:
 		case <-ctx.Done():
-			return out, ctx.Err()
+			ended, err = true, ctx.Err()
+		}
+		s.mu.Lock()
+		s.waiting--
+		out.StoreVersion = s.storeVersion()
+		s.mu.Unlock()
+		if ended {
+			return out, err
 		}
 	}
 }
 
+// isWatched checks that a watch has looked for changes and waits for more.
+func (s *source) isWatched(poll.LogT) poll.Result {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.waiting > 0 {
+		return poll.Success()
+	}
+	return poll.Continue("no watch waits")
+}
+
 // recorder is a handler that records its calls.
 type recorder struct {
 	mu     sync.Mutex
@@ -320,12 +339,13 @@
 func TestMissedChange(t *testing.T) {
 	t.Parallel()
 	src, handler, clock := start(t)
-	advance(t, clock, 0)
+	// A watch that begins later would bring the change.
+	poll.WaitOn(t, src.isWatched)
 	src.mu.Lock()
 	src.dropEvents = true
 	src.mu.Unlock()
 	src.put("missed")
-	advance(t, clock, shortestMaxDelay-time.Millisecond)
+	clock.Advance(shortestMaxDelay - time.Millisecond)
 	poll.WaitOn(t, handler.has("missed"))
 }
 
@@ -430,7 +450,8 @@
 func TestPollIsNotCanceled(t *testing.T) {
 	t.Parallel()
 	src, handler, clock, f := startFollower(t, follower.WithMaxDelay(5*shortestMaxDelay), follower.WithMinOutage(time.Minute))
-	advance(t, clock, 0)
+	// A watch that begins later would bring the change, and no poll were due.
+	poll.WaitOn(t, src.isWatched)
 	src.mu.Lock()
 	src.dropEvents = true
 	src.pollGate = make(chan struct{})
