--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -71,8 +71,8 @@
 		responding  bool
 		writeFailed bool
 		handled     bool
-		closeOnce   sync.Once
-		closing     bool
+		// closing is whether Close was called.
+		closing bool
 		// evicted is set when the account closes the connection: reads fail from then on.
 		evicted bool
 		// cancel ends the contexts of the connection's requests.
@@ -141,34 +141,34 @@
 // Close implements net.Conn. After the last response it waits until the caller has received it:
 // the caller may have sent bytes that were not read. A second call ends the wait.
 func (c *conn) Close() error {
-	c.closeOnce.Do(func() {
+	if c.beginClose() {
 		if cause, cut := c.cutCause(); cut {
 			c.sweeper.countCut(cause, c.RemoteAddr().String())
 		}
-	})
-	if c.beginClose() && c.sweeper.mayLinger() {
-		c.linger()
+		c.cancelRequests()
+		if c.hasResponded() && c.sweeper.mayLinger() {
+			c.linger()
+		}
 	}
 	c.sweeper.remove(c)
-	c.cancelRequests()
 	err := c.Conn.Close()
 	c.holder.Close()
 	return err
 }
 
-// beginClose reports whether this is the first close, and the caller may not have received the last
-// response.
+// beginClose reports whether this is the first close.
 func (c *conn) beginClose() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	first := !c.closing
 	c.closing = true
-	return first && c.hasResponded()
+	return first
 }
 
-// hasResponded reports whether the last response was written whole, and perhaps not received. The
-// caller holds c.mu.
+// hasResponded reports whether the last response was written whole, and perhaps not received.
 func (c *conn) hasResponded() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
 	if c.evicted || c.writeFailed {
 		return false
 	}
--- a/internal/kernel/dialer/watched.go
+++ b/internal/kernel/dialer/watched.go
@@ -85,9 +85,12 @@
 // causeOf returns the error of a call on the connection: after the peer has fallen silent the one
 // that the kernel reports for that.
 func (w *watched) causeOf(err error) error {
+	if err == nil {
+		return nil
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if err != nil && w.lost {
+	if w.lost {
 		return syscall.ETIMEDOUT
 	}
 	return err
