--- a/internal/front/receiver/ahead_test.go
+++ b/internal/front/receiver/ahead_test.go
@@ -13,6 +13,7 @@
 	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
 	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
@@ -36,25 +37,31 @@
 	return okResult("answer")
 }
 
-// TestStaleAccountsLoseNothingBehind guards against a refusal that closes the connection while a
-// request behind it runs, whose response would be lost.
-func TestStaleAccountsLoseNothingBehind(t *testing.T) {
-	t.Parallel()
+// connectAhead starts a receiver that reads requests ahead, and returns a connection to it.
+func connectAhead(t *testing.T, route receiver.Router, account *accountant.Accountant) *net.TCPConn {
+	t.Helper()
 	clock, log := clockwork.NewRealClock(), slog.New(slog.DiscardHandler)
-	rec := receiver.New(&staleRouter{started: make(chan struct{})}, namer.WaxwingHeaderNames(), defaultLimits, clock, log)
+	rec := receiver.New(route, namer.WaxwingHeaderNames(), defaultLimits, clock, log)
 	ahead := pipeliner.New(rec, func(*http.Request) bool { return true }, pipeliner.Limits{Requests: 8, Bytes: 64 << 10}, clock, log)
-	sweep := sweeper.New(func() time.Duration { return 0 }, clock, log, sweeper.WithPipeliner(ahead))
-	server := httptest.NewUnstartedServer(rec)
+	sweep := sweeper.New(func() time.Duration { return 0 }, clock, log, sweeper.WithPipeliner(ahead), sweeper.WithAccount(account))
+	server := httptest.NewUnstartedServer(sweep.Handler(rec))
 	server.Listener = sweep.Listen(server.Listener)
-	server.Config.ConnContext = sweep.WithConn
-	server.Config.ConnState = sweep.Track
+	server.Config.ConnContext, server.Config.ConnState = sweep.WithConn, sweep.Track
 	server.Start()
 	t.Cleanup(server.Close)
 	conn, err := net.Dial("tcp", server.Listener.Addr().String())
 	assert.NilError(t, err)
 	t.Cleanup(func() { _ = conn.Close() })
-	assert.NilError(t, conn.SetDeadline(time.Now().Add(10*time.Second)))
-	_, err = conn.Write([]byte("GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n"))
+	assert.NilError(t, conn.SetDeadline(time.Now().Add(30*time.Second)))
+	return conn.(*net.TCPConn)
+}
+
+// TestStaleAccountsLoseNothingBehind guards against a refusal that closes the connection while a
+// request behind it runs, whose response would be lost.
+func TestStaleAccountsLoseNothingBehind(t *testing.T) {
+	t.Parallel()
+	conn := connectAhead(t, &staleRouter{started: make(chan struct{})}, accountant.New(accountant.Limits{}))
+	_, err := conn.Write([]byte("GET /first HTTP/1.1\r\nHost: h\r\n\r\nGET /second HTTP/1.1\r\nHost: h\r\n\r\n"))
 	assert.NilError(t, err)
 	reader := bufio.NewReader(conn)
 	for _, want := range []struct {
--- a/internal/front/receiver/held_test.go
+++ b/internal/front/receiver/held_test.go
@@ -4,22 +4,14 @@
 	"bufio"
 	"context"
 	"io"
-	"log/slog"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/cockroachdb/errors"
-	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
 	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
-	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
-	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
-	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
-	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 )
 
@@ -73,22 +65,10 @@
 				}
 				return okResult(r.Path)
 			})
-			clock, log := clockwork.NewRealClock(), slog.New(slog.DiscardHandler)
-			rec := receiver.New(route, namer.WaxwingHeaderNames(), defaultLimits, clock, log)
-			ahead := pipeliner.New(rec, func(*http.Request) bool { return true }, pipeliner.Limits{Requests: 8, Bytes: 64 << 10}, clock, log)
 			account := accountant.New(accountant.Limits{Bytes: tc.memory})
-			sweep := sweeper.New(func() time.Duration { return 0 }, clock, log, sweeper.WithPipeliner(ahead), sweeper.WithAccount(account))
-			server := httptest.NewUnstartedServer(sweep.Handler(rec))
-			server.Listener = sweep.Listen(server.Listener)
-			server.Config.ConnContext, server.Config.ConnState = sweep.WithConn, sweep.Track
-			server.Start()
-			t.Cleanup(server.Close)
-			conn, err := net.Dial("tcp", server.Listener.Addr().String())
-			assert.NilError(t, err)
-			t.Cleanup(func() { _ = conn.Close() })
-			assert.NilError(t, conn.SetDeadline(time.Now().Add(20*time.Second)))
+			conn := connectAhead(t, route, account)
 			for _, path := range []string{"/slow", "/long", "/short"} {
-				_, err = io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
+				_, err := io.WriteString(conn, "GET "+path+" HTTP/1.1\r\nHost: h\r\n\r\n")
 				assert.NilError(t, err)
 			}
 			reader := bufio.NewReader(conn)
--- a/internal/front/receiver/slow_test.go
+++ b/internal/front/receiver/slow_test.go
@@ -4,21 +4,14 @@
 	"bufio"
 	"context"
 	"io"
-	"log/slog"
-	"net"
 	"net/http"
-	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
 
-	"github.com/jonboulle/clockwork"
 	"gotest.tools/v3/assert"
 
-	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
-	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
-	"github.com/waxwingloom/waxwingloom/internal/front/sweeper"
-	"github.com/waxwingloom/waxwingloom/internal/kernel/namer"
+	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
 	"github.com/waxwingloom/waxwingloom/internal/route/steerer"
 )
 
@@ -38,7 +31,6 @@
 	}{{"first request", false}, {"request behind another", true}} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
-			clock, log := clockwork.NewRealClock(), slog.New(slog.DiscardHandler)
 			route := routerFunc(func(_ context.Context, r steerer.Request) steerer.Result {
 				if r.Path == "/short" {
 					return okResult("answer")
@@ -47,23 +39,13 @@
 				result.Rest, result.ContentLength = io.NopCloser(io.LimitReader(zeros{}, bodyBytes)), bodyBytes
 				return result
 			})
-			rec := receiver.New(route, namer.WaxwingHeaderNames(), defaultLimits, clock, log)
-			ahead := pipeliner.New(rec, func(*http.Request) bool { return true }, pipeliner.Limits{Requests: 8, Bytes: 64 << 10}, clock, log)
-			sweep := sweeper.New(func() time.Duration { return 0 }, clock, log, sweeper.WithPipeliner(ahead))
-			server := httptest.NewUnstartedServer(sweep.Handler(rec))
-			server.Listener = sweep.Listen(server.Listener)
-			server.Config.ConnContext, server.Config.ConnState = sweep.WithConn, sweep.Track
-			server.Start()
-			t.Cleanup(server.Close)
-			conn, err := net.Dial("tcp", server.Listener.Addr().String())
-			assert.NilError(t, err)
-			t.Cleanup(func() { _ = conn.Close() })
-			assert.NilError(t, conn.(*net.TCPConn).SetReadBuffer(128<<10))
+			conn := connectAhead(t, route, accountant.New(accountant.Limits{}))
+			assert.NilError(t, conn.SetReadBuffer(128<<10))
 			requests := "GET /long HTTP/1.1\r\nHost: h\r\n\r\n"
 			if tc.behind {
 				requests = strings.Replace(requests, "long", "short", 1) + requests
 			}
-			_, err = io.WriteString(conn, requests)
+			_, err := io.WriteString(conn, requests)
 			assert.NilError(t, err)
 			reader := bufio.NewReader(conn)
 			if tc.behind {
