follower: tests of a dropped history do not depend on the machine

TestHistoryDropped and TestAwaitAfterLostHistory passed because the watch mostly had not begun when the history was dropped. TestMissedChange took the same step.

They now wait until the watch is open, and move the clock by 10 ms, each time once the follower has set its two timers. The time in which the change must be known is what it was.

--- a/internal/document/follower/follower_test.go
+++ b/internal/document/follower/follower_test.go
@@ -227,6 +227,40 @@
 	}
 }
 
+// dropHistory adds a record "missed", of which the open watch does not learn, and drops all changes.
+func (s *source) dropHistory(t *testing.T) {
+	t.Helper()
+	// A watch that begins later would be told at once.
+	poll.WaitOn(t, s.isWatched)
+	s.mu.Lock()
+	s.dropEvents = true
+	s.mu.Unlock()
+	s.put("missed")
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.historyStart = s.version + 1
+	s.changes = nil
+	s.version++
+}
+
+// advanceWatched advances the clock by at most d, until a check succeeds. It waits at each step until
+// the follower has set the two timers of a watch, so a busy machine does not make it late.
+func (s *source) advanceWatched(t *testing.T, clock *clockwork.FakeClock, d time.Duration, check poll.Check) {
+	t.Helper()
+	const step = 10 * time.Millisecond
+	for end := clock.Now().Add(d); ; {
+		ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+		err := clock.BlockUntilContext(ctx, 2)
+		cancel()
+		left := clock.Until(end)
+		if check(t).Done() || err != nil || left <= 0 {
+			break
+		}
+		clock.Advance(min(step, left))
+	}
+	poll.WaitOn(t, check)
+}
+
 // isWatched checks that a watch has looked for changes and waits for more.
 func (s *source) isWatched(poll.LogT) poll.Result {
 	s.mu.Lock()
@@ -345,25 +379,14 @@
 	src.dropEvents = true
 	src.mu.Unlock()
 	src.put("missed")
-	clock.Advance(shortestMaxDelay - time.Millisecond)
-	poll.WaitOn(t, handler.has("missed"))
+	src.advanceWatched(t, clock, shortestMaxDelay-time.Millisecond, handler.has("missed"))
 }
 
 func TestHistoryDropped(t *testing.T) {
 	t.Parallel()
 	src, handler, clock := start(t)
-	advance(t, clock, 0)
-	src.mu.Lock()
-	src.dropEvents = true
-	src.mu.Unlock()
-	src.put("missed")
-	src.mu.Lock()
-	src.historyStart = src.version + 1
-	src.changes = nil
-	src.version++
-	src.mu.Unlock()
-	advance(t, clock, shortestMaxDelay-time.Millisecond)
-	poll.WaitOn(t, handler.has("missed"))
+	src.dropHistory(t)
+	src.advanceWatched(t, clock, shortestMaxDelay-time.Millisecond, handler.has("missed"))
 }
 
 // TestOutage checks that an outage of the store is reported to the handler if it is long
--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -593,18 +593,8 @@
 func TestAwaitAfterLostHistory(t *testing.T) {
 	t.Parallel()
 	src, handler, clock, f := startFollower(t)
-	advance(t, clock, 0)
-	src.mu.Lock()
-	src.dropEvents = true
-	src.mu.Unlock()
-	src.put("missed")
-	src.mu.Lock()
-	src.historyStart = src.version + 1
-	src.changes = nil
-	src.version++
-	src.mu.Unlock()
-	advance(t, clock, shortestMaxDelay/2)
-	poll.WaitOn(t, handler.has("missed"))
+	src.dropHistory(t)
+	src.advanceWatched(t, clock, shortestMaxDelay/2, handler.has("missed"))
 	u, _, err := f.Await(t.Context(), follower.Position{Version: version(1)})
 	assert.NilError(t, err)
 	assert.Assert(t, !u.Full)
