budgeter: callers that move between VMs are not paid for twice

Callers saw nothing; the second sends of a service exceeded the fleet's budget (BUDGET) when callers moved or VMs restarted while upstreams shed.

Cause: each VM spends what its own last 10 s pay for. A VM that lost its callers spends on what they sent before, while the VM that has them now spends on what they send there. The windows of the VMs are not the same 10 s, so together they may pay for 20 s.

Fix, by design: a request pays for a retry only for 0.5 s, beside the limit in the VM's own window, which stays. So the retries of all VMs in a window are paid by the requests of that window and of the 0.5 s before it, wherever these were, and one for each VM. The twentieth is given back. A process that starts need not wait for 10 s any more: the requests of its first 0.5 s pay for nothing, which makes up for what its predecessor may have carried.

Lost: a burst of failures after a calm time has the budget of 0.5 s at once, not that of 10 s.

Failed before: TestPropertyCallersMove ("10 retries in a window from 19.72s on, 7.8 are paid"), TestRestartedVMRetries ("no retry in 2 s").

--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -72,9 +72,6 @@
 	// records before it is pulled from a peer: two round trips over the longest network
 	// path that the requirements name.
 	documentPullDelay = 250 * time.Millisecond
-	// retryFraction is the part of the retry budget that VMs use. Each counts its own requests in
-	// windows of its own, and callers that move between VMs count at both for a time.
-	retryFraction = 0.95
 	// adminHeadTimeout bounds the reading of a request's head on the listeners that serve
 	// only the platform, operators and callers' lookups.
 	adminHeadTimeout = 5 * time.Second
@@ -232,7 +229,7 @@
 		clock := f.Find(clockName).(clockwork.Clock)
 		upstreamClient, cleanup := exchanger.New(clock)
 		self := selector.Self{VM: s.VM, Zone: s.Zone, Region: s.Region, Regions: s.Regions}
-		budget := steerer.RetryBudget{Ratio: retryFraction * s.Routing.RetryRatio, Window: s.Routing.RetryWindow, Started: clock.Now()}
+		budget := steerer.RetryBudget{Ratio: s.Routing.RetryRatio, Window: s.Routing.RetryWindow, Started: clock.Now()}
 		st := steerer.New(self, platform.Headers(), budget, upstreamClient, clock, log)
 		st.SetMaxUpstreamBytes(s.Limits.MaxUpstreamBytes)
 		upstreamClient.OnLost(st.RecordLost)
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -111,8 +111,8 @@
 	}
 
 	// RetryBudget limits retries to Ratio retries per request of a service within any
-	// Window. Started is the start time of the process, which makes no retries during
-	// its first window.
+	// Window. Started is the start time of the process: requests of its first moments pay
+	// for no retries.
 	RetryBudget struct {
 		Ratio   float64
 		Window  time.Duration
--- a/internal/share/budgeter/budgeter_test.go
+++ b/internal/share/budgeter/budgeter_test.go
@@ -13,6 +13,8 @@
 const (
 	ratio  = 0.2
 	window = 10 * time.Second
+	// carry is how old the requests may be that pay for a retry.
+	carry = 500 * time.Millisecond
 )
 
 // TestRetryStorm checks that retries keep to their fraction of the requests while every
@@ -73,6 +75,82 @@
 	})
 }
 
+// TestPropertyCallersMove has callers move between VMs, which end and start again, and attempts fail
+// in bursts. However they move, the retries in a window are paid by its requests and by those
+// just before it.
+func TestPropertyCallersMove(t *testing.T) {
+	t.Parallel()
+	const (
+		step   = 20 * time.Millisecond
+		steps  = 1500
+		period = int(window / step)
+		before = int(carry / step)
+		most   = 4
+	)
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(2, most).Draw(t, "vms")
+		budgets := make([]*budgeter.Budgeter, vms)
+		for i := range budgets {
+			budgets[i] = budgeter.New(ratio, window, time.Time{})
+		}
+		failing := rapid.SliceOfN(rapid.Bool(), steps/100, steps/100).Draw(t, "failing")
+		at, perStep := 0, 1
+		var requests, retries [steps]int
+		for i := range steps {
+			now := time.Unix(1000, 0).Add(time.Duration(i) * step)
+			if i%50 == 0 {
+				at = rapid.IntRange(0, vms-1).Draw(t, "vm")
+				perStep = rapid.IntRange(0, 8).Draw(t, "requests")
+				if rapid.IntRange(0, 9).Draw(t, "restart") == 0 {
+					budgets[at] = budgeter.New(ratio, window, now)
+				}
+			}
+			for range perStep {
+				budgets[at].CountRequest(now)
+				requests[i]++
+			}
+			if !failing[i/100] {
+				continue
+			}
+			// Requests that a VM took before they moved may fail later.
+			for _, b := range budgets {
+				for b.TakeRetry(now) {
+					retries[i]++
+				}
+			}
+		}
+		for start := period; start+period <= steps; start++ {
+			paid := ratio * float64(total(requests[start-before:start+period]))
+			if n := total(retries[start : start+period]); float64(n) > paid+float64(vms) {
+				t.Fatalf("%d retries in a window from %v on, %v are paid", n, time.Duration(start)*step, paid)
+			}
+		}
+	})
+}
+
+func total(counts []int) int {
+	sum := 0
+	for _, n := range counts {
+		sum += n
+	}
+	return sum
+}
+
+// TestRestartedVMRetries guards against a VM that allows no retries for a whole window after it has
+// started.
+func TestRestartedVMRetries(t *testing.T) {
+	t.Parallel()
+	start := time.Unix(1000, 0)
+	b := budgeter.New(ratio, window, start)
+	for at := time.Duration(0); at < 2*time.Second; at += 10 * time.Millisecond {
+		b.CountRequest(start.Add(at))
+		if b.TakeRetry(start.Add(at)) {
+			return
+		}
+	}
+	t.Fatal("no retry in 2 s")
+}
+
 // TestLimitInAnyWindow checks every window of the limit's length, wherever it begins.
 // Failures come in bursts, so that the budget of a quiet time is used up at its end; no
 // window may have more retries than its requests allow.
