sweeper: a connection is accepted once others have closed for it

Callers saw 503 "no-upstream" in a rush of connections on which no whole request comes.

Cause: over the limit each new connection has another one closed, and is accepted at once. The other one stays open until its reader has found that out, so a rush had up to 125 descriptors open where 96 are planned, and no descriptor was left for a connection to an upstream.

Fix: while more than 4 connections that are closed for others are still open, none is accepted, for at most 100 ms: one of them may be writing a refusal. The next caller waits in the kernel's queue meanwhile.

--- a/internal/front/sweeper/conn.go
+++ b/internal/front/sweeper/conn.go
@@ -54,6 +54,8 @@
 		// headBytes is what the heads that were read take in the account. Only the reader
 		// uses it.
 		headBytes int64
+		// closed is whether the descriptor was given back. sweeper.mu guards it.
+		closed bool
 
 		mu    sync.Mutex
 		state connState
@@ -152,6 +154,7 @@
 	}
 	c.sweeper.remove(c)
 	err := c.Conn.Close()
+	c.sweeper.noteClosed(c)
 	c.holder.Close()
 	return err
 }
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -38,6 +38,12 @@
 	// hiddenCheckInterval is the interval between checks for callers whose close net/http
 	// does not notice. Upstreams should stop within half a second after a caller has left.
 	hiddenCheckInterval = 200 * time.Millisecond
+	// maxEvicted is how many connections may be open beyond the account's limit because they are
+	// being closed to make room.
+	maxEvicted = 4
+	// roomTimeout is how long a new connection waits until those have closed. One of them may be
+	// writing a refusal.
+	roomTimeout = 100 * time.Millisecond
 )
 
 type (
@@ -64,8 +70,12 @@
 		clock       clockwork.Clock
 		log         *slog.Logger
 
-		mu       sync.Mutex
-		conns    map[*conn]struct{}
+		mu    sync.Mutex
+		conns map[*conn]struct{}
+		// evicted are the connections that the account closes and that are still open. room has
+		// a value when one of them has closed.
+		evicted  map[*conn]struct{}
+		room     chan struct{}
 		counts   Counts
 		cuts     map[CutCause]int64
 		draining bool
@@ -96,7 +106,7 @@
 
 // New returns a sweeper that tracks no connections yet.
 func New(idleTimeout IdleTimeoutFunc, clock clockwork.Clock, log *slog.Logger, opts ...Option) *Sweeper {
-	s := &Sweeper{idleTimeout: idleTimeout, clock: clock, log: log, conns: make(map[*conn]struct{}), drained: make(chan struct{})}
+	s := &Sweeper{idleTimeout: idleTimeout, clock: clock, log: log, conns: make(map[*conn]struct{}), evicted: make(map[*conn]struct{}), room: make(chan struct{}, 1), drained: make(chan struct{})}
 	for _, opt := range opts {
 		opt(s)
 	}
@@ -111,6 +121,7 @@
 // Accept implements net.Listener.
 func (l *listener) Accept() (net.Conn, error) {
 	for {
+		l.sweeper.awaitRoom()
 		accepted, err := l.Listener.Accept()
 		if err != nil {
 			return nil, err
@@ -309,7 +320,10 @@
 		if err != nil {
 			caller = accepted.RemoteAddr().String()
 		}
-		holder, ok := s.account.Open(caller, s.clock.Now(), func(e accountant.Eviction) { go c.evict(e) })
+		holder, ok := s.account.Open(caller, s.clock.Now(), func(e accountant.Eviction) {
+			s.noteEvicted(c)
+			go c.evict(e)
+		})
 		if !ok {
 			s.log.Info("connection refused; too many are open, or the memory for callers is taken", "caller", caller)
 			return nil, false
@@ -332,6 +346,53 @@
 	}
 }
 
+// noteEvicted notes that the account closes a connection.
+func (s *Sweeper) noteEvicted(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.closed {
+		s.evicted[c] = struct{}{}
+	}
+}
+
+// noteClosed notes that a connection has given its descriptor back.
+func (s *Sweeper) noteClosed(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.closed = true
+	if _, ok := s.evicted[c]; !ok {
+		return
+	}
+	delete(s.evicted, c)
+	select {
+	case s.room <- struct{}{}:
+	default:
+	}
+}
+
+// awaitRoom waits until at most maxEvicted connections that are being closed to make room are open,
+// for at most roomTimeout.
+func (s *Sweeper) awaitRoom() {
+	if s.countEvicted() <= maxEvicted {
+		return
+	}
+	timeout := s.clock.NewTimer(roomTimeout)
+	defer timeout.Stop()
+	for s.countEvicted() > maxEvicted {
+		select {
+		case <-s.room:
+		case <-timeout.Chan():
+			return
+		}
+	}
+}
+
+func (s *Sweeper) countEvicted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.evicted)
+}
+
 func (s *Sweeper) countKept() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
