quarantiner: a crash is seen although the port stays open

Callers saw upstream after upstream crash under one request whose upstreams start again at once: it reached 10 of them in 10 sends.

Cause: a connection that opens after a broken one ends the doubt about the process. The next process may have opened it; its record comes later.

Fix: such a process is kept for 10 s with the requests in doubt. If a later process takes its place meanwhile, by the upstream's name or at its address, it counts as crashed under them, unless a response has cleared them or a later broken connection explains the crash.

Further cases of TestDecide, which could not be built before: replaced long after, a response before, a crash under another request.

--- a/internal/route/quarantiner/quarantiner.go
+++ b/internal/route/quarantiner/quarantiner.go
@@ -23,6 +23,7 @@
 //	}
 //	q.RecordBroken(now, fps, process)   // the connection broke without a response
 //	q.RecordGone(now, process)          // the process turned out to have crashed
+//	q.RecordReplaced(now, process)      // a later process has its place
 //	q.Merge(now, recordsOfAnotherVM)
 package quarantiner
 
@@ -118,11 +119,16 @@
 	Quarantiner struct {
 		// size is the number of records and doubts. It makes Empty cheap.
 		size atomic.Int64
+		// survived is the number of processes in survivors.
+		survived atomic.Int64
 
 		mu      sync.Mutex
 		records map[Fingerprint]*record
 		// doubts are the requests that were in flight at processes that may have crashed.
 		doubts map[Process]*doubt
+		// survivors are processes that broke connections and were reachable afterwards, with the
+		// requests and the times of their doubt. The next process may have been there already.
+		survivors map[Process]map[Fingerprints]time.Time
 		// changed is when a record changed last, forgot when the old ones were dropped last.
 		changed time.Time
 		forgot  time.Time
@@ -139,7 +145,7 @@
 
 // New returns a quarantiner without evidence.
 func New() *Quarantiner {
-	return &Quarantiner{records: make(map[Fingerprint]*record), doubts: make(map[Process]*doubt)}
+	return &Quarantiner{records: make(map[Fingerprint]*record), doubts: make(map[Process]*doubt), survivors: make(map[Process]map[Fingerprints]time.Time)}
 }
 
 // Empty reports whether there is no evidence, so that no fingerprint is needed.
@@ -147,6 +153,12 @@
 	return q.size.Load() == 0
 }
 
+// AwaitsResponse reports whether a response may clear a request: there is evidence, or a process
+// may still turn out to have crashed.
+func (q *Quarantiner) AwaitsResponse() bool {
+	return !q.Empty() || q.survived.Load() > 0
+}
+
 // Decide returns what to do with a request now: the strictest of what the evidence against
 // its fingerprints says.
 func (q *Quarantiner) Decide(now time.Time, fps Fingerprints) Decision {
@@ -202,8 +214,9 @@
 	return 0
 }
 
-// RecordAlive records that a process ran when it had broken a number of connections, so that
-// these prove nothing. It reports whether the process has broken others since.
+// RecordAlive records that a process was reachable when it had broken a number of connections, so
+// that these prove nothing unless a later process soon takes its place. It reports whether the
+// process has broken others since.
 func (q *Quarantiner) RecordAlive(p Process, broken int) bool {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -211,7 +224,12 @@
 	if d == nil {
 		return false
 	}
-	maps.DeleteFunc(d.requests, func(_ Fingerprints, last int) bool { return last <= broken })
+	for fps, last := range d.requests {
+		if last <= broken {
+			delete(d.requests, fps)
+			q.addSurvivor(p, fps, d.since)
+		}
+	}
 	if len(d.requests) > 0 {
 		return true
 	}
@@ -230,19 +248,57 @@
 		return nil
 	}
 	delete(q.doubts, p)
-	for fps := range d.requests {
+	// The latest connections explain the crash.
+	delete(q.survivors, p)
+	return q.blame(now, p, slices.Collect(maps.Keys(d.requests)))
+}
+
+// RecordReplaced records that a later process has taken the place of another one, which has
+// crashed if it broke connections shortly before. It returns the requests that were in flight at it.
+func (q *Quarantiner) RecordReplaced(now time.Time, p Process) []Fingerprints {
+	if suspects := q.RecordGone(now, p); suspects != nil {
+		return suspects
+	}
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	var suspects []Fingerprints
+	for fps, since := range q.survivors[p] {
+		if now.Sub(since) <= doubtTime {
+			suspects = append(suspects, fps)
+		}
+	}
+	delete(q.survivors, p)
+	return q.blame(now, p, suspects)
+}
+
+// blame counts the crash of a process against requests, and returns them. The caller holds q.mu.
+func (q *Quarantiner) blame(now time.Time, p Process, suspects []Fingerprints) []Fingerprints {
+	for _, fps := range suspects {
 		for _, fp := range fps {
 			q.add(now, fp, Crash{Process: p, At: now})
 		}
 	}
 	q.forget(now)
-	return slices.Collect(maps.Keys(d.requests))
+	return suspects
+}
+
+// addSurvivor keeps a request for the case that a process has crashed under it all the same. The
+// caller holds q.mu.
+func (q *Quarantiner) addSurvivor(p Process, fps Fingerprints, since time.Time) {
+	if q.survivors[p] == nil {
+		q.survivors[p] = make(map[Fingerprints]time.Time)
+	}
+	q.survivors[p][fps] = since
+	q.countSize()
 }
 
 // RecordResponse clears a request that an upstream responded to.
 func (q *Quarantiner) RecordResponse(now time.Time, fps Fingerprints) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
+	for _, requests := range q.survivors {
+		delete(requests, fps)
+	}
 	for _, fp := range fps {
 		r := q.records[fp]
 		if r == nil {
@@ -253,6 +309,23 @@
 			q.add(now, fp, c)
 		}
 	}
+	if len(q.survivors) > 0 {
+		q.forget(now)
+	}
+}
+
+// Suspected returns the processes that broke connections and may have crashed, those that were
+// reachable afterwards too.
+func (q *Quarantiner) Suspected() []Process {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	out := slices.Collect(maps.Keys(q.survivors))
+	for p := range q.doubts {
+		if _, ok := q.survivors[p]; !ok {
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
 // Doubted returns the processes of which it is not known yet whether they have crashed.
@@ -320,6 +393,10 @@
 	if now.Sub(q.forgot) >= forgetInterval {
 		q.forgot = now
 		maps.DeleteFunc(q.doubts, func(_ Process, d *doubt) bool { return now.Sub(d.since) > doubtTime })
+		maps.DeleteFunc(q.survivors, func(_ Process, requests map[Fingerprints]time.Time) bool {
+			maps.DeleteFunc(requests, func(_ Fingerprints, since time.Time) bool { return now.Sub(since) > doubtTime })
+			return len(requests) == 0
+		})
 		maps.DeleteFunc(q.records, func(fp Fingerprint, r *record) bool {
 			return now.Sub(r.changed) >= spreadTime && Record{fp, r.sorted()}.expired(now)
 		})
@@ -341,4 +418,5 @@
 // countSize updates size. The caller holds q.mu.
 func (q *Quarantiner) countSize() {
 	q.size.Store(int64(len(q.records) + len(q.doubts)))
+	q.survived.Store(int64(len(q.survivors)))
 }
--- a/internal/route/quarantiner/quarantiner_test.go
+++ b/internal/route/quarantiner/quarantiner_test.go
@@ -36,6 +36,34 @@
 	q.RecordGone(now, process(n))
 }
 
+// survive records that process n broke a request's connection and was reachable afterwards.
+func survive(q *quarantiner.Quarantiner, now time.Time, fp quarantiner.Fingerprints, n int) {
+	q.RecordBroken(now, fp, process(n))
+	q.RecordAlive(process(n), q.Broken(process(n)))
+}
+
+// TestSurvivorIsForgotten guards against fingerprints of all responses for good after one broken
+// connection.
+func TestSurvivorIsForgotten(t *testing.T) {
+	t.Parallel()
+	q := quarantiner.New()
+	survive(q, start, fingerprint(1), 1)
+	assert.Assert(t, q.Empty())
+	assert.Assert(t, q.AwaitsResponse())
+	q.RecordResponse(start.Add(11*time.Second), fingerprint(2))
+	assert.Assert(t, !q.AwaitsResponse())
+}
+
+// replaceThree has three processes survive a request and be replaced later.
+func replaceThree(q *quarantiner.Quarantiner, fp quarantiner.Fingerprints, later time.Duration) {
+	for n := range 3 {
+		survive(q, at(n), fp, n)
+	}
+	for n := range 3 {
+		q.RecordReplaced(at(n).Add(later), process(n))
+	}
+}
+
 func TestDecide(t *testing.T) {
 	t.Parallel()
 	fp := fingerprint(1)
@@ -66,6 +94,22 @@
 				q.RecordGone(start, process(n))
 			}
 		}, 0, quarantiner.Admit},
+		{"processes that are reachable and replaced", func(q *quarantiner.Quarantiner) { replaceThree(q, fp, time.Second) }, 0, quarantiner.Refuse},
+		{"processes that are replaced long after", func(q *quarantiner.Quarantiner) { replaceThree(q, fp, 11*time.Second) }, 0, quarantiner.Admit},
+		{"a response before they are replaced", func(q *quarantiner.Quarantiner) {
+			for n := range 3 {
+				survive(q, at(n), fp, n)
+				q.RecordResponse(at(n), fp)
+				q.RecordReplaced(at(n+1), process(n))
+			}
+		}, 0, quarantiner.Admit},
+		{"processes that crash under another request", func(q *quarantiner.Quarantiner) {
+			for n := range 3 {
+				survive(q, at(n), fp, n)
+				crash(q, at(n+1), fingerprint(2), n)
+				q.RecordReplaced(at(n+2), process(n))
+			}
+		}, 0, quarantiner.Admit},
 		{"a response before the third", func(q *quarantiner.Quarantiner) {
 			crash(q, at(1), fp, 1)
 			crash(q, at(2), fp, 2)
--- a/internal/route/steerer/quarantine.go
+++ b/internal/route/steerer/quarantine.go
@@ -4,7 +4,9 @@
 	"cmp"
 	"context"
 	"io"
+	"maps"
 	"net/http"
+	"slices"
 	"syscall"
 
 	"github.com/cockroachdb/errors"
@@ -71,8 +73,12 @@
 	if draining {
 		return
 	}
+	fps := a.fingerprints()
+	s.mu.Lock()
+	s.brokenAt[processOf(target)] = target.Address
 	// A probe in progress must find the request when it ends.
-	s.quarantine.RecordBroken(s.clock.Now(), a.fingerprints(), processOf(target))
+	s.quarantine.RecordBroken(s.clock.Now(), fps, processOf(target))
+	s.mu.Unlock()
 	s.startProbe(target)
 }
 
@@ -112,13 +118,19 @@
 	}
 }
 
-// recordReplaced records the crash of each process in doubt that a later process of the
-// same upstream has replaced.
+// recordReplaced records the crash of each process that broke connections and that a later process
+// of the same upstream, or at the same address, has replaced.
 func (s *Steerer) recordReplaced(v *cataloger.View) {
-	for _, p := range s.quarantine.Doubted() {
+	s.mu.Lock()
+	suspected := s.quarantine.Suspected()
+	maps.DeleteFunc(s.brokenAt, func(p quarantiner.Process, _ string) bool { return !slices.Contains(suspected, p) })
+	brokenAt := maps.Clone(s.brokenAt)
+	s.mu.Unlock()
+	for _, p := range suspected {
 		for _, u := range v.Upstreams {
-			if u.Upstream == p.Upstream && u.StartedMs > p.StartedMs {
-				s.recordCrash(p, "replaced")
+			if u.StartedMs > p.StartedMs && (u.Upstream == p.Upstream || u.Address == brokenAt[p]) {
+				s.reportCrash(p, "replaced", s.quarantine.RecordReplaced(s.clock.Now(), p))
+				break
 			}
 		}
 	}
@@ -126,11 +138,15 @@
 
 // recordCrash counts the crash of a process against the requests that were in flight at it.
 func (s *Steerer) recordCrash(p quarantiner.Process, reason string) {
-	now := s.clock.Now()
-	suspects := s.quarantine.RecordGone(now, p)
+	s.reportCrash(p, reason, s.quarantine.RecordGone(s.clock.Now(), p))
+}
+
+// reportCrash logs the crash of a process under requests, and tells the other VMs.
+func (s *Steerer) reportCrash(p quarantiner.Process, reason string, suspects []quarantiner.Fingerprints) {
 	if len(suspects) == 0 {
 		return
 	}
+	now := s.clock.Now()
 	s.log.Info("upstream crashed", "upstream", string(p.Upstream), "born", p.StartedMs, "suspects", len(suspects), "reason", reason)
 	for _, fps := range suspects {
 		if s.quarantine.Decide(now, fps).Action == quarantiner.Refuse {
@@ -163,7 +179,7 @@
 
 // recordResponse records that an upstream responded to a request.
 func (s *Steerer) recordResponse(a *activeRequest) {
-	if !s.quarantine.Empty() {
+	if s.quarantine.AwaitsResponse() {
 		s.quarantine.RecordResponse(s.clock.Now(), a.fingerprints())
 	}
 }
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -150,7 +150,9 @@
 		// probing holds the processes whose connections are being probed.
 		probing    map[quarantiner.Process]bool
 		lostProbes map[quarantiner.Process]*lostProbe
-		counts     Counts
+		// brokenAt has the addresses of the processes that broke connections.
+		brokenAt map[quarantiner.Process]string
+		counts   Counts
 		// zoneCopies holds the routes for whose objects each zone keeps its own copies.
 		zoneCopies map[namer.Route]namer.Service
 		// shutdownTime is when this process ends, or zero if no shutdown is planned.
@@ -196,6 +198,7 @@
 		measuringRTT: make(map[namer.Zone]bool),
 		probing:      make(map[quarantiner.Process]bool),
 		lostProbes:   make(map[quarantiner.Process]*lostProbe),
+		brokenAt:     make(map[quarantiner.Process]string),
 		quarantine:   quarantiner.New(),
 		onEvidence:   func() {},
 		weights:      weigher.New(0),
