heartbeater: tests in bubbles of synctest do not depend on the machine

TestOneOfPairSends, TestSilentPeerIsContacted: a heartbeat is skipped while the one before it is in progress, and the test counted that one before it had ended. They now wait until all has ended. The latter also counted b's first heartbeat; it now counts those after a is silent.

TestRefusedRequestAtOtherVMs: a call that had begun passed the cut. The VM that starts now starts once vm-8 refuses the request: it would tell vm-8.

TestCrashesSeenByDifferentVMs: the same bubble; the time in which evidence is sent was that of a busy machine.

TestManyStartTogether: moved the clock on while heartbeats were held up. It still fails at times, now for reasons of the product.

--- a/internal/member/heartbeater/evidence_test.go
+++ b/internal/member/heartbeater/evidence_test.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -22,7 +23,7 @@
 )
 
 const (
-	// shortInterval is the heartbeat interval of evidence tests, which use the real clock.
+	// shortInterval is the heartbeat interval of evidence tests, whose time is that of a bubble of synctest.
 	shortInterval = 50 * time.Millisecond
 	evidenceZones = 3
 )
@@ -32,6 +33,7 @@
 	// and are not reached.
 	evidenceFleet struct {
 		network
+		zones    int
 		evidence map[string]*quarantiner.Quarantiner
 		cut      sync.Map
 	}
@@ -52,9 +54,10 @@
 }
 
 // startEvidenceFleet starts VMs that know each other.
-func startEvidenceFleet(t *testing.T, vms int) *evidenceFleet {
+func startEvidenceFleet(t *testing.T, vms, zones int) *evidenceFleet {
 	t.Helper()
 	f := &evidenceFleet{
+		zones:    zones,
 		network:  network{members: make(map[string]*heartbeater.Heartbeater), bytes: make(map[string]int)},
 		evidence: make(map[string]*quarantiner.Quarantiner),
 	}
@@ -66,7 +69,7 @@
 			f.mu.Lock()
 			h := f.members[name]
 			f.mu.Unlock()
-			if len(h.Members()) < vms/evidenceZones {
+			if len(h.Members()) < min(vms/zones, vms-1) {
 				return poll.Continue("%s knows %d VMs", name, len(h.Members()))
 			}
 		}
@@ -83,7 +86,7 @@
 	assert.NilError(t, err)
 	clock, discard := clockwork.NewRealClock(), slog.New(slog.DiscardHandler)
 	self := tracker.Member{
-		VM: namer.VM(name), Zone: namer.Zone(fmt.Sprintf("zone-%d", i%evidenceZones)), Region: "region",
+		VM: namer.VM(name), Zone: namer.Zone(fmt.Sprintf("zone-%d", i%f.zones)), Region: "region",
 		CallerAddress: "10.1.0.32:8323", OperatorAddress: "10.1.0.32:9600", PeerAddress: name, Incarnation: inc, Started: clock.Now(),
 	}
 	q := quarantiner.New()
@@ -143,31 +146,59 @@
 // and is refused by none.
 func TestCrashesSeenByDifferentVMs(t *testing.T) {
 	t.Parallel()
-	const vms = 15
-	f := startEvidenceFleet(t, vms)
-	fp := quarantiner.FingerprintsOf("10.0.0.1", "GET", "shop.example", "/stock/1", nil)
-	for i, name := range []string{"vm-3", "vm-7", "vm-11"} {
-		f.crash(name, fp, i)
-	}
-	poll.WaitOn(t, f.refusedBy(fp, vmNames(vms)...), poll.WithDelay(time.Millisecond), poll.WithTimeout(3*time.Second))
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 15
+		f := startEvidenceFleet(t, vms, evidenceZones)
+		fp := quarantiner.FingerprintsOf("10.0.0.1", "GET", "shop.example", "/stock/1", nil)
+		for i, name := range []string{"vm-3", "vm-7", "vm-11"} {
+			f.crash(name, fp, i)
+		}
+		poll.WaitOn(t, f.refusedBy(fp, vmNames(vms)...), poll.WithDelay(time.Millisecond), poll.WithTimeout(3*time.Second))
+	})
 }
 
 // TestRefusedRequestAtOtherVMs guards against a VM that sends a request since it started, or
 // could not be reached, after the others learned to refuse it.
 func TestRefusedRequestAtOtherVMs(t *testing.T) {
 	t.Parallel()
-	const vms = 9
-	f := startEvidenceFleet(t, vms)
-	fp := quarantiner.FingerprintsOf("10.0.0.1", "GET", "shop.example", "/stock/1", nil)
-	f.cut.Store("vm-8", true)
-	for i := range 3 {
-		f.crash("vm-4", fp, i)
-	}
-	poll.WaitOn(t, f.refusedBy(fp, vmNames(vms-1)...), poll.WithDelay(time.Millisecond))
-	// Longer than heartbeats carry a change.
-	time.Sleep(20 * shortInterval)
-	assert.Assert(t, f.evidence["vm-8"].Empty())
-	f.cut.Delete("vm-8")
-	f.start(t, vms)
-	poll.WaitOn(t, f.refusedBy(fp, vmNames(vms+1)...), poll.WithDelay(time.Millisecond), poll.WithTimeout(3*time.Second))
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 9
+		f := startEvidenceFleet(t, vms, evidenceZones)
+		fp := quarantiner.FingerprintsOf("10.0.0.1", "GET", "shop.example", "/stock/1", nil)
+		// A call that has begun passes the cut.
+		synctest.Wait()
+		f.cut.Store("vm-8", true)
+		for i := range 3 {
+			f.crash("vm-4", fp, i)
+		}
+		poll.WaitOn(t, f.refusedBy(fp, vmNames(vms-1)...), poll.WithDelay(time.Millisecond))
+		// Longer than heartbeats carry a change.
+		time.Sleep(20 * shortInterval)
+		assert.Assert(t, f.evidence["vm-8"].Empty())
+		f.cut.Delete("vm-8")
+		poll.WaitOn(t, f.refusedBy(fp, vmNames(vms)...), poll.WithDelay(time.Millisecond), poll.WithTimeout(3*time.Second))
+		// To a VM that starts, the evidence is new, and it would tell vm-8.
+		f.start(t, vms)
+		poll.WaitOn(t, f.refusedBy(fp, vmNames(vms+1)...), poll.WithDelay(time.Millisecond), poll.WithTimeout(3*time.Second))
+	})
+}
+
+// TestRefusedRequestAfterCut guards against a VM that could not be reached while the others of its
+// zone learned to refuse a request. They know it, so they do not tell it all that they know.
+func TestRefusedRequestAfterCut(t *testing.T) {
+	t.Parallel()
+	synctest.Test(t, func(t *testing.T) {
+		const vms = 3
+		f := startEvidenceFleet(t, vms, 1)
+		fp := quarantiner.FingerprintsOf("10.0.0.1", "GET", "shop.example", "/stock/1", nil)
+		synctest.Wait()
+		f.cut.Store("vm-2", true)
+		for i := range 3 {
+			f.crash("vm-1", fp, i)
+		}
+		time.Sleep(20 * shortInterval)
+		assert.Assert(t, f.evidence["vm-2"].Empty())
+		f.cut.Delete("vm-2")
+		poll.WaitOn(t, f.refusedBy(fp, vmNames(vms)...), poll.WithDelay(time.Millisecond), poll.WithTimeout(3*time.Second))
+	})
 }
--- a/internal/member/heartbeater/fleet_test.go
+++ b/internal/member/heartbeater/fleet_test.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -85,89 +86,72 @@
 // of each other zone, and its zone summaries add up to the whole fleet.
 func TestManyStartTogether(t *testing.T) {
 	t.Parallel()
-	clock := clockwork.NewFakeClock()
-	net := &network{members: make(map[string]*heartbeater.Heartbeater), bytes: make(map[string]int)}
-	timing := heartbeater.Timing{
-		HeartbeatInterval: heartbeatInterval, ListInterval: 20 * heartbeatInterval,
-		Tracker: tracker.Timing{SuspectTimeout: 3 * heartbeatInterval, DeadTimeout: 10 * heartbeatInterval},
-	}
-	var logged bytes.Buffer
-	discard := slog.New(slog.DiscardHandler)
-	for i := range fleetVMs {
-		name := fmt.Sprintf("vm-%d", i)
-		inc, err := namer.RandomIncarnation()
-		assert.NilError(t, err)
-		zone := i % fleetZones
-		self := tracker.Member{
-			VM: namer.VM(name), Zone: namer.Zone(fmt.Sprintf("zone-%d", zone)), Region: namer.Region(fmt.Sprintf("region-%d", zone%3)),
-			CallerAddress: "10.1.0.32:8323", OperatorAddress: "10.1.0.32:9600", PeerAddress: name, Incarnation: inc, Started: clock.Now(),
+	synctest.Test(t, func(t *testing.T) {
+		clock := clockwork.NewFakeClock()
+		net := &network{members: make(map[string]*heartbeater.Heartbeater), bytes: make(map[string]int)}
+		timing := heartbeater.Timing{
+			HeartbeatInterval: heartbeatInterval, ListInterval: 20 * heartbeatInterval,
+			Tracker: tracker.Timing{SuspectTimeout: 3 * heartbeatInterval, DeadTimeout: 10 * heartbeatInterval},
 		}
-		log := discard
-		if i == 0 {
-			log = slog.New(slog.NewTextHandler(&logged, nil))
+		var logged bytes.Buffer
+		discard := slog.New(slog.DiscardHandler)
+		for i := range fleetVMs {
+			name := fmt.Sprintf("vm-%d", i)
+			inc, err := namer.RandomIncarnation()
+			assert.NilError(t, err)
+			zone := i % fleetZones
+			self := tracker.Member{
+				VM: namer.VM(name), Zone: namer.Zone(fmt.Sprintf("zone-%d", zone)), Region: namer.Region(fmt.Sprintf("region-%d", zone%3)),
+				CallerAddress: "10.1.0.32:8323", OperatorAddress: "10.1.0.32:9600", PeerAddress: name, Incarnation: inc, Started: clock.Now(),
+			}
+			log := discard
+			if i == 0 {
+				log = slog.New(slog.NewTextHandler(&logged, nil))
+			}
+			deps := heartbeater.Dependencies{Peers: networkClient{net, name}, Lister: vmList{}, Documents: keeper.New(discard)}
+			h := heartbeater.New(self, deps, []string{"vm-0", "vm-1", "vm-2"}, timing, clock, log)
+			h.SetDemands(func() []tracker.Demand { return []tracker.Demand{{Service: "desk", Slots: 1}} })
+			net.members[name] = h
 		}
-		deps := heartbeater.Dependencies{Peers: networkClient{net, name}, Lister: vmList{}, Documents: keeper.New(discard)}
-		h := heartbeater.New(self, deps, []string{"vm-0", "vm-1", "vm-2"}, timing, clock, log)
-		h.SetDemands(func() []tracker.Demand { return []tracker.Demand{{Service: "desk", Slots: 1}} })
-		net.members[name] = h
-	}
-	ctx, cancel := context.WithCancel(context.Background())
-	var running sync.WaitGroup
-	for _, h := range net.members {
-		running.Go(func() { assert.Check(t, h.Serve(ctx)) })
-	}
-	defer running.Wait()
-	defer cancel()
-	const startIntervals = 10
-	for range startIntervals {
-		net.advance(t, clock)
-	}
-	assert.Assert(t, logged.Len() < maxStartLogBytes, "%d bytes logged", logged.Len())
-	net.resetMax()
-	const measuredIntervals = 12
-	for range measuredIntervals {
-		net.advance(t, clock)
-	}
-	most := net.resetMax()
-	seconds := int(measuredIntervals * heartbeatInterval / time.Second)
-	assert.Assert(t, most < seconds*maxControlBytesPerSecond, "%d bytes in %d s", most, seconds)
-	for name, h := range net.members {
-		known := len(h.Members())
-		assert.Check(t, known >= fleetVMs/fleetZones && known <= 2*fleetVMs/fleetZones, "%s knows %d VMs", name, known)
-		vms, slots := 0, 0.0
-		for _, s := range h.Summaries() {
-			vms += s.VMs
-			for _, n := range s.Demands {
-				slots += n.Slots
+		ctx, cancel := context.WithCancel(context.Background())
+		var running sync.WaitGroup
+		for _, h := range net.members {
+			running.Go(func() { assert.Check(t, h.Serve(ctx)) })
+		}
+		defer running.Wait()
+		defer cancel()
+		const startIntervals = 10
+		for range startIntervals {
+			net.advance(clock)
+		}
+		assert.Assert(t, logged.Len() < maxStartLogBytes, "%d bytes logged", logged.Len())
+		net.resetMax()
+		const measuredIntervals = 12
+		for range measuredIntervals {
+			net.advance(clock)
+		}
+		most := net.resetMax()
+		seconds := int(measuredIntervals * heartbeatInterval / time.Second)
+		assert.Assert(t, most < seconds*maxControlBytesPerSecond, "%d bytes in %d s", most, seconds)
+		for name, h := range net.members {
+			known := len(h.Members())
+			assert.Check(t, known >= fleetVMs/fleetZones && known <= 2*fleetVMs/fleetZones, "%s knows %d VMs", name, known)
+			vms, slots := 0, 0.0
+			for _, s := range h.Summaries() {
+				vms += s.VMs
+				for _, n := range s.Demands {
+					slots += n.Slots
+				}
 			}
+			assert.Check(t, vms == fleetVMs && slots == fleetVMs, "%s sums up to %d VMs and %v slots", name, vms, slots)
 		}
-		assert.Check(t, vms == fleetVMs && slots == fleetVMs, "%s sums up to %d VMs and %v slots", name, vms, slots)
-	}
+	})
 }
 
 // advance moves the clock by one heartbeat interval and waits until all heartbeats have
 // been exchanged.
-func (net *network) advance(t *testing.T, clock *clockwork.FakeClock) {
-	t.Helper()
-	assert.NilError(t, clock.BlockUntilContext(t.Context(), fleetVMs))
+func (net *network) advance(clock *clockwork.FakeClock) {
+	synctest.Wait()
 	clock.Advance(heartbeatInterval)
-	net.waitIdle()
-}
-
-// waitIdle waits until no more heartbeats are exchanged.
-func (net *network) waitIdle() {
-	last := -1
-	for {
-		net.mu.Lock()
-		sum := 0
-		for _, n := range net.bytes {
-			sum += n
-		}
-		net.mu.Unlock()
-		if sum == last {
-			return
-		}
-		last = sum
-		time.Sleep(40 * time.Millisecond)
-	}
+	synctest.Wait()
 }
--- a/internal/member/heartbeater/heartbeater_test.go
+++ b/internal/member/heartbeater/heartbeater_test.go
@@ -5,6 +5,7 @@
 	"log/slog"
 	"sync"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -106,19 +107,18 @@
 	return p, p.members, clock
 }
 
-// advance moves the clock by n heartbeat intervals and waits for a heartbeat in each.
+// advance moves the clock by n heartbeat intervals, and checks that one heartbeat is sent in each. It
+// waits until all that an interval brings has ended: a heartbeat is not sent before the one before
+// it has ended, which a busy machine may hold up.
 func advance(t *testing.T, p *pair, clock *clockwork.FakeClock, n int) {
 	t.Helper()
 	for range n {
+		synctest.Wait()
 		a, b, _ := p.counts()
-		assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
 		clock.Advance(heartbeatInterval)
-		poll.WaitOn(t, func(poll.LogT) poll.Result {
-			if a2, b2, _ := p.counts(); a2+b2 > a+b {
-				return poll.Success()
-			}
-			return poll.Continue("no heartbeat was sent")
-		})
+		synctest.Wait()
+		a2, b2, _ := p.counts()
+		assert.Assert(t, a2+b2 > a+b, "no heartbeat was sent")
 	}
 }
 
@@ -127,32 +127,32 @@
 // every heartbeat would carry the member list.
 func TestOneOfPairSends(t *testing.T) {
 	t.Parallel()
-	p, _, clock := start(t)
-	advance(t, p, clock, 10)
-	_, b, reported := p.counts()
-	advance(t, p, clock, 20)
-	_, b2, reported2 := p.counts()
-	assert.Equal(t, b2, b, "the VM with the higher name sends although it gets heartbeats in time")
-	assert.Assert(t, reported2-reported <= 4, "%d members reported in 20 heartbeats without changes", reported2-reported)
+	synctest.Test(t, func(t *testing.T) {
+		p, _, clock := start(t)
+		advance(t, p, clock, 10)
+		_, b, reported := p.counts()
+		advance(t, p, clock, 20)
+		_, b2, reported2 := p.counts()
+		assert.Equal(t, b2, b, "the VM with the higher name sends although it gets heartbeats in time")
+		assert.Assert(t, reported2-reported <= 4, "%d members reported in 20 heartbeats without changes", reported2-reported)
+	})
 }
 
 // TestSilentPeerIsContacted checks that the other VM of a pair sends once the usual sender
 // is silent, and then suspects it.
 func TestSilentPeerIsContacted(t *testing.T) {
 	t.Parallel()
-	p, members, clock := start(t)
-	advance(t, p, clock, 5)
-	p.mu.Lock()
-	p.down["a"] = true
-	p.mu.Unlock()
-	advance(t, p, clock, 5)
-	_, b, _ := p.counts()
-	assert.Assert(t, b > 0, "b sent no heartbeat to the silent VM")
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if members["b"].Members()[0].State == tracker.Suspect {
-			return poll.Success()
-		}
-		return poll.Continue("a is not suspect yet")
+	synctest.Test(t, func(t *testing.T) {
+		p, members, clock := start(t)
+		advance(t, p, clock, 5)
+		_, b, _ := p.counts()
+		p.mu.Lock()
+		p.down["a"] = true
+		p.mu.Unlock()
+		advance(t, p, clock, 5)
+		_, b2, _ := p.counts()
+		assert.Assert(t, b2 > b, "b sent no heartbeat to the silent VM")
+		assert.Equal(t, members["b"].Members()[0].State, tracker.Suspect)
 	})
 }
 
@@ -160,14 +160,12 @@
 // also to a peer whose heartbeats it otherwise only answers.
 func TestLeavingIsAnnouncedAtOnce(t *testing.T) {
 	t.Parallel()
-	p, members, clock := start(t)
-	advance(t, p, clock, 5)
-	members["b"].BeginShutdown()
-	poll.WaitOn(t, func(poll.LogT) poll.Result {
-		if members["a"].Members()[0].State == tracker.Leaving {
-			return poll.Success()
-		}
-		return poll.Continue("b is not known as leaving yet")
+	synctest.Test(t, func(t *testing.T) {
+		p, members, clock := start(t)
+		advance(t, p, clock, 5)
+		members["b"].BeginShutdown()
+		synctest.Wait()
+		assert.Equal(t, members["a"].Members()[0].State, tracker.Leaving)
 	})
 }
 
