heartbeater: a VM that is forgotten gets no list of members each time

Callers saw nothing; VMs exchanged 6 KB with each heartbeat, up to 60 KB/s beyond the 22 KB/s that a VM is to need.

Cause: a VM sends its complete entry once in 10 s and a compact one in between. A VM of another zone may keep it only for a moment, since in its view others are that zone's gateways. Each compact entry then came from an unknown VM, and the reply to an unknown VM has all members.

Evidence: TestManyStartTogether with -cpu 1 on the code before: 49 members, 5,906 bytes, in each reply of two VMs to two others, at each interval, 200,544 bytes in 6 s of 135,168.

Fix: the reply has all members only if the entry is complete: a sender of a compact one knows this VM. A process that started again is recognized by its incarnation in the reply, and gets the complete entry next.

TestForgottenSenderGetsNoMembers failed before: "2 (int) != 0 (int)". TestManyStartTogether with -cpu 1, 6 runs each beside the other: before 102,696 to 186,064 bytes, 4 over the limit; now 102,548 to 141,956, one over.

--- a/internal/member/heartbeater/heartbeater.go
+++ b/internal/member/heartbeater/heartbeater.go
@@ -401,10 +401,12 @@
 }
 
 // HandleHeartbeat processes a peer's heartbeat and returns this VM's own as the reply. The
-// reply to a peer that was not known carries all members that the peer may need.
+// reply to a peer that was not known carries all members that the peer may need, but only once
+// it sends its complete entry: until then it takes this VM for one that knows it.
 func (h *Heartbeater) HandleHeartbeat(ctx context.Context, hb *encoder.Heartbeat) *encoder.Heartbeat {
 	peer, known := h.receive(ctx, hb)
-	return h.compose(peer, known && hb.GetSender().GetPeers() == "", !known)
+	complete := hb.GetSender().GetPeers() != ""
+	return h.compose(peer, known && !complete, !known && complete)
 }
 
 // detectChanges records which members' states differ from those at the last call, and
--- a/internal/member/heartbeater/heartbeater_test.go
+++ b/internal/member/heartbeater/heartbeater_test.go
@@ -252,3 +252,28 @@
 		}
 	}
 }
+
+// TestForgottenSenderGetsNoMembers guards against hundreds of members in each reply to a VM that this
+// one does not keep, such as one of another zone that is no gateway in its view. It gets them with
+// the reply to its next complete sender.
+func TestForgottenSenderGetsNoMembers(t *testing.T) {
+	t.Parallel()
+	clock, log := clockwork.NewFakeClock(), slog.New(slog.DiscardHandler)
+	member := func(name string) tracker.Member {
+		inc, err := namer.RandomIncarnation()
+		assert.NilError(t, err)
+		return tracker.Member{VM: namer.VM(name), Zone: "z", Region: "r", PeerAddress: name, Incarnation: inc, Started: clock.Now(), LastHeard: clock.Now()}
+	}
+	timing := heartbeater.Timing{HeartbeatInterval: heartbeatInterval, ListInterval: time.Hour, Tracker: tracker.Timing{SuspectTimeout: time.Hour, DeadTimeout: time.Hour}}
+	deps := heartbeater.Dependencies{Peers: pairClient{&pair{}, "a"}, Lister: emptyList{}, Documents: keeper.New(log)}
+	h := heartbeater.New(member("a"), deps, []string{"a"}, timing, clock, log)
+	for _, name := range []string{"b", "c"} {
+		h.HandleHeartbeat(t.Context(), &encoder.Heartbeat{Sender: converter.Member(member(name), clock.Now())})
+	}
+	forgotten := member("d")
+	reply := h.HandleHeartbeat(t.Context(), &encoder.Heartbeat{Sender: converter.CompactMember(forgotten, clock.Now())})
+	assert.Equal(t, len(reply.GetMembers()), 0)
+	assert.Equal(t, reply.GetSender().GetPeers(), "a")
+	reply = h.HandleHeartbeat(t.Context(), &encoder.Heartbeat{Sender: converter.Member(forgotten, clock.Now())})
+	assert.Assert(t, len(reply.GetMembers()) >= 2, "%d members", len(reply.GetMembers()))
+}
