exchanger: interim responses are skipped up to a limit in bytes

Callers got 502 for an answer that its upstream sent after three interim responses, such as 102 while it works.

Cause: interim responses counted among the three responses that are read for a request. Late responses to earlier requests still count up to three.

Failed before: two cases of TestResponses ("the answer belongs to another request").

--- a/internal/upstream/exchanger/exchanger.go
+++ b/internal/upstream/exchanger/exchanger.go
@@ -45,8 +45,9 @@
 	// maxErrorBytes is the maximum length of the description of a malformed response. The
 	// descriptions of net/http quote what was received.
 	maxErrorBytes = 256
-	// maxResponsesRead is the maximum number of responses that are read for one request:
-	// interim responses and late responses to earlier requests are skipped.
+	// maxResponsesRead is the maximum number of responses that are read for one request: late
+	// responses to earlier requests are skipped. Interim responses are skipped too, up to
+	// maxHeadBytes together with the head that follows, and until the request's deadline.
 	maxResponsesRead = 3
 	// deadlineGrace is added to a request's deadline, so that a response that the upstream
 	// itself sends at the deadline is read and the connection kept.
@@ -235,21 +236,31 @@
 	}()
 }
 
+// readHead reads the head of a response, and the interim responses before it.
+func (c *connection) readHead(method string) (*http.Response, error) {
+	c.limiter.inHead, c.limiter.headLeft = true, maxHeadBytes
+	defer func() { c.limiter.inHead = false }()
+	for {
+		resp, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+		if err != nil {
+			return nil, shortError(err)
+		}
+		if err := checkHead(resp); err != nil {
+			return nil, err
+		}
+		if resp.StatusCode >= http.StatusOK {
+			return resp, nil
+		}
+	}
+}
+
 // readResponse reads responses until the one with the request's attempt ID.
 func (c *connection) readResponse(r Request) (Response, error) {
 	for range maxResponsesRead {
-		c.limiter.inHead, c.limiter.headLeft = true, maxHeadBytes
-		resp, err := http.ReadResponse(c.reader, &http.Request{Method: r.Method}) //nolint:bodyclose // the connection is closed or kept as a whole
+		resp, err := c.readHead(r.Method) //nolint:bodyclose // the connection is closed or kept as a whole
 		if err != nil {
-			return Response{}, errors.Wrap(shortError(err), "reading an answer")
-		}
-		c.limiter.inHead = false
-		if err := checkHead(resp); err != nil {
 			return Response{}, errors.Wrap(err, "reading an answer")
 		}
-		if resp.StatusCode < http.StatusOK {
-			continue
-		}
 		body, whole, err := readBody(resp, r.ReserveBytes)
 		if err != nil {
 			return Response{}, err
--- a/internal/upstream/exchanger/exchanger_test.go
+++ b/internal/upstream/exchanger/exchanger_test.go
@@ -184,6 +184,8 @@
 		{"whole", completeResponse, "body", ""},
 		{"chunked", "HTTP/1.1 200 OK\r\nAttempt: ID\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n\r\n", "body", ""},
 		{"interim response first", "HTTP/1.1 103 Early Hints\r\n\r\n" + completeResponse, "body", ""},
+		{"many interim responses first", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 1000) + completeResponse, "body", ""},
+		{"interim responses around another request's response", strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 3) + "HTTP/1.1 200 OK\r\nAttempt: old\r\nContent-Length: 3\r\n\r\nnot" + strings.Repeat("HTTP/1.1 102 Processing\r\n\r\n", 3) + completeResponse, "body", ""},
 		{"no length, closed", "HTTP/1.1 200 OK\r\nAttempt: ID\r\n\r\nbody" + thenClose, "body", ""},
 		{"no length, reset", "HTTP/1.1 200 OK\r\nAttempt: ID\r\n\r\nbo" + thenReset, "", "reading an answer"},
 		{"truncated", "HTTP/1.1 200 OK\r\nAttempt: ID\r\nContent-Length: 9\r\n\r\nbody" + thenClose, "", "reading an answer"},
