follower: TestStartWaitsForAPeer waits until the parent has answered

It failed in 1 of 45 runs at a load of 20 ("1 (int) != 0 (int)").

Traced: it waited for two timers, which may be the version's and the one of 250 ms for the parent's answer, and moved the clock past the latter. What it checks is as before.

--- a/internal/document/follower/relayed_test.go
+++ b/internal/document/follower/relayed_test.go
@@ -646,7 +646,9 @@
 	})
 	<-p.opened
 	f.ObservePeerVersion(version(7))
-	assert.NilError(t, clock.BlockUntilContext(t.Context(), 2))
+	// Those of the version, of the initial records and of the parent's checks: the one for
+	// the parent's answer, which is shorter, is stopped by then.
+	assert.NilError(t, clock.BlockUntilContext(t.Context(), 3))
 	clock.Advance(500 * time.Millisecond)
 	time.Sleep(20 * time.Millisecond)
 	assert.Equal(t, src.calls(), 0)
