--- a/internal/front/sweeper/evict.go
+++ b/internal/front/sweeper/evict.go
@@ -12,6 +12,12 @@
 	headFactor = 2
 	// fieldBytes is what a header field takes beside its text.
 	fieldBytes = 128
+	// maxEvicted is how many connections may be open beyond the account's limit because they are
+	// being closed to make room.
+	maxEvicted = 4
+	// roomTimeout is how long a new connection waits until those have closed. One of them may be
+	// writing a refusal.
+	roomTimeout = 100 * time.Millisecond
 )
 
 // evict makes the reader fail, and a write of a response too, so that the connection closes. A
@@ -54,3 +60,50 @@
 	c.headBytes = 0
 	c.holder.Enter(c.sweeper.clock.Now(), accountant.Idle)
 }
+
+// noteEvicted notes that the account closes a connection.
+func (s *Sweeper) noteEvicted(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !c.closed {
+		s.evicted[c] = struct{}{}
+	}
+}
+
+// noteClosed notes that a connection has given its descriptor back.
+func (s *Sweeper) noteClosed(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	c.closed = true
+	if _, ok := s.evicted[c]; !ok {
+		return
+	}
+	delete(s.evicted, c)
+	select {
+	case s.room <- struct{}{}:
+	default:
+	}
+}
+
+// awaitRoom waits until at most maxEvicted connections that are being closed to make room are open,
+// for at most roomTimeout.
+func (s *Sweeper) awaitRoom() {
+	if s.countEvicted() <= maxEvicted {
+		return
+	}
+	timeout := s.clock.NewTimer(roomTimeout)
+	defer timeout.Stop()
+	for s.countEvicted() > maxEvicted {
+		select {
+		case <-s.room:
+		case <-timeout.Chan():
+			return
+		}
+	}
+}
+
+func (s *Sweeper) countEvicted() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.evicted)
+}
--- a/internal/front/sweeper/sweeper.go
+++ b/internal/front/sweeper/sweeper.go
@@ -38,12 +38,6 @@
 	// hiddenCheckInterval is the interval between checks for callers whose close net/http
 	// does not notice. Upstreams should stop within half a second after a caller has left.
 	hiddenCheckInterval = 200 * time.Millisecond
-	// maxEvicted is how many connections may be open beyond the account's limit because they are
-	// being closed to make room.
-	maxEvicted = 4
-	// roomTimeout is how long a new connection waits until those have closed. One of them may be
-	// writing a refusal.
-	roomTimeout = 100 * time.Millisecond
 )
 
 type (
@@ -346,53 +340,6 @@
 	}
 }
 
-// noteEvicted notes that the account closes a connection.
-func (s *Sweeper) noteEvicted(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if !c.closed {
-		s.evicted[c] = struct{}{}
-	}
-}
-
-// noteClosed notes that a connection has given its descriptor back.
-func (s *Sweeper) noteClosed(c *conn) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	c.closed = true
-	if _, ok := s.evicted[c]; !ok {
-		return
-	}
-	delete(s.evicted, c)
-	select {
-	case s.room <- struct{}{}:
-	default:
-	}
-}
-
-// awaitRoom waits until at most maxEvicted connections that are being closed to make room are open,
-// for at most roomTimeout.
-func (s *Sweeper) awaitRoom() {
-	if s.countEvicted() <= maxEvicted {
-		return
-	}
-	timeout := s.clock.NewTimer(roomTimeout)
-	defer timeout.Stop()
-	for s.countEvicted() > maxEvicted {
-		select {
-		case <-s.room:
-		case <-timeout.Chan():
-			return
-		}
-	}
-}
-
-func (s *Sweeper) countEvicted() int {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return len(s.evicted)
-}
-
 func (s *Sweeper) countKept() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
