--- a/internal/document/follower/confirmation_test.go
+++ b/internal/document/follower/confirmation_test.go
@@ -169,7 +169,11 @@
 	assert.Equal(t, len(notified), 0, "peers were notified without a change")
 	src.missChanges("missed")
 	advanceUntil(t, clock, handler.has("missed"))
-	<-notified
+	select {
+	case <-notified:
+	case <-time.After(10 * time.Second):
+		t.Fatal("peers were not notified of the missed change")
+	}
 }
 
 // refusingHandler can't take over records while refuse is set.
--- a/internal/front/sweeper/linger_test.go
+++ b/internal/front/sweeper/linger_test.go
@@ -113,6 +113,46 @@
 	}
 }
 
+// TestLingerEndsOtherRequests guards against requests behind the last response that go on for as long
+// as its caller takes to receive it: nobody gets their responses.
+func TestLingerEndsOtherRequests(t *testing.T) {
+	t.Parallel()
+	s := sweeper.New(func() time.Duration { return 0 }, clockwork.NewRealClock(), slog.New(slog.DiscardHandler))
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	assert.NilError(t, err)
+	body := make([]byte, 512<<10)
+	ofConns := make(chan context.Context, 1)
+	server := &http.Server{
+		Handler: s.Handler(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Connection", "close")
+			_, _ = w.Write(body)
+		})),
+		ConnState: s.Track, ReadHeaderTimeout: time.Minute,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			// The server cancels only the contexts that it derives from this one.
+			ctx = s.WithConn(ctx, c)
+			ofConns <- ctx
+			return ctx
+		},
+	}
+	go func() { _ = server.Serve(s.Listen(ln)) }()
+	t.Cleanup(func() { _ = server.Close() })
+	f := &fixture{listener: ln}
+	conn := f.connect(t)
+	send(t, conn, wholeRequest)
+	select {
+	case <-(<-ofConns).Done():
+	case <-time.After(5 * time.Second):
+		t.Fatal("the requests go on although the caller reads nothing")
+	}
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	assert.NilError(t, err)
+	n, err := io.Copy(io.Discard, resp.Body)
+	assert.NilError(t, err, "after %d bytes", n)
+	assert.NilError(t, resp.Body.Close())
+	assert.Equal(t, int(n), len(body))
+}
+
 // TestUnreadResponse guards against a caller that stops reading and keeps its connection for good, or
 // is not counted.
 func TestUnreadResponse(t *testing.T) {
