waxwingd: a SIGHUP while the settings are read does not end the process

A platform that changes the settings while VMs start, or a session that ends around one, leaves a VM that never becomes ready.

Cause: the signal was taken over only after the settings had been read; until then it has its default action.

Fix: the signal is taken over first. One that came is handled by the reloader once it runs, which reads the file again.

--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -68,13 +68,14 @@
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
+	// A request to reload may come while the settings are read for the first time.
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	defer signal.Stop(reload)
 	settings, err := loadSettings(c)
 	if err != nil {
 		return err
 	}
-	reload := make(chan os.Signal, 1)
-	signal.Notify(reload, syscall.SIGHUP)
-	defer signal.Stop(reload)
 	return runner.Run(ctx, settings, os.Stdout, runner.WithReload(c.String("settings"), reload))
 }
 
