loader: a key's file is found whatever the working folder is

Cause of what was reproduced: the relative path of [peers] key is taken from the working folder only. A daemon that is started from another folder than that of the build does not start, although the key lies beside its program.

Evidence: TestScripts/key failed before: 'open secrets/key: no such file or directory' although the file is below the settings' folder.

Fix: a relative path that does not exist below the working folder is taken from the settings' folder, and then from the folder above the program's. A file that exists and can't be read, or whose key is too short, is still an error and is not passed over, and no key has a default. The error names the folders.

--- a/internal/settings/loader/loader.go
+++ b/internal/settings/loader/loader.go
@@ -13,6 +13,7 @@
 	"bytes"
 	"net/netip"
 	"os"
+	"path/filepath"
 	"strings"
 	"time"
 
@@ -29,6 +30,8 @@
 type (
 	// Settings holds all settings of one daemon.
 	Settings struct {
+		// File is the path of the file that the settings were read from.
+		File            string
 		VM              namer.VM
 		Zone            namer.Zone
 		Region          namer.Region
@@ -155,7 +158,7 @@
 		return Settings{}, errors.Wrap(err, "reading settings")
 	}
 	entries, problems := checker.Check(Schema(), path, text)
-	s := Settings{Regions: make(map[namer.Zone]namer.Region)}
+	s := Settings{File: path, Regions: make(map[namer.Zone]namer.Region)}
 	for _, e := range entries {
 		problems = append(problems, s.addEntry(e)...)
 	}
@@ -214,7 +217,7 @@
 		if !e.Has(name) {
 			continue
 		}
-		raw, err := os.ReadFile(e.Text(name))
+		raw, err := s.readKey(e.Text(name))
 		if err != nil {
 			problems = append(problems, e.Problem(name, "can't read the key: %v", err))
 			continue
@@ -229,6 +232,27 @@
 	return problems
 }
 
+// readKey reads the file of a key. One with a relative path need not be below the working folder:
+// if it does not exist there, it is looked for below the settings' folder, and then below the
+// folder above the program's.
+func (s *Settings) readKey(path string) ([]byte, error) {
+	raw, err := os.ReadFile(path)
+	if filepath.IsAbs(path) || !errors.Is(err, os.ErrNotExist) {
+		return raw, err
+	}
+	folders := []string{filepath.Dir(s.File)}
+	if program, err := os.Executable(); err == nil {
+		folders = append(folders, filepath.Dir(filepath.Dir(program)))
+	}
+	for _, folder := range folders {
+		raw, other := os.ReadFile(filepath.Join(folder, path))
+		if !errors.Is(other, os.ErrNotExist) {
+			return raw, other
+		}
+	}
+	return nil, errors.Wrapf(err, "not below the working folder, %s", strings.Join(folders, " or "))
+}
+
 func (s *Settings) addSeeds(e checker.Entry) checker.Problems {
 	var problems checker.Problems
 	for _, seed := range splitList(e.Text("seeds")) {
--- a/internal/settings/loader/schema.go
+++ b/internal/settings/loader/schema.go
@@ -38,10 +38,10 @@
 
 func peersGroup() checker.Group {
 	return checker.Group{Kind: "peers", Required: true, Doc: "what entry VMs prove to each other", Keys: []checker.Key{
-		{Name: "key", Kind: checker.Text, Required: true, Doc: "the file of the shared key, which this daemon uses itself"},
+		{Name: "key", Kind: checker.Text, Required: true, Doc: "the file of the shared key, which this daemon uses itself; a relative path starts at the working folder, or else the settings' folder, or else the folder above the program's"},
 		{Name: "seeds", Kind: checker.Text, Doc: "peers' addresses, separated by commas, to ask while the platform's list can't be read"},
 		{Name: "advertise", Kind: checker.Address, Doc: "where peers reach this daemon, when that is not the address it listens on"},
-		{Name: "next", Kind: checker.Text, Doc: "the file of a second key that is accepted while keys are changed"},
+		{Name: "next", Kind: checker.Text, Doc: "the file of a second key that is accepted while keys are changed; found like that of key"},
 	}}
 }
 
