--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -8,7 +8,6 @@
 	"slices"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingloom/waxwingloom/internal/account/gatekeeper"
@@ -303,7 +302,7 @@
 			shutdownTimeout: f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock: f.Find(clockName).(clockwork.Clock), log: log,
 		}, nil, nil
 	})
-	r.Register(lookupServerName, []registrar.Name{membersName, steerName, reloadName, graceName, clockName, memoryName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(lookupServerName, []registrar.Name{portsName, membersName, steerName, reloadName, graceName, clockName, memoryName}, func(f registrar.Finder) (any, func(), error) {
 		members := f.Find(membersName).(*heartbeater.Heartbeater)
 		st := f.Find(steerName).(*steerer.Steerer)
 		locate := func(host string, p locator.Location) []string {
@@ -311,13 +310,13 @@
 		}
 		settings := f.Find(reloadName).(*reloader.Reloader)
 		ttl := func() time.Duration { return settings.Current().Routing.LookupTTL }
-		return newAdminServer(f, s.Routing.LookupAddress, platform.LookupHandler(locate, ttl), log)
+		return newAdminServer(f, f.Find(portsName).(*listeners).lookup, platform.LookupHandler(locate, ttl), log), nil, nil
 	})
-	r.Register(readyName, []registrar.Name{steerName, callersName, graceName, clockName, memoryName}, func(f registrar.Finder) (any, func(), error) {
+	r.Register(readyName, []registrar.Name{portsName, steerName, callersName, graceName, clockName, memoryName}, func(f registrar.Finder) (any, func(), error) {
 		st := f.Find(steerName).(*steerer.Steerer)
 		front := f.Find(callersName).(*receiver.Receiver)
 		ready := func() bool { return st.Ready() && !front.ShuttingDown() }
-		return newAdminServer(f, s.Routing.ReadyAddress, platform.ReadyHandler(ready), log)
+		return newAdminServer(f, f.Find(portsName).(*listeners).ready, platform.ReadyHandler(ready), log), nil, nil
 	})
 	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, accountsName, talliesName, limitsName, graceName, memoryName, pipelineName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
@@ -335,17 +334,13 @@
 	return append(h.Members(), self)
 }
 
-// newAdminServer returns a server for a handler that is not on callers' request path, and
-// opens its listener. Its connections count in callers' account.
-func newAdminServer(f registrar.Finder, address string, handler http.Handler, log *slog.Logger) (any, func(), error) {
-	listener, err := net.Listen("tcp", address)
-	if err != nil {
-		return nil, nil, errors.Wrap(err, "opening a listener")
-	}
+// newAdminServer returns a server for a handler that is not on callers' request path. Its
+// connections count in callers' account.
+func newAdminServer(f registrar.Finder, listener net.Listener, handler http.Handler, log *slog.Logger) *webServer {
 	server := &http.Server{Handler: handler, ReadHeaderTimeout: adminHeadTimeout}
 	clock := f.Find(clockName).(clockwork.Clock)
 	account := sweeper.WithAccount(f.Find(memoryName).(*accountant.Accountant))
-	return newWebServer(server, listener, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock, log, account), func() { _ = listener.Close() }, nil
+	return newWebServer(server, listener, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, clock, log, account)
 }
 
 func routedMetrics(f registrar.Finder) http.Handler {
--- a/internal/kernel/runner/services.go
+++ b/internal/kernel/runner/services.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"time"
 
-	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/editor"
@@ -69,11 +68,14 @@
 )
 
 type (
-	// listeners holds the daemon's open listeners and its incarnation.
+	// listeners holds the daemon's open listeners and its incarnation. Only a routed daemon has
+	// ready and lookup.
 	listeners struct {
 		callers     net.Listener
 		operators   net.Listener
 		peers       net.Listener
+		ready       net.Listener
+		lookup      net.Listener
 		incarnation namer.Incarnation
 	}
 
@@ -110,7 +112,9 @@
 		limitHeap(s.Limits, log)
 		return accountant.New(callerLimits(s.Limits, log)), nil, nil
 	})
-	r.Register(portsName, nil, func(registrar.Finder) (any, func(), error) { return openListeners(s, log) })
+	r.Register(portsName, []registrar.Name{clockName}, func(f registrar.Finder) (any, func(), error) {
+		return openListeners(s, f.Find(clockName).(clockwork.Clock), log)
+	})
 	r.Register(documentsName, nil, func(registrar.Finder) (any, func(), error) {
 		return keeper.New(log), nil, nil
 	})
@@ -242,37 +246,6 @@
 	})
 }
 
-// openListeners opens the listeners that daemons with and without routes share, before any
-// service starts. It logs their addresses because the operating system chooses the port
-// where the settings have port 0.
-func openListeners(s loader.Settings, log *slog.Logger) (any, func(), error) {
-	l := &listeners{}
-	var err error
-	if l.incarnation, err = namer.RandomIncarnation(); err != nil {
-		return nil, nil, err
-	}
-	for _, port := range []struct {
-		listener *net.Listener
-		address  string
-	}{{&l.callers, s.CallerAddress}, {&l.operators, s.OperatorAddress}, {&l.peers, s.PeerAddress}} {
-		if *port.listener, err = net.Listen("tcp", port.address); err != nil {
-			l.close()
-			return nil, nil, errors.Wrap(err, "opening a listener")
-		}
-	}
-	log.Info("listening", "callers", l.callers.Addr().String(), "operators", l.operators.Addr().String(),
-		"peers", l.peers.Addr().String(), "incarnation", l.incarnation.String())
-	return l, l.close, nil
-}
-
-func (l *listeners) close() {
-	for _, ln := range []net.Listener{l.callers, l.operators, l.peers} {
-		if ln != nil {
-			_ = ln.Close()
-		}
-	}
-}
-
 func (l *listeners) selfMember(s loader.Settings, now time.Time) tracker.Member {
 	return tracker.Member{
 		VM:              s.VM,
