follower: a store that answers slowly does not keep a VM from getting ready

What users saw: 'did not become ready', for good, if each answer of the store takes over 2 s. Reproduced with the stand-in of the store and 3 s.

Cause: each call was given up after 2 s, whatever came before, and the next one began anew. The follower lengthens its own time limits with each failed call, but the client's bound them.

Evidence: TestReadyWithSlowStore failed before (not ready after 20 s). TestFirstList holds the terms in simulated time.

Fix: a call's context says how long to wait for its answer. A VM without records doubles that with each attempt in which no answer began, up to 8 s, and makes a new call each 2 s, as before: a store that drops calls in an outage still costs no more than 2 s (TestReadyAfterOutageOfStore, passes before too). An answer that has begun is waited for as before. For watches and lists of a VM with records the follower's own limits now hold.

--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -158,8 +158,10 @@
 		era storer.Era
 		// handlerErr is the error of the handler's last call.
 		handlerErr error
-		// failures counts the calls that failed since the last one that was answered.
-		failures int
+		// failures counts the calls that failed since the last one that was answered, and
+		// unansweredLists the attempts to list the first records in which no answer began.
+		failures        int
+		unansweredLists int
 		// lastWatchEmpty is whether the last watch ended without changes.
 		lastWatchEmpty bool
 		// parent is the relay parent whose updates are applied, or empty.
@@ -456,7 +458,7 @@
 	if !f.listsConfirm {
 		confirmed = f.beginConfirmation(watchOrigin(polls))
 	}
-	changes, err := f.source.Changes(ctx, f.kind, f.since, wait)
+	changes, err := f.source.Changes(f.withPatience(ctx), f.kind, f.since, wait)
 	if errors.Is(err, storer.ErrCompacted) && changes.StoreVersion.Era > f.era {
 		// The relay parent may not have noticed the restoration that dropped the history.
 		f.noteEra(changes.StoreVersion)
@@ -607,7 +609,7 @@
 	after := ""
 	var first storer.Version
 	for {
-		page, err := f.source.List(ctx, f.kind, after)
+		page, err := f.listPage(ctx, after)
 		if err != nil {
 			return false, err
 		}
