runner: a VM that is not ready says what it lacks, since when and why

What users saw: 'edge-z1-1 did not become ready' and nothing else. The readiness check's 503 had an empty body, and a VM whose store does not answer, or lists no usable upstream, logged nothing about not being ready.

Cause: readiness was one truth value; the reasons stayed with the followers of the store's records, and only the first failed call of each was logged.

Fix: front/diagnoser checks the same conditions as before and keeps since when each is not met. The log, the 503's body and the metric 'ready' have the same reason: the store's last error, a refused record, unreadable entries, a planned stop. Lines come at the start, with each change and each 10 s, at most one a second after the first five. The test puts an API key into a document that is refused, and finds it in none of them.

An age before the first confirmation was logged as that of the zero time, 2562047h; it is now 'none'.

--- a/internal/document/follower/confirmation.go
+++ b/internal/document/follower/confirmation.go
@@ -35,6 +35,15 @@
 	return f.clock.Since(at), !at.IsZero()
 }
 
+// ageText returns AppliedAge for the log, or "none" before the first confirmation.
+func (f *Follower) ageText() string {
+	age, confirmed := f.AppliedAge()
+	if !confirmed {
+		return "none"
+	}
+	return age.String()
+}
+
 // WithListConfirmations makes only lists confirm the records, since a watch may miss changes
 // without an error. A relay root, and a VM without updates of its relay parent, then lists the
 // records when their last confirmation is listAgeFraction of the maximum delay old.
--- a/internal/document/follower/follower.go
+++ b/internal/document/follower/follower.go
@@ -174,7 +174,11 @@
 
 		mu               sync.Mutex
 		unreachableSince time.Time
-		seen             storer.Version
+		// storeErr is the error of this VM's last call, nil if the store answered it, and
+		// refusal is handlerErr.
+		storeErr error
+		refusal  error
+		seen     storer.Version
 		// heard is the latest version that a peer has seen while the handler was processing what
 		// may include it, or storer.Absent.
 		heard storer.Version
@@ -565,14 +569,16 @@
 // noteHandled stores the result of the handler's last call, and logs when it begins or ceases to
 // fail.
 func (f *Follower) noteHandled(err error) {
-	age, _ := f.AppliedAge()
 	switch {
 	case err != nil && f.handlerErr == nil:
-		f.log.Warn("records not in force; the store's confirmations don't count", "since", f.since, "age", age, "reason", err.Error())
+		f.log.Warn("records not in force; the store's confirmations don't count", "since", f.since, "age", f.ageText(), "reason", err.Error())
 	case err == nil && f.handlerErr != nil:
-		f.log.Info("records in force again", "since", f.since, "age", age)
+		f.log.Info("records in force again", "since", f.since, "age", f.ageText())
 	}
 	f.handlerErr = err
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.refusal = err
 }
 
 // checkEra returns why an answer of the store must not be applied to the known records; nil
@@ -673,6 +679,7 @@
 // noteStoreLost records that a call of this VM failed, and logs the first failure.
 func (f *Follower) noteStoreLost(err error) {
 	f.mu.Lock()
+	f.storeErr = err
 	known := !f.unreachableSince.IsZero()
 	if !known {
 		f.unreachableSince = f.clock.Now()
@@ -682,8 +689,7 @@
 	if known {
 		return
 	}
-	age, _ := f.AppliedAge()
-	f.log.Warn("store lost", "since", f.since, "age", age, "confirmedby", string(f.ConfirmedBy()), "reason", err.Error())
+	f.log.Warn("store lost", "since", f.since, "age", f.ageText(), "confirmedby", string(f.ConfirmedBy()), "reason", err.Error())
 }
 
 // markReachable records a period in which the store answered this VM or another without
@@ -701,7 +707,7 @@
 	f.failures = 0
 	f.mu.Lock()
 	lost := f.unreachableSince
-	f.unreachableSince = time.Time{}
+	f.unreachableSince, f.storeErr = time.Time{}, nil
 	f.mu.Unlock()
 	if lost.IsZero() {
 		return
--- a/internal/kernel/runner/routed.go
+++ b/internal/kernel/runner/routed.go
@@ -17,6 +17,7 @@
 	"github.com/waxwingloom/waxwingloom/internal/document/importer"
 	"github.com/waxwingloom/waxwingloom/internal/document/keeper"
 	"github.com/waxwingloom/waxwingloom/internal/front/accountant"
+	"github.com/waxwingloom/waxwingloom/internal/front/diagnoser"
 	"github.com/waxwingloom/waxwingloom/internal/front/locator"
 	"github.com/waxwingloom/waxwingloom/internal/front/pipeliner"
 	"github.com/waxwingloom/waxwingloom/internal/front/receiver"
@@ -312,13 +313,8 @@
 		ttl := func() time.Duration { return settings.Current().Routing.LookupTTL }
 		return newAdminServer(f, f.Find(portsName).(*listeners).lookup, platform.LookupHandler(locate, ttl), log), nil, nil
 	})
-	r.Register(readyName, []registrar.Name{portsName, steerName, callersName, graceName, clockName, memoryName}, func(f registrar.Finder) (any, func(), error) {
-		st := f.Find(steerName).(*steerer.Steerer)
-		front := f.Find(callersName).(*receiver.Receiver)
-		ready := func() bool { return st.Ready() && !front.ShuttingDown() }
-		return newAdminServer(f, f.Find(portsName).(*listeners).ready, platform.ReadyHandler(ready), log), nil, nil
-	})
-	deps := append([]registrar.Name{portsName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, accountsName, talliesName, limitsName, graceName, memoryName, pipelineName}, followerNames...)
+	registerReadiness(r, log)
+	deps := append([]registrar.Name{portsName, diagnosisName, clockName, platformName, steerName, documentsName, callersName, sweepName, quarantineName, accountsName, talliesName, limitsName, graceName, memoryName, pipelineName}, followerNames...)
 	r.Register(operatorsName, deps, func(f registrar.Finder) (any, func(), error) {
 		server := &http.Server{Handler: routedMetrics(f), ReadHeaderTimeout: adminHeadTimeout}
 		return newWebServer(server, f.Find(portsName).(*listeners).operators, f.Find(graceName).(*gracePeriod).httpShutdownTimeout, f.Find(clockName).(clockwork.Clock), log), nil, nil
@@ -371,6 +367,8 @@
 	m.Set("views", expvar.Func(func() any { return viewAges(f) }))
 	m.Set("accounts", expvar.Func(func() any { return metricsOfAccounts(f) }))
 	m.Set("generation", expvar.Func(func() any { return documents.Generation() }))
+	diagnosis := f.Find(diagnosisName).(*diagnoser.Diagnoser)
+	m.Set("ready", expvar.Func(func() any { return diagnosis.State() }))
 	return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		w.Header().Set("Content-Type", "application/json")
 		_, _ = w.Write([]byte(m.String()))
--- a/internal/route/steerer/steerer.go
+++ b/internal/route/steerer/steerer.go
@@ -357,11 +357,12 @@
 	return s.selector.RestorePlacement(s.clock.Now(), service, p)
 }
 
-// Ready reports whether a steering document and at least one upstream are known.
-func (s *Steerer) Ready() bool {
+// Known reports whether a steering document, and whether at least one upstream, is known. Without
+// either, no request can be served.
+func (s *Steerer) Known() (document, upstreams bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.document != nil && len(s.view.Upstreams) > 0
+	return s.document != nil, len(s.view.Upstreams) > 0
 }
 
 // PermittedRegions returns the regions that may serve every route of a host, or nil if
--- a/internal/upstream/discoverer/discoverer.go
+++ b/internal/upstream/discoverer/discoverer.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"github.com/cockroachdb/errors"
 	"github.com/jonboulle/clockwork"
 
 	"github.com/waxwingloom/waxwingloom/internal/document/follower"
@@ -47,6 +48,8 @@
 		upstreamsListed bool
 		drainsListed    bool
 		onChange        func(*cataloger.View)
+		// unreadable has the error of each record that could not be decoded.
+		unreadable map[string]error
 	}
 
 	upstreams struct{ *Discoverer }
@@ -61,6 +64,8 @@
 		log:      log,
 		catalog:  cataloger.New(),
 		onChange: func(*cataloger.View) {},
+
+		unreadable: make(map[string]error),
 	}
 }
 
@@ -112,6 +117,16 @@
 	return d.upstreamsListed
 }
 
+// Unreadable returns how many records could not be decoded, and the error of one of them.
+func (d *Discoverer) Unreadable() (int, error) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, name := range slices.Sorted(maps.Keys(d.unreadable)) {
+		return len(d.unreadable), errors.Wrapf(d.unreadable[name], "entry %s", name)
+	}
+	return 0, nil
+}
+
 // Borrow uses another VM's view until this VM has all upstreams' records, and reports
 // whether it did. Drained zones whose records this VM has are kept, because the other view
 // may be older.
@@ -149,6 +164,7 @@
 	defer u.mu.Unlock()
 	now := u.clock.Now()
 	listed := make(map[namer.Upstream]bool, len(records))
+	clear(u.unreadable)
 	for _, r := range records {
 		if u.put(now, r) {
 			listed[namer.Upstream(r.Name)] = true
@@ -170,6 +186,9 @@
 		if !c.Removed && u.put(now, c.Record) {
 			continue
 		}
+		if c.Removed {
+			delete(u.unreadable, c.Record.Name)
+		}
 		inUse := !u.catalog.Remove(now, namer.Upstream(c.Record.Name))
 		u.log.Info("upstream removed", "upstream", c.Record.Name, "version", c.Record.Version, "used", inUse)
 	}
@@ -181,9 +200,11 @@
 func (d *Discoverer) put(now time.Time, r storer.Record) bool {
 	e, err := d.decode(r)
 	if err != nil {
+		d.unreadable[r.Name] = err
 		d.log.Warn("entry unreadable; treating it as removed", "entry", r.Name, "version", r.Version, "reason", err.Error())
 		return false
 	}
+	delete(d.unreadable, r.Name)
 	if !d.catalog.Put(now, r.Version, e) {
 		d.log.Info("entry ignored", "entry", r.Name, "version", r.Version, "reason", "a later state of the upstream is known")
 		return true
