waxwingd: a log whose reader has gone does not end the process

What users would see: a VM ends, or never becomes ready, at the next line of its log once the reader of its standard output has closed it. Found by trying ways in which a harness may start the daemon; it is not the users' case, whose log is a file.

Cause: Go ends a process by SIGPIPE if a write to descriptor 1 or 2 finds no reader.

Evidence: TestScripts/pipe failed before: the exit code is not that of the start's failure.

Fix: the signal is ignored. The write fails, and the logger drops the lines.

--- a/cmd/waxwingd/main.go
+++ b/cmd/waxwingd/main.go
@@ -68,6 +68,8 @@
 }
 
 func serve(ctx context.Context, c *cli.Command) error {
+	// Without this, a line of the log after its reader has gone ends the process.
+	signal.Ignore(syscall.SIGPIPE)
 	// A request to reload may come while the settings are read for the first time.
 	reload := make(chan os.Signal, 1)
 	signal.Notify(reload, syscall.SIGHUP)
