follower: an error that the store answers ends an attempt to list the first records

Found when the change was read: where a call was dropped and the next one is refused at once (503), the VM waited for the dropped one, up to 10 s, in place of the usual backoff of at most 0.1 s.

Cause: an attempt ended with an error only once no call was in progress.

Evidence: the case 'refused after dropped calls' of TestFirstList failed before: not known after 5 s.

Fix: the first call that ends decides.

--- a/internal/document/follower/firstlist.go
+++ b/internal/document/follower/firstlist.go
@@ -47,8 +47,8 @@
 	return storer.WithPatience(ctx, storer.Patience{AnswerTimeout: f.answerTimeout()})
 }
 
-// firstPage calls for a page at each firstListInterval until an answer begins, and returns the first
-// page that is whole. It fails once no call is in progress, or if none was answered within the limit.
+// firstPage calls for a page at each firstListInterval until an answer begins, and returns the result
+// of the first call that ends. It fails with errNoAnswer if no answer begins within the limit.
 func (f *Follower) firstPage(parent context.Context, after string, limit time.Duration) (storer.Page, error) {
 	calls := int(limit / firstListInterval)
 	answers, begun := make(chan pageAnswer, calls), make(chan struct{}, calls)
@@ -57,10 +57,8 @@
 	ctx = storer.WithPatience(ctx, storer.Patience{AnswerTimeout: limit + firstListInterval, OnAnswer: func() { begun <- struct{}{} }})
 	timer := f.clock.NewTimer(firstListInterval)
 	defer timer.Stop()
-	next, made, inProgress := timer.Chan(), 0, 0
-	for {
-		made++
-		inProgress++
+	next := timer.Chan()
+	for made := 1; ; made++ {
 		go func() {
 			page, err := f.source.List(ctx, f.kind, after)
 			answers <- pageAnswer{page, err}
@@ -68,11 +66,9 @@
 		for due := false; !due; {
 			select {
 			case a := <-answers:
-				inProgress--
-				if a.err == nil || inProgress == 0 {
-					return a.page, a.err
-				}
+				return a.page, a.err
 			case <-begun:
+				// The client limits the rest of the answer.
 				next = nil
 			case <-next:
 				due = true
--- a/internal/document/follower/firstlist_test.go
+++ b/internal/document/follower/firstlist_test.go
@@ -23,6 +23,8 @@
 	*source
 	clock   clockwork.Clock
 	dropped int64
+	// refused is how many calls after these the store refuses at once.
+	refused int64
 	// slowness is how long the answers to the others take to begin.
 	slowness time.Duration
 	lists    atomic.Int64
@@ -30,9 +32,13 @@
 
 func (d *droppedCalls) List(ctx context.Context, kind storer.Kind, after string) (storer.Page, error) {
 	patience := storer.PatienceOf(ctx, usualTimeout)
-	if d.lists.Add(1) <= d.dropped {
+	switch n := d.lists.Add(1); {
+	case n <= d.dropped:
 		<-ctx.Done()
 		return storer.Page{}, ctx.Err()
+	case n <= d.dropped+d.refused:
+		patience.OnAnswer()
+		return storer.Page{}, storer.ErrBusy
 	}
 	select {
 	case <-d.clock.After(d.slowness):
@@ -52,19 +58,21 @@
 	for _, tc := range []struct {
 		name     string
 		dropped  int64
+		refused  int64
 		slowness time.Duration
 		limit    time.Duration
 	}{
-		{"at once", 0, 0, 0},
-		{"slow", 0, 3 * time.Second, 5500 * time.Millisecond},
-		{"very slow", 0, 7 * time.Second, 14 * time.Second},
-		{"dropped calls", 5, 0, 10500 * time.Millisecond},
+		{"at once", 0, 0, 0, 0},
+		{"slow", 0, 0, 3 * time.Second, 5500 * time.Millisecond},
+		{"very slow", 0, 0, 7 * time.Second, 14 * time.Second},
+		{"dropped calls", 5, 0, 0, 10500 * time.Millisecond},
+		{"refused after dropped calls", 2, 1, 0, 5 * time.Second},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				clock := clockwork.NewRealClock()
-				src := &droppedCalls{source: newSource(clock), clock: clock, dropped: tc.dropped, slowness: tc.slowness}
+				src := &droppedCalls{source: newSource(clock), clock: clock, dropped: tc.dropped, refused: tc.refused, slowness: tc.slowness}
 				src.put("a")
 				handler := &recorder{}
 				f := follower.New(src, kind, handler, clock, slog.New(slog.DiscardHandler))
