follower, runner: the first list in one loop; a planned stop lacks admission

Read as a newcomer: two nested loops in firstPage, and a need called 'run'. No change of what happens but the name in the log, the 503 and the metric.

--- a/internal/document/follower/firstlist.go
+++ b/internal/document/follower/firstlist.go
@@ -57,26 +57,26 @@
 	ctx = storer.WithPatience(ctx, storer.Patience{AnswerTimeout: limit + firstListInterval, OnAnswer: func() { begun <- struct{}{} }})
 	timer := f.clock.NewTimer(firstListInterval)
 	defer timer.Stop()
+	call := func() {
+		page, err := f.source.List(ctx, f.kind, after)
+		answers <- pageAnswer{page, err}
+	}
+	go call()
 	next := timer.Chan()
-	for made := 1; ; made++ {
-		go func() {
-			page, err := f.source.List(ctx, f.kind, after)
-			answers <- pageAnswer{page, err}
-		}()
-		for due := false; !due; {
-			select {
-			case a := <-answers:
-				return a.page, a.err
-			case <-begun:
-				// The client limits the rest of the answer.
-				next = nil
-			case <-next:
-				due = true
+	for made := 1; ; {
+		select {
+		case a := <-answers:
+			return a.page, a.err
+		case <-begun:
+			// The client limits the rest of the answer.
+			next = nil
+		case <-next:
+			if made == calls {
+				return storer.Page{}, errNoAnswer
 			}
+			made++
+			timer.Reset(firstListInterval)
+			go call()
 		}
-		if made == calls {
-			return storer.Page{}, errNoAnswer
-		}
-		timer.Reset(firstListInterval)
 	}
 }
--- a/internal/kernel/runner/readiness.go
+++ b/internal/kernel/runner/readiness.go
@@ -24,7 +24,7 @@
 const (
 	documentNeed  diagnoser.Need = "document"
 	upstreamsNeed diagnoser.Need = "upstreams"
-	runNeed       diagnoser.Need = "run"
+	admissionNeed diagnoser.Need = "admission"
 )
 
 // registerReadiness registers what tells whether the VM is ready for callers, and the server for
@@ -49,7 +49,7 @@
 				}
 				return reasonOf(upstreams.State(), listedUpstreams(discovered))
 			}},
-			{Need: runNeed, Find: func() string {
+			{Need: admissionNeed, Find: func() string {
 				if !front.ShuttingDown() {
 					return ""
 				}
