--- a/internal/document/follower/firstlist_test.go
+++ b/internal/document/follower/firstlist_test.go
@@ -27,7 +27,9 @@
 	refused int64
 	// slowness is how long the answers to the others take to begin.
 	slowness time.Duration
-	lists    atomic.Int64
+	// length is how long an answer that has begun takes.
+	length time.Duration
+	lists  atomic.Int64
 }
 
 func (d *droppedCalls) List(ctx context.Context, kind storer.Kind, after string) (storer.Page, error) {
@@ -48,11 +50,17 @@
 		return storer.Page{}, ctx.Err()
 	}
 	patience.OnAnswer()
+	select {
+	case <-d.clock.After(d.length):
+	case <-ctx.Done():
+		return storer.Page{}, ctx.Err()
+	}
 	return d.source.List(ctx, kind, after)
 }
 
 // TestFirstList guards against a VM without records that gives up each call to a slow store, or
-// waits for calls that the store has dropped while later ones would be answered.
+// waits for calls that the store has dropped while later ones would be answered, or gives up an answer
+// that has begun.
 func TestFirstList(t *testing.T) {
 	t.Parallel()
 	for _, tc := range []struct {
@@ -60,19 +68,21 @@
 		dropped  int64
 		refused  int64
 		slowness time.Duration
+		length   time.Duration
 		limit    time.Duration
 	}{
-		{"at once", 0, 0, 0, 0},
-		{"slow", 0, 0, 3 * time.Second, 5500 * time.Millisecond},
-		{"very slow", 0, 0, 7 * time.Second, 14 * time.Second},
-		{"dropped calls", 5, 0, 0, 10500 * time.Millisecond},
-		{"refused after dropped calls", 2, 1, 0, 5 * time.Second},
+		{"at once", 0, 0, 0, 0, 0},
+		{"slow", 0, 0, 3 * time.Second, 0, 5500 * time.Millisecond},
+		{"very slow", 0, 0, 7 * time.Second, 0, 14 * time.Second},
+		{"dropped calls", 5, 0, 0, 0, 10500 * time.Millisecond},
+		{"refused after dropped calls", 2, 1, 0, 0, 5 * time.Second},
+		{"long answer", 0, 0, 0, 5 * time.Second, 5500 * time.Millisecond},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				clock := clockwork.NewRealClock()
-				src := &droppedCalls{source: newSource(clock), clock: clock, dropped: tc.dropped, refused: tc.refused, slowness: tc.slowness}
+				src := &droppedCalls{source: newSource(clock), clock: clock, dropped: tc.dropped, refused: tc.refused, slowness: tc.slowness, length: tc.length}
 				src.put("a")
 				handler := &recorder{}
 				f := follower.New(src, kind, handler, clock, slog.New(slog.DiscardHandler))
--- a/internal/kernel/runner/readiness_test.go
+++ b/internal/kernel/runner/readiness_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -22,7 +21,7 @@
 // why. The log, the readiness check and the metrics have the same reason, and none has a key.
 func TestReadinessNamesLack(t *testing.T) {
 	t.Parallel()
-	refused := json.RawMessage(fmt.Sprintf(`{"version":"r7","tenants":[{"name":"a","apiKeys":[%q],"priority":"high"}]}`, apiKey))
+	refused := sample(t, "configuration-refused", "KEY", apiKey)
 	for _, tc := range []struct {
 		name string
 		// lack makes the store lack something, and mend undoes that.
